--- /dev/null
+++ b/core/core.h
@@ -0,0 +1,450 @@
+/* Decision logic of the balancer.  Nothing in this package performs I/O:
+   time comes in as an argument, and what is to be sent goes out through
+   struct bb_sink.  Equal inputs give equal outputs.
+
+   Addresses and ports are in host byte order.  Times are microseconds of
+   the boot-time clock.  */
+
+#ifndef BB_CORE_CORE_H
+#define BB_CORE_CORE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+typedef int64_t bb_usec;
+
+enum
+{
+  BB_NAME_MAX = 64, /* bytes of a name, with the final NUL */
+  BB_PEER_MAX = 64, /* balancers that one engine exchanges state with */
+  BB_REPLICAS = 3,  /* balancers that hold an entry of a tracked flow */
+  BB_HOPS_MAX = 4,  /* hand-overs of one packet between balancers */
+  BB_BUCKETS_DEFAULT = 4093,
+  BB_ENTRIES_PER_MESSAGE = 50,
+  BB_DOCUMENT_MAX = 1 << 20, /* bytes of one configuration document */
+  BB_CHUNK_MAX = 16384,      /* bytes of a document in one message */
+};
+
+#define BB_MSEC ((bb_usec)1000)
+#define BB_SEC (1000 * BB_MSEC)
+
+#define BB_HEARTBEAT_INTERVAL (500 * BB_MSEC)
+#define BB_SUSPECT_AFTER (1500 * BB_MSEC)
+#define BB_ACT_BOUND (1500 * BB_MSEC)
+#define BB_PAUSE_LIMIT (1000 * BB_MSEC)
+#define BB_SETTLE_TIME (3 * BB_SEC)
+#define BB_STICKY_TIME (10 * BB_SEC)
+
+/* Errors.  The list is closed; bb_error_answer gives what each kind leads
+   to.  */
+
+enum bb_error_kind
+{
+  BB_ERROR_SYNTAX,
+  BB_ERROR_TYPE,
+  BB_ERROR_RANGE,
+  BB_ERROR_UNKNOWN_KEY,
+  BB_ERROR_MISSING_KEY,
+  BB_ERROR_CONFLICT,
+  BB_ERROR_TOO_LARGE,
+  BB_ERROR_STALE_VERSION,
+  BB_ERROR_VERSION_CONFLICT,
+  BB_ERROR_IO,
+  BB_ERROR_PROTOCOL,
+  BB_ERROR_TIMEOUT,
+  BB_ERROR_NOT_FOUND,
+  BB_ERROR_KINDS
+};
+
+enum bb_error_action
+{
+  BB_ACTION_KEEP_VERSION, /* refuse the document, the one in force stays */
+  BB_ACTION_RETRY,        /* try again after a delay */
+  BB_ACTION_DROP,         /* count and drop the message */
+  BB_ACTION_EXIT          /* the process cannot start */
+};
+
+struct bb_error_answer
+{
+  const char *name;
+  enum bb_error_action action;
+  int exit_status; /* of a command that ends with this error */
+};
+
+#define BB_ERROR (bb_error_quark ())
+GQuark bb_error_quark (void);
+
+/* Returns the table row of KIND; never NULL.  */
+const struct bb_error_answer *bb_error_answer (enum bb_error_kind kind);
+
+/* The effective configuration of one data centre.  */
+
+struct bb_endpoint
+{
+  uint32_t address;
+  uint16_t port;
+};
+
+struct bb_server
+{
+  char name[BB_NAME_MAX];
+  uint32_t key; /* bb_server_key of service and server name */
+  struct bb_endpoint gue;
+  struct bb_endpoint health; /* port 0: not probed */
+  uint16_t weight;           /* 1 to 1000 */
+  bool drain;
+  uint32_t connection_limit; /* open connections; 0: none */
+  uint16_t slots;            /* requests that the server runs at once */
+};
+
+enum bb_policy_kind
+{
+  BB_POLICY_TABLE,
+  BB_POLICY_EVEN,
+  BB_POLICIES
+};
+
+struct bb_service
+{
+  char name[BB_NAME_MAX];
+  uint32_t key;
+  struct bb_endpoint address; /* what callers connect to */
+  uint8_t protocol;           /* IPPROTO_TCP or IPPROTO_UDP */
+  enum bb_policy_kind policy;
+  uint16_t spill;     /* permille of the buckets that "even" places freely */
+  uint32_t buckets;   /* prime; fixed once in force */
+  uint32_t ramp_ms;   /* time in which a starting server's share grows */
+  uint32_t idle_s;    /* a flow without a packet for this long has ended */
+  uint32_t silent_ms; /* repetition time before a reset; 0: never */
+  struct bb_server *servers;
+  size_t server_count;
+};
+
+struct bb_network
+{
+  uint32_t address;
+  uint8_t prefix; /* bits, 0 to 32 */
+};
+
+struct bb_fleet
+{
+  uint64_t base_version;
+  uint64_t overlay_version;
+  uint64_t hash_seed;
+  char data_centre[BB_NAME_MAX];
+  struct bb_network *networks; /* where entry VMs may have addresses */
+  size_t network_count;
+  struct bb_service *services;
+  size_t service_count;
+};
+
+/* Frees FLEET and all it owns; NULL is allowed.  */
+void bb_fleet_free (struct bb_fleet *fleet);
+
+/* Returns a copy owned by the caller.  */
+struct bb_fleet *bb_fleet_copy (const struct bb_fleet *fleet);
+
+/* Stable identifiers, equal on all balancers.  */
+uint32_t bb_name_key (const char *name);
+uint32_t bb_server_key (const char *service, const char *server);
+
+/* The published list of VMs, which lags.  */
+
+enum bb_vm_state
+{
+  BB_VM_LIVE,
+  BB_VM_LEAVING
+};
+
+struct bb_vm
+{
+  char name[BB_NAME_MAX];
+  uint32_t id; /* bb_name_key of name */
+  char data_centre[BB_NAME_MAX];
+  struct bb_endpoint data;    /* GUE from the fabric and from peers */
+  struct bb_endpoint control; /* ZeroMQ */
+  enum bb_vm_state state;
+};
+
+struct bb_listed_server
+{
+  uint32_t key;
+  enum bb_vm_state state;
+};
+
+struct bb_vm_list
+{
+  uint64_t version;
+  struct bb_vm *vms;
+  size_t vm_count;
+  struct bb_listed_server *servers;
+  size_t server_count;
+};
+
+void bb_vm_list_free (struct bb_vm_list *list);
+
+/* Packets.  */
+
+enum bb_drop
+{
+  BB_DROP_NONE,
+  BB_DROP_TRUNCATED,
+  BB_DROP_NOT_IPV4,
+  BB_DROP_GUE_VERSION,
+  BB_DROP_FRAGMENT,
+  BB_DROP_PROTOCOL,
+  BB_DROP_SYN_PAYLOAD,
+  BB_DROP_NO_SERVICE,
+  BB_DROP_NO_SERVER,
+  BB_DROP_HOPS,
+  BB_DROP_NOT_PEER,
+  BB_DROP_PAUSED,
+  BB_DROP_UNCERTAIN, /* a split: wait whether the other half knows the flow */
+  BB_DROP_TABLE_FULL,
+  BB_DROP_NOT_READY,
+  BB_DROP_KINDS
+};
+
+const char *bb_drop_name (enum bb_drop kind);
+
+enum
+{
+  BB_TCP_FIN = 1,
+  BB_TCP_SYN = 2,
+  BB_TCP_RST = 4,
+  BB_TCP_ACK = 16
+};
+
+struct bb_packet
+{
+  uint32_t source;
+  uint32_t destination;
+  uint16_t source_port;
+  uint16_t destination_port;
+  uint8_t protocol;
+  uint8_t tcp_flags;
+  uint16_t payload; /* bytes after the transport header */
+  uint32_t sequence;
+  uint32_t acknowledgement;
+};
+
+/* Parses the IPv4 packet of LENGTH bytes at DATA.  Returns BB_DROP_NONE, or
+   the kind under which the packet is to be dropped.  */
+enum bb_drop bb_packet_parse (const uint8_t *data, size_t length,
+                              struct bb_packet *packet);
+
+/* What a handed-over packet carries besides itself.  */
+
+enum
+{
+  BB_HAND_RECORD = 1, /* record the flow with SERVER and pass it on */
+  BB_HAND_FINAL = 2,  /* every replica missed; the receiver decides */
+  BB_HAND_REPEAT = 4  /* the sender saw this sequence number before */
+};
+
+struct bb_handover
+{
+  uint8_t hops;
+  uint8_t flags;
+  uint32_t server;               /* key, with BB_HAND_RECORD */
+  uint16_t visited[BB_HOPS_MAX]; /* low 16 bits of the VM ids, 0 unused */
+};
+
+enum bb_verdict_kind
+{
+  BB_VERDICT_FORWARD, /* to the server at TARGET */
+  BB_VERDICT_HAND,    /* to the balancer at TARGET, with HANDOVER */
+  BB_VERDICT_REFUSE,  /* reset towards the caller; nothing was forwarded */
+  BB_VERDICT_RESET,   /* silent flow: reset towards caller and TARGET */
+  BB_VERDICT_DROP     /* counted under DROP */
+};
+
+struct bb_verdict
+{
+  enum bb_verdict_kind kind;
+  enum bb_drop drop;
+  struct bb_endpoint target;
+  uint32_t server;  /* key, of FORWARD and RESET */
+  uint32_t service; /* key, 0 if unknown */
+  struct bb_handover handover;
+};
+
+/* Messages between balancers.  Arrays are owned by whoever built the message
+   and live until the call that takes it returns.  */
+
+enum bb_message_kind
+{
+  BB_MESSAGE_HEARTBEAT = 1,
+  BB_MESSAGE_MEMBERS,
+  BB_MESSAGE_WANT,
+  BB_MESSAGE_DOCUMENT,
+  BB_MESSAGE_ENTRIES,
+  BB_MESSAGE_TAKEN,
+  BB_MESSAGE_BASE_SET,
+  BB_MESSAGE_KINDS
+};
+
+enum bb_peer_state
+{
+  BB_PEER_JOINING,
+  BB_PEER_ACTIVE,
+  BB_PEER_LEAVING
+};
+
+enum bb_document_kind
+{
+  BB_DOCUMENT_BASE,
+  BB_DOCUMENT_OVERLAY,
+  BB_DOCUMENT_VMS,
+  BB_DOCUMENT_KINDS
+};
+
+enum bb_phase
+{
+  BB_PHASE_SETTLED,
+  BB_PHASE_PREPARE,
+  BB_PHASE_RESOLVE
+};
+
+struct bb_heartbeat
+{
+  uint64_t incarnation; /* start time; a restart has a greater one */
+  enum bb_peer_state state;
+  uint64_t versions[BB_DOCUMENT_KINDS];
+  uint32_t generation;
+  enum bb_phase phase;
+  uint32_t base_digest;   /* of the target set unless settled */
+  uint32_t bits_sequence; /* of this sender */
+  const uint32_t *bits;   /* server keys */
+  size_t bit_count;
+  uint32_t acknowledged;  /* last bits_sequence processed of the receiver */
+  bool pushed;            /* all entries for the receiver were pushed */
+  uint32_t counts_digest; /* of the ordered server keys behind counts */
+  const int32_t *counts;  /* open flows as counted by the sender */
+  size_t count_count;
+  uint32_t members_digest;
+};
+
+struct bb_members
+{
+  const struct bb_vm *vms;
+  size_t vm_count;
+};
+
+/* A want with offset 0 starts a document; chunks are asked for in order.  */
+struct bb_want
+{
+  enum bb_document_kind document;
+  uint64_t version;
+  uint32_t offset;
+};
+
+struct bb_document
+{
+  enum bb_document_kind document;
+  uint64_t version;
+  uint32_t offset;
+  uint32_t total; /* bytes of the whole document */
+  const uint8_t *bytes;
+  size_t length;
+};
+
+struct bb_entry
+{
+  uint64_t hash;
+  uint32_t server; /* key */
+  uint8_t state;   /* enum bb_flow_state */
+};
+
+struct bb_entries
+{
+  uint32_t batch; /* echoed by taken */
+  const struct bb_entry *entries;
+  size_t entry_count;
+};
+
+struct bb_taken
+{
+  uint32_t batch;
+};
+
+struct bb_set_member
+{
+  uint32_t service; /* key */
+  uint32_t server;  /* key */
+  struct bb_endpoint gue;
+  uint16_t weight;
+  bool in_base;   /* of the base set in force */
+  bool in_target; /* of the base set being prepared */
+};
+
+struct bb_base_set
+{
+  uint32_t generation;
+  enum bb_phase phase;
+  uint32_t digest;
+  const struct bb_set_member *members;
+  size_t member_count;
+};
+
+struct bb_message
+{
+  enum bb_message_kind kind;
+  uint32_t from; /* VM id */
+  union
+  {
+    struct bb_heartbeat heartbeat;
+    struct bb_members members;
+    struct bb_want want;
+    struct bb_document document;
+    struct bb_entries entries;
+    struct bb_taken taken;
+    struct bb_base_set base_set;
+  } u;
+};
+
+/* Events of the time line.  */
+
+enum bb_event_kind
+{
+  BB_EVENT_START,
+  BB_EVENT_READY,
+  BB_EVENT_VERSION,
+  BB_EVENT_VERSION_REFUSED,
+  BB_EVENT_VERSION_STALE,
+  BB_EVENT_PEER_JOINED,
+  BB_EVENT_PEER_ACTIVE,
+  BB_EVENT_PEER_LEAVING,
+  BB_EVENT_PEER_LOST,
+  BB_EVENT_PEER_BACK,
+  BB_EVENT_BIT_SET,
+  BB_EVENT_BIT_ACTED,
+  BB_EVENT_BIT_CLEARED,
+  BB_EVENT_SERVER_DOWN,
+  BB_EVENT_SERVER_UP,
+  BB_EVENT_SERVER_DRAIN,
+  BB_EVENT_PANIC,
+  BB_EVENT_PUSH_DONE,
+  BB_EVENT_REBASE,
+  BB_EVENT_BASE_CONFLICT,
+  BB_EVENT_PAUSE,
+  BB_EVENT_REFUSED,
+  BB_EVENT_SILENT_RESET,
+  BB_EVENT_LEAVING,
+  BB_EVENT_STOP,
+  BB_EVENT_KINDS
+};
+
+const char *bb_event_name (enum bb_event_kind kind);
+
+struct bb_event
+{
+  enum bb_event_kind kind;
+  uint32_t peer;   /* VM id, 0: none */
+  uint32_t server; /* key, 0: none */
+  uint64_t flow;   /* hash, 0: none */
+  uint64_t value;  /* of the kind: a version, a count, microseconds */
+};
+#endif
--- /dev/null
+++ b/core/silence.h
@@ -0,0 +1,36 @@
+/* Detects flows whose caller repeats the same sequence number for good.
+   Memory is fixed; nothing is allocated after creation.  */
+
+#ifndef BB_CORE_SILENCE_H
+#define BB_CORE_SILENCE_H
+
+#include "core/core.h"
+
+#define BB_SILENCE_REPEATS 4 /* sightings of one sequence number */
+
+struct bb_silence;
+
+/* SLOTS is rounded up to a power of two.  */
+struct bb_silence *bb_silence_new (uint32_t slots);
+void bb_silence_free (struct bb_silence *s);
+
+/* Called at the ingress for each TCP packet with payload, on the packet path.
+   Returns whether the same SEQUENCE of the flow HASH was seen here at least
+   200 ms ago.  A miss through eviction only delays detection.  */
+bool bb_silence_sight (struct bb_silence *s, uint64_t hash, uint32_t sequence,
+                       bb_usec now);
+
+/* Called at the flow's owner for each packet that an ingress (itself or a
+   peer) reported as a repetition.  Returns true once BB_SILENCE_REPEATS
+   sightings of SEQUENCE have spanned LIMIT (the service's silent_ms), and
+   starts anew.  Progress of the flow (another sequence number) starts the
+   count anew.  LIMIT 0: never.  */
+bool bb_silence_count (struct bb_silence *s, uint64_t hash, uint32_t sequence,
+                       bb_usec limit, bb_usec now);
+
+/* Whether flows of SERVICE have progressed within the last LIMIT; a whole
+   service that is silent is no reason to reset single flows.  */
+void bb_silence_progress (struct bb_silence *s, uint32_t service, bb_usec now);
+bool bb_silence_progressed (const struct bb_silence *s, uint32_t service,
+                            bb_usec limit, bb_usec now);
+#endif
--- /dev/null
+++ b/wire/wire.h
@@ -0,0 +1,50 @@
+/* Packet headers and messages between balancers.  */
+
+#ifndef BB_WIRE_WIRE_H
+#define BB_WIRE_WIRE_H
+
+#include "core/core.h"
+
+enum
+{
+  BB_GUE_HEADER = 4,     /* bytes without private data */
+  BB_GUE_HANDOVER = 16,  /* bytes of private data of a hand-over */
+  BB_GUE_PROTO_IPV4 = 4, /* "proto/ctype" of an IPv4 payload */
+  BB_WIRE_VERSION = 1,   /* first element of every message */
+  BB_WIRE_MESSAGE_MAX = 65536
+};
+
+/* GUE version 0 (draft-ietf-intarea-gue-09, section 3).  Writes the header to
+   DATA, which has room for BB_GUE_HEADER + BB_GUE_HANDOVER bytes, and returns
+   its length.  HANDOVER may be NULL.  */
+size_t bb_gue_encode (uint8_t *data, const struct bb_handover *handover);
+
+/* Reads the header of a datagram.  *HEADER is set to its length, *HANDED to
+   whether it carries a hand-over, which is then in *HANDOVER.  Returns
+   BB_DROP_NONE or the kind of the drop.  */
+enum bb_drop bb_gue_decode (const uint8_t *data, size_t length, size_t *header,
+                            bool *handed, struct bb_handover *handover);
+
+/* Writes a TCP RST for the flow of PACKET as an IPv4 packet to DATA, which
+   has room for 40 bytes; returns 40.  TO_CALLER swaps the ends; otherwise the
+   reset goes the way of PACKET.  */
+size_t bb_wire_reset (uint8_t *data, const struct bb_packet *packet,
+                      bool to_caller);
+
+/* Encodes MESSAGE with msgpack.  The result is the caller's to free with
+   g_byte_array_unref.  */
+GByteArray *bb_wire_encode (const struct bb_message *message);
+
+/* A decoded message with the memory that its arrays live in.  */
+struct bb_decoded
+{
+  struct bb_message message;
+  void *arena; /* private */
+};
+
+/* Decodes LENGTH bytes.  Returns false with BB_ERROR_PROTOCOL or
+   BB_ERROR_TOO_LARGE set if they are no message of this version.  */
+bool bb_wire_decode (const uint8_t *data, size_t length,
+                     struct bb_decoded *decoded, GError **error);
+void bb_wire_decoded_clear (struct bb_decoded *decoded);
+#endif
