--- a/core/core.h
+++ b/core/core.h
@@ -382,6 +382,8 @@
 
 struct bb_base_set
 {
+  uint64_t origin; /* wall clock of the first generation, microseconds; of
+                      two different base sets the older origin wins */
   uint32_t generation;
   enum bb_phase phase;
   uint32_t digest;
--- a/core/health.h
+++ b/core/health.h
@@ -8,8 +8,9 @@
 #define BB_HEALTH_DOWN_AFTER 3 /* failed probes in a row */
 #define BB_HEALTH_UP_AFTER 2   /* good probes in a row */
 #define BB_HEALTH_HOLD_MAX (60 * BB_SEC)
-#define BB_REPORT_FRESH (3 * BB_SEC) /* older reports are not used for load   \
-                                      */
+#define BB_REPORT_FRESH                                                       \
+  (3 * BB_SEC) /* older reports are not used for load                         \
+                */
 
 struct bb_health
 {
