--- /dev/null
+++ b/core/health.c
@@ -0,0 +1,79 @@
+#include "core/health.h"
+
+/* Shortest time down after a first failure.  It doubles while failures
+   return within BB_HEALTH_HOLD_MAX of the recovery.  */
+#define HOLD_MIN (1 * BB_SEC)
+
+void
+bb_health_init (struct bb_health *h, bb_usec now)
+{
+  *h = (struct bb_health){ .up = true, .up_since = now, .connections = -1 };
+}
+
+static void
+go_down (struct bb_health *h, bb_usec now)
+{
+  bool flapped = h->hold > 0 && now - h->up_since < BB_HEALTH_HOLD_MAX;
+  h->hold = flapped ? MIN (2 * h->hold, BB_HEALTH_HOLD_MAX) : HOLD_MIN;
+  h->down_until = now + h->hold;
+  h->up = false;
+}
+
+static void
+keep_report (struct bb_health *h, const struct bb_report *report, bb_usec now)
+{
+  h->reported = now;
+  h->connections = report->connections;
+  h->load = report->load;
+  if (report->uptime_ms == UINT32_MAX)
+    return;
+  h->started = now - report->uptime_ms * BB_MSEC;
+  if (h->started == 0)
+    h->started = -1; /* 0 stands for an unknown start */
+}
+
+enum bb_health_change
+bb_health_report (struct bb_health *h, const struct bb_report *report,
+                  bb_usec now)
+{
+  if (!report->ok)
+    {
+      /* A draining server may already answer its probes with an error.  Only
+         a good report takes the drain back.  */
+      h->draining |= report->draining;
+      h->successes = 0;
+      h->failures = MIN (h->failures + 1, UINT8_MAX);
+      if (!h->up || h->failures < BB_HEALTH_DOWN_AFTER)
+        return BB_HEALTH_SAME;
+      go_down (h, now);
+      return BB_HEALTH_WENT_DOWN;
+    }
+  keep_report (h, report, now);
+  h->draining = report->draining;
+  h->failures = 0;
+  h->successes = MIN (h->successes + 1, UINT8_MAX);
+  if (h->up || h->successes < BB_HEALTH_UP_AFTER || now < h->down_until)
+    return BB_HEALTH_SAME;
+  h->up = true;
+  h->up_since = now;
+  return BB_HEALTH_WENT_UP;
+}
+
+uint32_t
+bb_health_ramp (const struct bb_health *h, uint32_t ramp_ms, bb_usec now)
+{
+  if (h->started == 0 || ramp_ms == 0)
+    return 1000;
+  bb_usec running = now - h->started;
+  if (running <= 0)
+    return 0;
+  if (running >= ramp_ms * BB_MSEC)
+    return 1000;
+  return (uint32_t)(running / ramp_ms);
+}
+
+bool
+bb_health_fresh (const struct bb_health *h, bb_usec now)
+{
+  return h->reported != 0 && now - h->reported < BB_REPORT_FRESH;
+}
