--- a/wire/wire.h
+++ b/wire/wire.h
@@ -27,7 +27,8 @@
 
 /* Writes a TCP RST for the flow of PACKET as an IPv4 packet to DATA, which
    has room for 40 bytes; returns 40.  TO_CALLER swaps the ends; otherwise the
-   reset goes the way of PACKET.  */
+   reset goes the way of PACKET.  Returns 0 and writes nothing if PACKET is
+   not TCP, or is itself a reset, which must not be answered with one.  */
 size_t bb_wire_reset (uint8_t *data, const struct bb_packet *packet,
                       bool to_caller);
 
