Add the engine: tracked buckets, owners, impairment bits, base sets

Cause: packets of one flow reach any balancer, and few KB/s of control traffic cannot tell all of them where each flow went. A bit is acted on once every live peer has seen it.

--- /dev/null
+++ b/core/bits.c
@@ -0,0 +1,133 @@
+/* Impairment bits and their acknowledgements.  */
+
+#include "core/private.h"
+
+#include <string.h>
+
+/* Whether every live peer of the data centre has processed SEQUENCE.  */
+static bool
+all_acknowledged (const struct bb_engine *e, uint32_t sequence)
+{
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    {
+      const struct bb_peer *p = &e->peers[i];
+      if (bb_peer_local (e, p) && bb_peer_live (e, p)
+          && p->acknowledged < sequence)
+        return false;
+    }
+  return true;
+}
+
+static void
+set_bit (struct bb_engine *e, struct bb_slot *t, bb_usec now)
+{
+  t->bit = true;
+  t->bit_since = now;
+  t->bit_sequence = e->bits_sequence + 1;
+  bb_engine_event (e, BB_EVENT_BIT_SET, 0, t->key, t->held);
+}
+
+static void
+clear_bit (struct bb_engine *e, struct bb_slot *t)
+{
+  t->bit = false;
+  t->acted = false;
+  bb_engine_event (e, BB_EVENT_BIT_CLEARED, 0, t->key, 0);
+}
+
+static bool
+update_bit (struct bb_engine *e, struct bb_slot *t, bb_usec now)
+{
+  if (t->opinion || t->held)
+    t->wanted = now;
+  if (!t->bit && (t->opinion || t->held))
+    {
+      set_bit (e, t, now);
+      return true;
+    }
+  if (t->bit && now - t->wanted >= BB_BIT_CLEAR_DELAY)
+    {
+      clear_bit (e, t);
+      return true;
+    }
+  return false;
+}
+
+static void
+act (struct bb_engine *e, struct bb_slot *t, bb_usec now)
+{
+  if (!t->bit || t->acted)
+    return;
+  if (!all_acknowledged (e, t->bit_sequence)
+      && now - t->bit_since < BB_ACT_BOUND)
+    return;
+  t->acted = true;
+  bb_engine_event (e, BB_EVENT_BIT_ACTED, 0, t->key,
+                   (uint64_t)(now - t->bit_since));
+}
+
+void
+bb_bits_tick (struct bb_engine *e, bb_usec now)
+{
+  bool changed = false;
+  for (uint32_t i = 0; i < e->slot_count; i++)
+    changed |= update_bit (e, &e->slots[i], now);
+  if (changed)
+    {
+      e->bits_sequence++;
+      e->heartbeat_soon = true;
+      bb_routes_rebuild (e, now);
+    }
+  for (uint32_t i = 0; i < e->slot_count; i++)
+    act (e, &e->slots[i], now);
+}
+
+void
+bb_bits_from_peer (struct bb_engine *e, struct bb_peer *p,
+                   const struct bb_heartbeat *h)
+{
+  (void)e;
+  p->bits_sequence = h->bits_sequence;
+  g_free (p->bits);
+  p->bits = g_memdup2 (h->bits, h->bit_count * sizeof *h->bits);
+  p->bit_count = h->bit_count;
+}
+
+/* A lost peer's bits stay for a while: its entries are still held by its
+   replicas, which have set their own bits by then.  */
+static bool
+counts (const struct bb_engine *e, const struct bb_peer *p, bb_usec now)
+{
+  if (!bb_peer_local (e, p) || !p->heard)
+    return false;
+  return !p->suspected || now - p->lost_at < BB_LOST_BITS_TIME;
+}
+
+void
+bb_bits_merge (struct bb_engine *e, bb_usec now)
+{
+  bool *before = g_new0 (bool, e->slot_count + 1);
+  for (uint32_t i = 0; i < e->slot_count; i++)
+    {
+      before[i] = e->slots[i].bit_peer;
+      e->slots[i].bit_peer = false;
+    }
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    {
+      const struct bb_peer *p = &e->peers[i];
+      if (!counts (e, p, now))
+        continue;
+      for (size_t k = 0; k < p->bit_count; k++)
+        {
+          struct bb_slot *t = bb_slot_find (e, p->bits[k]);
+          if (t)
+            t->bit_peer = true;
+        }
+    }
+  bool changed = false;
+  for (uint32_t i = 0; i < e->slot_count; i++)
+    changed |= before[i] != e->slots[i].bit_peer;
+  g_free (before);
+  if (changed)
+    bb_routes_rebuild (e, now);
+}
--- /dev/null
+++ b/core/engine.c
@@ -0,0 +1,330 @@
+#include "core/engine.h"
+#include "core/hash.h"
+#include "core/private.h"
+
+#include <string.h>
+
+#define START_GRACE (1000 * BB_MSEC) /* peers may answer until then */
+#define START_LIMIT (5000 * BB_MSEC) /* then start alone */
+#define HEAR_GRACE (600 * BB_MSEC)   /* after the first active peer */
+#define SWEEP_INTERVAL (1000 * BB_MSEC)
+#define SILENCE_SLOTS 65536
+#define SEQUENCE_UNIT (100 * BB_MSEC)
+
+void
+bb_engine_event (struct bb_engine *e, enum bb_event_kind kind, uint32_t peer,
+                 uint32_t server, uint64_t value)
+{
+  struct bb_event event
+      = { .kind = kind, .peer = peer, .server = server, .value = value };
+  e->sink->event (e->context, &event);
+}
+
+uint32_t
+bb_engine_random (struct bb_engine *e, uint32_t below)
+{
+  return (uint32_t)g_rand_int_range (e->random, 0, (gint32)below);
+}
+
+struct bb_engine *
+bb_engine_new (const struct bb_engine_options *o, const struct bb_sink *sink,
+               void *context, bb_usec now)
+{
+  struct bb_engine *e = g_new0 (struct bb_engine, 1);
+  e->options = *o;
+  e->sink = sink;
+  e->context = context;
+  e->started = e->ticked = e->steady_since = now;
+  e->awake = true;
+  e->seconds = (uint32_t)(now / BB_SEC);
+  e->random = g_rand_new_with_seed ((guint32)o->seed);
+  e->slot_index = g_hash_table_new (NULL, NULL);
+  e->silence = bb_silence_new (SILENCE_SLOTS);
+  /* Grows with the start time, so that peers never take an acknowledgement
+     of an earlier process for one of this.  */
+  e->bits_sequence = (uint32_t)(o->incarnation / SEQUENCE_UNIT) | 1;
+  e->join_sequence = e->bits_sequence;
+  bb_flows_init (&e->flows, o->flow_capacity);
+  bb_view_rebuild (e, now);
+  bb_engine_event (e, BB_EVENT_START, 0, 0, o->incarnation);
+  return e;
+}
+
+void
+bb_engine_free (struct bb_engine *e)
+{
+  if (!e)
+    return;
+  bb_tables_clear (e);
+  bb_flows_clear (&e->flows);
+  bb_documents_clear (e);
+  bb_peers_clear (e);
+  bb_silence_free (e->silence);
+  bb_fleet_free (e->fleet);
+  g_hash_table_destroy (e->slot_index);
+  g_rand_free (e->random);
+  g_free (e);
+}
+
+void
+bb_engine_report (struct bb_engine *e, uint32_t server,
+                  const struct bb_report *report, bb_usec now)
+{
+  struct bb_slot *t = bb_slot_find (e, server);
+  if (!t)
+    return;
+  bool draining = t->health.draining;
+  enum bb_health_change change = bb_health_report (&t->health, report, now);
+  t->sum_at_report = t->own_open + t->peers_open;
+  if (change == BB_HEALTH_WENT_DOWN)
+    bb_engine_event (e, BB_EVENT_SERVER_DOWN, 0, server, 0);
+  if (change == BB_HEALTH_WENT_UP)
+    bb_engine_event (e, BB_EVENT_SERVER_UP, 0, server, 0);
+  if (t->health.draining && !draining)
+    bb_engine_event (e, BB_EVENT_SERVER_DRAIN, 0, server, 0);
+}
+
+void
+bb_engine_message (struct bb_engine *e, const struct bb_message *m,
+                   bb_usec now)
+{
+  struct bb_peer *p = bb_peer_find (e, m->from);
+  if (m->kind == BB_MESSAGE_MEMBERS)
+    {
+      bb_members_receive (e, &m->u.members, now);
+      return;
+    }
+  if (!p)
+    return; /* its member list makes it known */
+  switch (m->kind)
+    {
+    case BB_MESSAGE_HEARTBEAT:
+      bb_heartbeat_receive (e, p, &m->u.heartbeat, now);
+      break;
+    case BB_MESSAGE_WANT:
+      bb_documents_want (e, p, &m->u.want);
+      break;
+    case BB_MESSAGE_DOCUMENT:
+      bb_documents_receive (e, p, &m->u.document, now);
+      break;
+    case BB_MESSAGE_ENTRIES:
+      bb_push_receive (e, p, &m->u.entries, now);
+      break;
+    case BB_MESSAGE_TAKEN:
+      bb_push_taken (e, p, m->u.taken.batch);
+      break;
+    case BB_MESSAGE_BASE_SET:
+      bb_base_receive (e, p, &m->u.base_set, now);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+set_state (struct bb_engine *e, enum bb_peer_state state, bb_usec now)
+{
+  e->state = state;
+  e->bits_sequence++;
+  e->heartbeat_soon = true;
+  bb_view_rebuild (e, now);
+}
+
+/* The process slept: what it believed may be out of date, and entries were
+   placed without it, so it joins anew.  */
+static void
+wake (struct bb_engine *e, bb_usec now, bb_usec slept)
+{
+  bb_engine_event (e, BB_EVENT_PAUSE, 0, 0, (uint64_t)slept);
+  e->awake = false;
+  e->woke = now;
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    {
+      e->peers[i].awake = false;
+      e->peers[i].pushed = false;
+      e->peers[i].heard_at = now;
+    }
+  if (e->state == BB_PEER_LEAVING)
+    return;
+  set_state (e, BB_PEER_JOINING, now);
+  e->join_sequence = e->bits_sequence;
+}
+
+static void
+check_awake (struct bb_engine *e, bb_usec now)
+{
+  bool heard = true;
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    if (bb_peer_local (e, &e->peers[i]) && bb_peer_live (e, &e->peers[i]))
+      heard &= e->peers[i].awake;
+  if (heard || now - e->woke >= BB_PAUSE_LIMIT)
+    e->awake = true;
+}
+
+static void
+check_version (struct bb_engine *e, bb_usec now)
+{
+  bool known = true;
+  if (e->version_acted || !e->fleet)
+    return;
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    {
+      const struct bb_peer *p = &e->peers[i];
+      if (!bb_peer_local (e, p) || !bb_peer_live (e, p))
+        continue;
+      known
+          &= p->versions[BB_DOCUMENT_BASE] >= e->fleet->base_version
+             && p->versions[BB_DOCUMENT_OVERLAY] >= e->fleet->overlay_version;
+    }
+  e->version_acted = known || now - e->version_since >= BB_ACT_BOUND;
+}
+
+/* Whether this balancer makes the first base set: nobody has one, and no
+   joining balancer with a configuration has a lower id.  */
+static bool
+may_bootstrap (const struct bb_engine *e, bb_usec now)
+{
+  if (!e->fleet || now - e->started < START_GRACE)
+    return false;
+  if (now - e->started >= START_LIMIT)
+    return true;
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    {
+      const struct bb_peer *p = &e->peers[i];
+      if (!bb_peer_local (e, p) || !bb_peer_live (e, p))
+        continue;
+      if (p->generation || p->state == BB_PEER_ACTIVE)
+        return false;
+      if (p->vm.id < e->options.self.id && p->versions[BB_DOCUMENT_BASE])
+        return false;
+    }
+  return true;
+}
+
+static bool
+heard_all (const struct bb_engine *e)
+{
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    if (bb_peer_local (e, &e->peers[i]) && !e->peers[i].heard)
+      return false;
+  return true;
+}
+
+static void
+become_ready (struct bb_engine *e, bb_usec now)
+{
+  e->ready = true;
+  e->heartbeat_soon = true;
+  bb_engine_event (e, BB_EVENT_READY, 0, 0, (uint64_t)(now - e->started));
+}
+
+static void
+check_ready (struct bb_engine *e, bb_usec now)
+{
+  if (e->ready || !e->fleet)
+    return;
+  if (!e->generation)
+    {
+      if (!may_bootstrap (e, now))
+        return;
+      bb_base_bootstrap (e, now);
+      become_ready (e, now);
+      return;
+    }
+  bool waited = e->first_active && now - e->first_active >= HEAR_GRACE;
+  if (heard_all (e) || waited)
+    become_ready (e, now);
+}
+
+/* A joining balancer owns flows once all active peers have pushed what it
+   should hold.  */
+static void
+check_joined (struct bb_engine *e, bb_usec now)
+{
+  if (e->state != BB_PEER_JOINING || !e->ready || !e->awake)
+    return;
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    {
+      const struct bb_peer *p = &e->peers[i];
+      if (!bb_peer_local (e, p) || !bb_peer_live (e, p)
+          || p->state != BB_PEER_ACTIVE)
+        continue;
+      if (p->acknowledged < e->join_sequence || !p->pushed)
+        return;
+    }
+  set_state (e, BB_PEER_ACTIVE, now);
+}
+
+static void
+sweep (struct bb_engine *e, bb_usec now)
+{
+  if (now - e->swept < SWEEP_INTERVAL)
+    return;
+  e->swept = now;
+  bb_bits_merge (e, now);
+  for (uint32_t i = 0; i < e->service_count; i++)
+    if (e->services[i].sticky)
+      {
+        bb_routes_rebuild (e, now);
+        return;
+      }
+}
+
+bool
+bb_engine_tick (struct bb_engine *e, bb_usec now)
+{
+  bb_usec elapsed = now - e->ticked;
+  bool paused = elapsed > BB_PAUSE_LIMIT;
+  e->ticked = now;
+  e->seconds = (uint32_t)(now / BB_SEC);
+  if (paused)
+    wake (e, now, elapsed);
+  if (!e->awake)
+    check_awake (e, now);
+  bb_members_tick (e, now);
+  sweep (e, now);
+  bb_place_prepare (e, now);
+  bb_bits_tick (e, now);
+  check_version (e, now);
+  check_ready (e, now);
+  check_joined (e, now);
+  bb_base_tick (e, now);
+  bb_push_tick (e, now, elapsed);
+  bb_expire_tick (e);
+  bb_heartbeats_send (e, now);
+  return paused;
+}
+
+void
+bb_engine_leave (struct bb_engine *e, bb_usec now)
+{
+  if (e->state == BB_PEER_LEAVING)
+    return;
+  set_state (e, BB_PEER_LEAVING, now);
+  e->leave_sequence = e->bits_sequence;
+  bb_engine_event (e, BB_EVENT_LEAVING, 0, 0, e->flows.used);
+}
+
+bool
+bb_engine_left (const struct bb_engine *e, bb_usec now)
+{
+  (void)now;
+  if (e->state != BB_PEER_LEAVING)
+    return false;
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    {
+      const struct bb_peer *p = &e->peers[i];
+      if (!bb_peer_local (e, p) || !bb_peer_live (e, p)
+          || p->state != BB_PEER_ACTIVE)
+        continue;
+      if (p->acknowledged < e->leave_sequence || !p->pushed)
+        return false;
+    }
+  return e->push_done;
+}
+
+const struct bb_counters *
+bb_engine_counters (const struct bb_engine *e)
+{
+  return &e->counters;
+}
--- a/core/maglev.c
+++ b/core/maglev.c
@@ -50,7 +50,7 @@
 {
   for (uint32_t i = 0; i < size; i++)
     table[i] = UINT16_MAX;
-  if (!count)
+  if (!count || size < 3)
     return;
   struct permutation *p = permutations (size, members, count);
   uint32_t top = 1;
--- /dev/null
+++ b/core/members.c
@@ -0,0 +1,266 @@
+/* Balancers of the fleet as this one knows them.  */
+
+#include "core/hash.h"
+#include "core/private.h"
+
+#include <string.h>
+
+struct bb_peer *
+bb_peer_find (struct bb_engine *e, uint32_t id)
+{
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    if (e->peers[i].vm.id == id)
+      return &e->peers[i];
+  return NULL;
+}
+
+bool
+bb_peer_local (const struct bb_engine *e, const struct bb_peer *p)
+{
+  return strcmp (p->vm.data_centre, e->options.self.data_centre) == 0;
+}
+
+bool
+bb_peer_live (const struct bb_engine *e, const struct bb_peer *p)
+{
+  (void)e;
+  return p->heard && !p->suspected;
+}
+
+static void
+free_peer (struct bb_peer *p)
+{
+  g_free (p->bits);
+  g_free (p->counts);
+  memset (p, 0, sizeof *p);
+}
+
+static void
+remove_peer (struct bb_engine *e, uint32_t i)
+{
+  free_peer (&e->peers[i]);
+  e->peers[i] = e->peers[--e->peer_count];
+  memset (&e->peers[e->peer_count], 0, sizeof *e->peers);
+}
+
+/* When the table is full, the peer that was silent for longest goes.  */
+static bool
+make_room (struct bb_engine *e)
+{
+  uint32_t worst = BB_PEER_MAX;
+  if (e->peer_count < BB_PEER_MAX)
+    return true;
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    if (!bb_peer_live (e, &e->peers[i])
+        && (worst == BB_PEER_MAX
+            || e->peers[i].heard_at < e->peers[worst].heard_at))
+      worst = i;
+  if (worst == BB_PEER_MAX)
+    return false;
+  remove_peer (e, worst);
+  return true;
+}
+
+void
+bb_peer_add (struct bb_engine *e, const struct bb_vm *vm, bool seed,
+             bb_usec now)
+{
+  if (vm->id == e->options.self.id)
+    return;
+  struct bb_peer *p = bb_peer_find (e, vm->id);
+  if (!p && !make_room (e))
+    return;
+  if (!p)
+    {
+      p = &e->peers[e->peer_count++];
+      *p = (struct bb_peer){ .state = BB_PEER_JOINING, .heard_at = now };
+      e->heartbeat_soon = true;
+    }
+  p->vm = *vm;
+  p->seed |= seed;
+  bb_view_rebuild (e, now);
+}
+
+void
+bb_engine_add_peer (struct bb_engine *e, const struct bb_vm *vm, bb_usec now)
+{
+  bb_peer_add (e, vm, true, now);
+}
+
+void
+bb_peers_clear (struct bb_engine *e)
+{
+  while (e->peer_count)
+    remove_peer (e, e->peer_count - 1);
+}
+
+static bool
+in_network (const struct bb_network *n, uint32_t address)
+{
+  if (n->prefix == 0)
+    return true;
+  uint32_t mask = UINT32_MAX << (32 - n->prefix);
+  return (address & mask) == (n->address & mask);
+}
+
+bool
+bb_engine_admits (const struct bb_engine *e, uint32_t address)
+{
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    if (e->peers[i].vm.control.address == address
+        || e->peers[i].vm.data.address == address)
+      return true;
+  for (size_t i = 0; e->fleet && i < e->fleet->network_count; i++)
+    if (in_network (&e->fleet->networks[i], address))
+      return true;
+  return false;
+}
+
+uint32_t
+bb_members_digest (const struct bb_engine *e)
+{
+  uint32_t digest = e->options.self.id;
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    digest ^= (uint32_t)bb_hash_score (e->peers[i].vm.id, 7);
+  return digest ^ (uint32_t)bb_hash_score (e->options.self.id, 7)
+         ^ e->options.self.id;
+}
+
+static void
+view_add (struct bb_view *v, uint32_t id, enum bb_peer_state state,
+          uint8_t peer)
+{
+  if (state == BB_PEER_LEAVING || v->count == BB_PEER_MAX)
+    return;
+  v->ids[v->count] = id;
+  v->joining[v->count] = state == BB_PEER_JOINING;
+  v->peers[v->count++] = peer;
+}
+
+static int
+view_index (const struct bb_view *v, uint32_t id)
+{
+  for (uint32_t i = 0; i < v->count; i++)
+    if (v->ids[i] == id)
+      return (int)i;
+  return -1;
+}
+
+static bool
+same_view (const struct bb_view *a, const struct bb_view *b)
+{
+  if (a->count != b->count)
+    return false;
+  for (uint32_t i = 0; i < a->count; i++)
+    {
+      int k = view_index (b, a->ids[i]);
+      if (k < 0 || a->joining[i] != b->joining[k])
+        return false;
+    }
+  return true;
+}
+
+/* Whether some member became active without having joined in order: it was
+   cut off, and each side may hold entries that the other lacks.  */
+static bool
+regained (const struct bb_view *old, const struct bb_view *new)
+{
+  for (uint32_t i = 0; i < new->count; i++)
+    if (!new->joining[i] && view_index (old, new->ids[i]) < 0)
+      return true;
+  return false;
+}
+
+void
+bb_view_rebuild (struct bb_engine *e, bb_usec now)
+{
+  struct bb_view v = { .count = 0 };
+  view_add (&v, e->options.self.id, e->state, BB_SELF);
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    if (bb_peer_local (e, &e->peers[i]) && bb_peer_live (e, &e->peers[i])
+        && e->peers[i].generation)
+      view_add (&v, e->peers[i].vm.id, e->peers[i].state, (uint8_t)i);
+  bool changed = !same_view (&v, &e->view);
+  if (changed && regained (&e->view, &v))
+    e->view_regained = now;
+  e->view = v;
+  if (!changed)
+    return;
+  e->view_changed = now;
+  e->epoch++;
+  bb_push_restart (e);
+}
+
+/* Misses are not final while views may differ or entries are elsewhere.  */
+bool
+bb_view_unsettled (const struct bb_engine *e, bb_usec now)
+{
+  if (now - e->view_changed < BB_SETTLE_TIME)
+    return true;
+  if (!e->view_regained)
+    return false;
+  if (!e->push_done)
+    return true;
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    if (bb_peer_local (e, &e->peers[i]) && bb_peer_live (e, &e->peers[i])
+        && !e->peers[i].pushed)
+      return true;
+  return false;
+}
+
+static void
+lose_peer (struct bb_engine *e, struct bb_peer *p, bb_usec now)
+{
+  p->suspected = true;
+  p->lost_at = now;
+  p->pushed = false;
+  if (bb_peer_local (e, p))
+    bb_engine_event (e, BB_EVENT_PEER_LOST, p->vm.id, 0, p->state);
+}
+
+/* A clean leaver and a peer that was silent for long are forgotten, unless
+   the list or the settings name them.  */
+static bool
+forgettable (const struct bb_peer *p, bb_usec now)
+{
+  if (!p->heard)
+    return !p->seed && !p->listed && now - p->heard_at > BB_FORGET_TIME;
+  if (!p->suspected)
+    return false;
+  if (p->state == BB_PEER_LEAVING)
+    return now - p->lost_at > BB_LOST_BITS_TIME && !p->seed;
+  return !p->listed && !p->seed && now - p->lost_at > BB_FORGET_TIME;
+}
+
+static bool
+is_missing (const struct bb_engine *e, const struct bb_peer *p, bb_usec now)
+{
+  return bb_peer_local (e, p) && p->heard && p->suspected
+         && p->state == BB_PEER_ACTIVE && now - p->lost_at < BB_DOUBT_TIME;
+}
+
+void
+bb_members_tick (struct bb_engine *e, bb_usec now)
+{
+  bool lost = false;
+  e->missing_peer = false;
+  for (uint32_t i = e->peer_count; i-- > 0;)
+    {
+      struct bb_peer *p = &e->peers[i];
+      bb_usec limit
+          = bb_peer_local (e, p) ? BB_SUSPECT_AFTER : 20 * BB_SUSPECT_AFTER;
+      if (bb_peer_live (e, p) && now - p->heard_at >= limit)
+        {
+          lose_peer (e, p, now);
+          lost = true;
+        }
+      e->missing_peer |= is_missing (e, p, now);
+      if (forgettable (p, now))
+        {
+          remove_peer (e, i);
+          lost = true; /* the view names peers by index */
+        }
+    }
+  if (lost)
+    bb_view_rebuild (e, now);
+}
--- /dev/null
+++ b/core/policy.c
@@ -0,0 +1,115 @@
+/* Placement policies.  */
+
+#include "core/private.h"
+
+#include <stdlib.h>
+
+/* Time until placements of all balancers show in the counts: a heartbeat
+   interval plus the tick.  The flows of one such time are shared out at once,
+   since placing all of them on the least loaded server would overshoot.  */
+#define FEEDBACK_SECONDS 1.0
+#define BOUND_TOP 65536.0
+
+struct level
+{
+  double load; /* flows per weight */
+  double weight;
+  uint16_t slot;
+};
+
+static int
+compare (const void *a, const void *b)
+{
+  const struct level *x = a, *y = b;
+  if (x->load != y->load)
+    return x->load < y->load ? -1 : 1;
+  return (x->slot > y->slot) - (x->slot < y->slot);
+}
+
+/* Flows that the spill buckets of all balancers get in the feedback time.  */
+static double
+expected (struct bb_engine *e, struct bb_service_state *s, bb_usec now)
+{
+  struct bb_spill *p = &s->spill;
+  double elapsed = (double)(now - p->prepared) / BB_SEC;
+  if (elapsed > 0)
+    p->rate += (p->placed / elapsed - p->rate) * MIN (elapsed, 1);
+  p->placed = 0;
+  p->prepared = now;
+  uint32_t owners = MAX (e->view.count, 1);
+  return MAX (p->rate * owners * FEEDBACK_SECONDS, s->slot_count);
+}
+
+/* The common level up to which FLOWS fill the N servers L, sorted by load.  */
+static double
+water_level (const struct level *l, uint32_t n, double flows)
+{
+  double weight = 0, held = 0, level = 0;
+  for (uint32_t i = 0; i < n; i++)
+    {
+      weight += l[i].weight;
+      held += l[i].load * l[i].weight;
+      level = (held + flows) / weight;
+      if (i + 1 == n || level <= l[i + 1].load)
+        break;
+    }
+  return level;
+}
+
+static void
+prepare_even (struct bb_engine *e, struct bb_service_state *s, bb_usec now)
+{
+  struct level *l = g_new0 (struct level, s->slot_count + 1);
+  uint32_t n = 0;
+  for (uint32_t i = 0; i < s->slot_count; i++)
+    {
+      const struct bb_slot *t = &e->slots[s->slots[i]];
+      if (t->share == BB_SHARE_FULL)
+        l[n++] = (struct level){ .load = (double)t->open / t->weight,
+                                 .weight = t->weight,
+                                 .slot = s->slots[i] };
+    }
+  qsort (l, n, sizeof *l, compare);
+  double flows = expected (e, s, now);
+  double level = water_level (l, n, flows), sum = 0;
+  struct bb_spill *p = &s->spill;
+  p->count = 0;
+  for (uint32_t i = 0; i < n && l[i].load < level; i++)
+    {
+      sum += (level - l[i].load) * l[i].weight;
+      p->slots[p->count] = l[i].slot;
+      p->bounds[p->count++] = (uint32_t)(sum / flows * BOUND_TOP);
+    }
+  if (p->count)
+    p->bounds[p->count - 1] = (uint32_t)BOUND_TOP;
+  g_free (l);
+}
+
+static int
+spill_even (struct bb_engine *e, struct bb_service_state *s, uint64_t hash)
+{
+  (void)e;
+  struct bb_spill *p = &s->spill;
+  uint32_t draw = (uint32_t)hash & 0xffff;
+  for (uint32_t i = 0; i < p->count; i++)
+    if (draw < p->bounds[i])
+      {
+        p->placed++;
+        return p->slots[i];
+      }
+  return BB_PLACE_NONE;
+}
+
+static const struct bb_policy policies[BB_POLICIES] = {
+  [BB_POLICY_TABLE] = { .name = "table" },
+  [BB_POLICY_EVEN] = { .name = "even",
+                       .spills = true,
+                       .prepare = prepare_even,
+                       .spill = spill_even },
+};
+
+const struct bb_policy *
+bb_policy_find (enum bb_policy_kind kind)
+{
+  return &policies[kind];
+}
--- /dev/null
+++ b/core/status.c
@@ -0,0 +1,106 @@
+/* What the engine tells operators.  */
+
+#include "core/hash.h"
+#include "core/private.h"
+
+#include <string.h>
+
+void
+bb_engine_status (const struct bb_engine *e, bb_usec now,
+                  struct bb_engine_status *s)
+{
+  *s = (struct bb_engine_status){
+    .state = e->state,
+    .ready = e->ready,
+    .version_age = now - e->version_since,
+    .generation = e->generation,
+    .phase = e->phase,
+    .flows = e->flows.used,
+    .flow_capacity = e->flows.capacity,
+    .entries_unsynced = e->push_done ? 0 : e->flows.used,
+  };
+  for (int k = 0; k < BB_DOCUMENT_KINDS; k++)
+    s->versions[k] = e->kept[k].version;
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    {
+      s->peers_live += bb_peer_live (e, &e->peers[i]);
+      s->peers_lost += e->peers[i].heard && e->peers[i].suspected
+                       && e->peers[i].state != BB_PEER_LEAVING;
+    }
+}
+
+static void
+describe_server (const struct bb_engine *e, const struct bb_slot *t,
+                 bb_usec now, struct bb_server_status *s)
+{
+  *s = (struct bb_server_status){
+    .service = t->service_key,
+    .server = t->key,
+    .gue = t->gue,
+    .listed = t->listed,
+    .in_base = t->in_base,
+    .healthy = t->health.up,
+    .draining = t->drain || t->leaving || t->health.draining,
+    .bit = t->bit,
+    .bit_peer = t->bit_peer,
+    .flows = t->open,
+    .load = t->health.load,
+    .report_age = t->health.reported ? now - t->health.reported : -1,
+  };
+  const char *service = e->services[t->service].conf.name;
+  memcpy (s->service_name, service, sizeof s->service_name);
+  memcpy (s->server_name, t->name, sizeof s->server_name);
+}
+
+size_t
+bb_engine_servers (const struct bb_engine *e, bb_usec now,
+                   struct bb_server_status *servers, size_t max)
+{
+  for (uint32_t i = 0; i < e->slot_count && i < max; i++)
+    describe_server (e, &e->slots[i], now, &servers[i]);
+  return e->slot_count;
+}
+
+size_t
+bb_engine_peers (const struct bb_engine *e, bb_usec now,
+                 struct bb_peer_status *peers, size_t max)
+{
+  for (uint32_t i = 0; i < e->peer_count && i < max; i++)
+    {
+      const struct bb_peer *p = &e->peers[i];
+      peers[i] = (struct bb_peer_status){
+        .vm = p->vm,
+        .state = p->state,
+        .suspected = p->suspected || !p->heard,
+        .heard_age = now - p->heard_at,
+      };
+      memcpy (peers[i].versions, p->versions, sizeof p->versions);
+    }
+  return e->peer_count;
+}
+
+static uint32_t
+key_of (const struct bb_engine *e, uint16_t slot)
+{
+  return slot == BB_MISSING_SLOT ? 0 : e->slots[slot].key;
+}
+
+bool
+bb_engine_explain (const struct bb_engine *e, const struct bb_packet *packet,
+                   struct bb_explanation *x)
+{
+  const struct bb_service_state *s
+      = bb_service_of ((struct bb_engine *)e, packet);
+  if (!s || !s->base)
+    return false;
+  uint64_t hash = bb_flow_hash (packet, e->fleet->hash_seed);
+  uint32_t b = bb_hash_bucket (hash, s->buckets);
+  *x = (struct bb_explanation){
+    .service = s->conf.key,
+    .bucket = b,
+    .base = key_of (e, s->base[b]),
+    .head = key_of (e, s->head[b]),
+    .tracked = s->route[b] & BB_ROUTE_TRACKED,
+  };
+  return true;
+}
