--- a/config/config.h
+++ b/config/config.h
@@ -44,6 +44,11 @@
 struct bb_vm_list *bb_config_parse_vms (const char *name, const uint8_t *bytes,
                                         size_t length, GPtrArray *problems);
 
+/* Warns of what LIST says about the data centres of BASE: too few entry VMs,
+   VMs outside the entry networks or in a data centre that is not declared.  */
+void bb_config_check_vms (const struct bb_config_document *base,
+                          const struct bb_vm_list *list, GPtrArray *problems);
+
 /* Settings of one balancer process.  */
 enum bb_platform_kind
 {
--- /dev/null
+++ b/config/fleet_check.h
@@ -0,0 +1,31 @@
+/* Checks that need more than one key.  */
+
+#ifndef BB_CONFIG_FLEET_CHECK_H
+#define BB_CONFIG_FLEET_CHECK_H
+
+#include "config/document.h"
+
+/* Which key path has claimed a value that only one may have.  */
+struct bb_claims
+{
+  GHashTable *paths; /* value to path, both allocated */
+};
+
+void bb_claims_init (struct bb_claims *claims);
+void bb_claims_clear (struct bb_claims *claims);
+
+/* Claims the formatted value for PATH.  Returns the path that has it already,
+   owned by CLAIMS, or NULL.  */
+const char *bb_claims_add (struct bb_claims *claims, const char *path,
+                           const char *format, ...) G_GNUC_PRINTF (3, 4);
+
+/* Smallest prime that is at least N.  */
+uint32_t bb_prime_at_least (uint32_t n);
+
+/* Checks S with the servers of one data centre.  PATH is that of S.  */
+void bb_service_check (const struct bb_source *source, const char *path,
+                       const char *data_centre, const struct bb_service *s);
+
+/* Formats A as a.b.c.d:port; freed by the caller.  */
+char *bb_endpoint_format (struct bb_endpoint a);
+#endif
--- /dev/null
+++ b/config/lines.c
@@ -0,0 +1,168 @@
+/* json-c keeps no positions and lets a later duplicate of a key win, so the
+   text is read once more for lines and duplicates.  */
+
+#include "config/document.h"
+#include <string.h>
+#include <xxhash.h>
+
+struct scan
+{
+  const char *name;
+  const char *p;
+  const char *end;
+  int line;
+  GString *path;
+  GHashTable *lines; /* a hash, not the path: long paths would fill memory */
+  GPtrArray *problems;
+};
+
+static gpointer
+path_hash (const char *path)
+{
+  return GSIZE_TO_POINTER (XXH3_64bits (path, strlen (path)));
+}
+
+int
+bb_lines_find (GHashTable *lines, const char *path)
+{
+  return GPOINTER_TO_INT (g_hash_table_lookup (lines, path_hash (path)));
+}
+
+void
+bb_path_push (GString *path, const char *key)
+{
+  g_string_append_c (path, '/');
+  for (; *key; key++)
+    if (*key == '~')
+      g_string_append (path, "~0");
+    else if (*key == '/')
+      g_string_append (path, "~1");
+    else
+      g_string_append_c (path, *key);
+}
+
+static void
+skip_space (struct scan *s)
+{
+  for (; s->p < s->end && g_ascii_isspace (*s->p); s->p++)
+    if (*s->p == '\n')
+      s->line++;
+}
+
+/* Moves behind the string and returns its length with the quotes.  */
+static size_t
+skip_string (struct scan *s)
+{
+  const char *start = s->p++;
+
+  while (s->p < s->end && *s->p != '"')
+    s->p += *s->p == '\\' ? 2 : 1;
+  s->p++;
+  if (s->p > s->end)
+    s->p = s->end;
+  return (size_t)(s->p - start);
+}
+
+static char *
+read_key (struct scan *s)
+{
+  const char *start = s->p;
+  size_t length = skip_string (s);
+  g_autofree char *quoted = g_strndup (start, length);
+  json_object *o = json_tokener_parse (quoted);
+  char *key = g_strdup (o ? json_object_get_string (o) : "");
+
+  json_object_put (o);
+  return key;
+}
+
+static void
+record (struct scan *s)
+{
+  gpointer hash = path_hash (s->path->str);
+  int first = GPOINTER_TO_INT (g_hash_table_lookup (s->lines, hash));
+  struct bb_problem p = { .kind = BB_ERROR_CONFLICT,
+                          .file = (char *)s->name,
+                          .path = s->path->str,
+                          .line = s->line };
+
+  if (first)
+    bb_problem_add (s->problems, &p,
+                    "the key occurs twice, first on line %d; expected it once",
+                    first);
+  else
+    g_hash_table_insert (s->lines, hash, GINT_TO_POINTER (s->line));
+}
+
+static void scan_value (struct scan *s);
+
+static void
+scan_member (struct scan *s, bool object, size_t index)
+{
+  g_autofree char *key = NULL;
+  size_t length = s->path->len;
+
+  skip_space (s);
+  key = object ? read_key (s) : g_strdup_printf ("%zu", index);
+  bb_path_push (s->path, key);
+  record (s);
+  if (object)
+    {
+      skip_space (s);
+      s->p++; /* the colon */
+    }
+  scan_value (s);
+  g_string_truncate (s->path, length);
+}
+
+static void
+scan_members (struct scan *s, char close)
+{
+  size_t index = 0;
+
+  s->p++;
+  skip_space (s);
+  while (s->p < s->end && *s->p != close)
+    {
+      scan_member (s, close == '}', index++);
+      skip_space (s);
+      if (s->p < s->end && *s->p == ',')
+        s->p++;
+      skip_space (s);
+    }
+  s->p++;
+}
+
+static void
+scan_value (struct scan *s)
+{
+  skip_space (s);
+  if (s->p >= s->end)
+    return;
+  if (*s->p == '{')
+    scan_members (s, '}');
+  else if (*s->p == '[')
+    scan_members (s, ']');
+  else if (*s->p == '"')
+    skip_string (s);
+  else
+    while (s->p < s->end && !strchr (",]} \t\r\n", *s->p))
+      s->p++;
+}
+
+GHashTable *
+bb_lines_scan (const char *name, const char *text, size_t length,
+               GPtrArray *problems)
+{
+  struct scan s = { .name = name,
+                    .p = text,
+                    .end = text + length,
+                    .line = 1,
+                    .path = g_string_new (""),
+                    .lines = g_hash_table_new (NULL, NULL),
+                    .problems = problems };
+
+  scan_value (&s);
+  g_string_free (s.path, TRUE);
+  return s.lines;
+}
--- /dev/null
+++ b/config/schema.h
@@ -0,0 +1,108 @@
+/* The table of keys.  One row per key drives the check of a document, the
+   reading into structures, and the reference page.  */
+
+#ifndef BB_CONFIG_SCHEMA_H
+#define BB_CONFIG_SCHEMA_H
+
+#include "config/config.h"
+#include <json-c/json.h>
+
+enum bb_key_type
+{
+  BB_KEY_INTEGER,
+  BB_KEY_BOOLEAN,
+  BB_KEY_NAME,    /* char[BB_NAME_MAX] */
+  BB_KEY_TEXT,    /* char *, allocated */
+  BB_KEY_ADDRESS, /* uint32_t, IPv4 */
+  BB_KEY_NETWORK, /* struct bb_network */
+  BB_KEY_CHOICE,
+  BB_KEY_OBJECT, /* of the keys below it */
+  BB_KEY_NAMES,  /* object whose keys are names */
+  BB_KEY_LIST,
+  BB_KEY_TYPES
+};
+
+struct bb_choice
+{
+  const char *name; /* NULL ends a list */
+  int value;
+};
+
+struct bb_key
+{
+  const char *document;
+  const char *path; /* services.NAME.port, vms[].name */
+  enum bb_key_type type;
+  const char *unit;
+  int64_t min; /* of an integer */
+  int64_t max;
+  const struct bb_choice *choices;
+  const char *standard; /* default, or "required" */
+  const char *text;
+  size_t offset; /* in the structure of the parent */
+  size_t size;   /* bytes of the integer, boolean or choice; 0: not stored */
+};
+
+#define BB_KEY_FIELD(type, field)                                             \
+  .offset = offsetof (struct type, field),                                    \
+  .size = sizeof (((struct type *)0)->field)
+
+/* Parents of the rows, with what the public structures do not keep.  */
+struct bb_service_keys
+{
+  struct bb_service service;
+  uint32_t connection_limit; /* of servers that set none */
+  uint16_t slots;
+};
+
+struct bb_server_keys
+{
+  struct bb_server server;
+  char data_centre[BB_NAME_MAX]; /* "": every one */
+};
+
+struct bb_listed_keys
+{
+  char service[BB_NAME_MAX];
+  char name[BB_NAME_MAX];
+  enum bb_vm_state state;
+};
+
+struct bb_platform_keys
+{
+  enum bb_platform_kind kind;
+  struct bb_endpoint endpoint;
+  char *path;
+};
+
+extern const struct bb_key bb_keys_fleet[];
+extern const size_t bb_keys_fleet_count;
+extern const struct bb_key bb_keys_process[];
+extern const size_t bb_keys_process_count;
+
+/* Row number I over all tables, or NULL after the last.  */
+const struct bb_key *bb_key_at (size_t i);
+
+/* Row of DOCUMENT at PATH, or NULL.  Below "services", an overlay has the
+   rows of the base.  */
+const struct bb_key *bb_key_find (const char *document, const char *path);
+
+/* Whether PATH is directly below PARENT ("" is the top).  Returns the last
+   part of PATH, or NULL.  */
+const char *bb_key_below (const char *path, const char *parent);
+
+bool bb_key_required (const struct bb_key *key);
+bool bb_name_valid (const char *name);
+
+/* What KEY takes, as "an integer from 1 to 1000"; freed by the caller.  */
+char *bb_key_expected (const struct bb_key *key);
+
+/* Checks VALUE alone, without what is below it.  Returns whether it is right;
+   if not, KIND is set.  */
+bool bb_key_check (const struct bb_key *key, json_object *value,
+                   enum bb_error_kind *kind);
+
+/* Stores VALUE, which was checked, at its place in PARENT; with VALUE NULL
+   stores the default, if the row has a fixed one.  */
+void bb_key_store (const struct bb_key *key, json_object *value, void *parent);
+#endif
--- /dev/null
+++ b/config/schema_check.c
@@ -0,0 +1,191 @@
+#include "config/document.h"
+#include <string.h>
+
+/* State of a walk over one document; the two paths grow and shrink with it. */
+struct walk
+{
+  const char *kind;
+  struct bb_source source;
+  GString *pattern; /* services.NAME.port */
+  GString *path;    /* /services/ledger/port */
+  bool nulls;       /* null deletes, as in overlays */
+};
+
+json_object *
+bb_json_member (json_object *object, const char *key, enum json_type type)
+{
+  json_object *value = NULL;
+
+  if (!json_object_is_type (object, json_type_object)
+      || !json_object_object_get_ex (object, key, &value)
+      || !json_object_is_type (value, type))
+    return NULL;
+  return value;
+}
+
+static char *
+join_keys (const char *kind, const char *pattern)
+{
+  GString *s = g_string_new ("");
+  const struct bb_key *key;
+
+  if (g_str_has_prefix (pattern, "services."))
+    kind = "base";
+  for (size_t i = 0; (key = bb_key_at (i)); i++)
+    {
+      const char *last = bb_key_below (key->path, pattern);
+      if (last && !strcmp (key->document, kind))
+        g_string_append_printf (s, "%s%s", s->len ? ", " : "", last);
+    }
+  return g_string_free (s, FALSE);
+}
+
+/* Length of the part of TEXT that is shown, without a half character.  */
+static int
+shown_length (const char *text)
+{
+  const char *end = text + strnlen (text, 80);
+
+  while (end > text && (*end & 0xc0) == 0x80)
+    end--;
+  return (int)(end - text);
+}
+
+static void
+report_value (struct walk *w, const struct bb_key *key, json_object *value,
+              enum bb_error_kind kind)
+{
+  g_autofree char *expected = bb_key_expected (key);
+  const char *text = value ? json_object_to_json_string_ext (
+                         value, JSON_C_TO_STRING_NOSLASHESCAPE)
+                           : "null";
+
+  bb_source_fault (&w->source, kind, w->path->str, "%.*s; expected %s",
+                   shown_length (text), text, expected);
+}
+
+static void walk_value (struct walk *w, const struct bb_key *key,
+                        json_object *value);
+
+static void
+walk_member (struct walk *w, const char *name, json_object *value,
+             bool is_name)
+{
+  size_t pattern = w->pattern->len;
+  size_t path = w->path->len;
+
+  g_string_append_printf (w->pattern, "%s%s", pattern ? "." : "",
+                          is_name ? "NAME" : name);
+  bb_path_push (w->path, name);
+  /* Patterns hold capitals, '.' and '[', so no fixed key may.  */
+  bool plain
+      = is_name
+        || strspn (name, "abcdefghijklmnopqrstuvwxyz_") == strlen (name);
+  const struct bb_key *key
+      = plain ? bb_key_find (w->kind, w->pattern->str) : NULL;
+
+  if (is_name && !bb_name_valid (name))
+    bb_source_fault (&w->source, BB_ERROR_RANGE, w->path->str,
+                     "not a name; expected 1 to 63 letters, digits, '.', '-' "
+                     "and '_', first a letter or digit");
+  if (key)
+    walk_value (w, key, value);
+  else
+    {
+      g_string_truncate (w->pattern, pattern);
+      g_autofree char *known = join_keys (w->kind, w->pattern->str);
+      bb_source_fault (&w->source, BB_ERROR_UNKNOWN_KEY, w->path->str,
+                       "unknown key; expected one of %s", known);
+    }
+  g_string_truncate (w->pattern, pattern);
+  g_string_truncate (w->path, path);
+}
+
+static void
+walk_list (struct walk *w, json_object *list)
+{
+  size_t pattern = w->pattern->len;
+  size_t path = w->path->len;
+
+  g_string_append (w->pattern, "[]");
+  const struct bb_key *key = bb_key_find (w->kind, w->pattern->str);
+  for (size_t i = 0; i < json_object_array_length (list); i++)
+    {
+      g_string_append_printf (w->path, "/%zu", i);
+      walk_value (w, key, json_object_array_get_idx (list, i));
+      g_string_truncate (w->path, path);
+    }
+  g_string_truncate (w->pattern, pattern);
+}
+
+static void
+walk_value (struct walk *w, const struct bb_key *key, json_object *value)
+{
+  enum bb_error_kind kind;
+
+  if (!value && w->nulls && g_str_has_prefix (key->path, "services"))
+    return;
+  if (!bb_key_check (key, value, &kind))
+    report_value (w, key, value, kind);
+  else if (key->type == BB_KEY_LIST)
+    walk_list (w, value);
+  else if (key->type == BB_KEY_OBJECT || key->type == BB_KEY_NAMES)
+    {
+      json_object_object_foreach (value, name, member)
+      {
+        walk_member (w, name, member, key->type == BB_KEY_NAMES);
+      }
+    }
+}
+
+void
+bb_schema_check (const struct bb_config_document *document, const char *kind,
+                 GPtrArray *problems)
+{
+  static const struct bb_key top = { .type = BB_KEY_OBJECT, .path = "" };
+  struct walk w = { .kind = kind,
+                    .source = { NULL, document, problems },
+                    .pattern = g_string_new (""),
+                    .path = g_string_new (""),
+                    .nulls = !strcmp (kind, "overlay") };
+
+  walk_value (&w, &top, document->root);
+  g_string_free (w.pattern, TRUE);
+  g_string_free (w.path, TRUE);
+}
+
+/* Reports that KEY, named LAST, is missing from the object at PATH.  */
+static void
+report_missing (const struct bb_source *source, const struct bb_key *key,
+                const char *path, const char *last)
+{
+  g_autofree char *expected = bb_key_expected (key);
+  g_autofree char *whole = g_strconcat (path, "/", last, NULL);
+
+  bb_source_fault (source, BB_ERROR_MISSING_KEY, whole, "missing; expected %s",
+                   expected);
+}
+
+void
+bb_schema_read (const struct bb_source *source, const char *kind,
+                const char *pattern, const char *path, json_object *object,
+                void *parent)
+{
+  const struct bb_key *key;
+  enum bb_error_kind error;
+
+  for (size_t i = 0; (key = bb_key_at (i)); i++)
+    {
+      const char *last = bb_key_below (key->path, pattern);
+      json_object *value = NULL;
+      if (!last || strcmp (key->document, kind) != 0)
+        continue;
+      bool found = json_object_object_get_ex (object, last, &value);
+      if (found && bb_key_check (key, value, &error))
+        bb_key_store (key, value, parent);
+      else if (found || !bb_key_required (key))
+        bb_key_store (key, NULL, parent);
+      else
+        report_missing (source, key, path, last);
+    }
+}
--- /dev/null
+++ b/config/settings.c
@@ -0,0 +1,128 @@
+#include "config/fleet_check.h"
+#include <string.h>
+
+static void
+read_platform (const struct bb_source *source, json_object *object,
+               struct bb_settings *s)
+{
+  struct bb_platform_keys keys = { 0 };
+
+  bb_schema_read (source, "settings", "platform", "/platform", object, &keys);
+  bool http = keys.kind == BB_PLATFORM_HTTP;
+  bool has_endpoint = keys.endpoint.address || keys.endpoint.port;
+  bool whole_endpoint = keys.endpoint.address && keys.endpoint.port;
+
+  if (json_object_object_get_ex (object, "kind", NULL))
+    {
+      if (http ? !whole_endpoint : !keys.path)
+        bb_source_fault (source, BB_ERROR_MISSING_KEY, "/platform",
+                         "incomplete; expected also %s",
+                         http ? "address and port, for kind http"
+                              : "path, for kind directory");
+      if (http ? keys.path != NULL : has_endpoint)
+        bb_source_fault (source, BB_ERROR_CONFLICT, "/platform", "%s",
+                         http ? "path is not used by kind http"
+                              : "address and port are not used by kind "
+                                "directory");
+    }
+  s->platform_kind = keys.kind;
+  s->platform
+      = http ? bb_endpoint_format (keys.endpoint) : g_strdup (keys.path);
+  g_free (keys.path);
+}
+
+static void
+check_peer (const struct bb_source *source, const char *path,
+            const struct bb_vm *vm, struct bb_claims *claims)
+{
+  const char *earlier = bb_claims_add (claims, path, "%u", vm->id);
+
+  if (earlier && *vm->name)
+    bb_source_fault (source, BB_ERROR_CONFLICT, path,
+                     "%s is named by %s already; expected it once", vm->name,
+                     earlier);
+}
+
+static void
+read_peers (const struct bb_source *source, json_object *array,
+            struct bb_settings *s)
+{
+  size_t count = array ? json_object_array_length (array) : 0;
+  struct bb_claims claims;
+
+  bb_claims_init (&claims);
+  s->peers = g_new0 (struct bb_vm, count);
+  for (size_t i = 0; i < count; i++)
+    {
+      json_object *object = json_object_array_get_idx (array, i);
+      struct bb_vm *vm = &s->peers[s->peer_count];
+      g_autofree char *path = g_strdup_printf ("/peers/%zu", i);
+      if (!json_object_is_type (object, json_type_object))
+        continue;
+      bb_schema_read (source, "settings", "peers[]", path, object, vm);
+      vm->id = bb_name_key (vm->name);
+      vm->control.address = vm->data.address;
+      check_peer (source, path, vm, &claims);
+      /* One list of peers can serve all VMs, so the own name is allowed.  */
+      if (strcmp (vm->name, s->self.name) != 0)
+        s->peer_count++;
+    }
+  bb_claims_clear (&claims);
+}
+
+static void
+read_settings (const struct bb_source *source, struct bb_settings *s)
+{
+  json_object *root = source->lower->root;
+  json_object *egress = bb_json_member (root, "egress", json_type_object);
+  json_object *platform = bb_json_member (root, "platform", json_type_object);
+  json_object *level = bb_json_member (root, "log_level", json_type_string);
+
+  bb_schema_read (source, "settings", "", "", root, s);
+  s->self.id = bb_name_key (s->self.name);
+  s->self.control.address = s->self.data.address;
+  s->metrics.address = s->metrics.port ? s->self.data.address : 0;
+  s->log_level = g_strdup (level ? json_object_get_string (level) : "info");
+  if (platform)
+    read_platform (source, platform, s);
+  if (egress)
+    bb_schema_read (source, "settings", "egress", "/egress", egress,
+                    &s->egress);
+  else
+    bb_source_warn (source, "/egress",
+                    "not set; callers whose flows are refused or silent get "
+                    "no reset and wait for their own timeouts");
+  read_peers (source, bb_json_member (root, "peers", json_type_array), s);
+}
+
+struct bb_settings *
+bb_settings_parse (const char *name, const uint8_t *bytes, size_t length,
+                   GPtrArray *problems)
+{
+  struct bb_config_document *d
+      = bb_config_parse (name, bytes, length, problems);
+  struct bb_settings *s = g_new0 (struct bb_settings, 1);
+
+  if (d)
+    {
+      struct bb_source source = { NULL, d, problems };
+      bb_schema_check (d, "settings", problems);
+      read_settings (&source, s);
+      bb_config_document_free (d);
+    }
+  if (!bb_problems_fatal (problems))
+    return s;
+  bb_settings_free (s);
+  return NULL;
+}
+
+void
+bb_settings_free (struct bb_settings *settings)
+{
+  if (!settings)
+    return;
+  g_free (settings->platform);
+  g_free (settings->peers);
+  g_free (settings->log_level);
+  g_free (settings);
+}
--- /dev/null
+++ b/config/vms.c
@@ -0,0 +1,177 @@
+#include "config/fleet_check.h"
+#include <string.h>
+
+/* Identifiers come from the name; a list may be stale, so only what would
+   confuse two VMs is refused.  */
+static void
+check_vm (const struct bb_source *source, const char *path,
+          const struct bb_vm *vm, struct bb_claims *claims)
+{
+  g_autofree char *data = bb_endpoint_format (vm->data);
+  const char *earlier = bb_claims_add (claims, path, "%u", vm->id);
+
+  if (earlier)
+    bb_source_fault (source, BB_ERROR_CONFLICT, path,
+                     "the name %s has the same 32-bit key as that of %s; "
+                     "expected another name",
+                     vm->name, earlier);
+  earlier = bb_claims_add (claims, path, "%s", data);
+  if (earlier)
+    bb_source_fault (source, BB_ERROR_CONFLICT, path,
+                     "%s is also the address of %s; expected one VM per "
+                     "address and data port",
+                     data, earlier);
+}
+
+static void
+read_vms (const struct bb_source *source, json_object *array,
+          struct bb_vm_list *list)
+{
+  size_t count = array ? json_object_array_length (array) : 0;
+  struct bb_claims claims;
+
+  bb_claims_init (&claims);
+  list->vms = g_new0 (struct bb_vm, count);
+  for (size_t i = 0; i < count; i++)
+    {
+      json_object *object = json_object_array_get_idx (array, i);
+      struct bb_vm *vm = &list->vms[list->vm_count];
+      g_autofree char *path = g_strdup_printf ("/vms/%zu", i);
+      if (!json_object_is_type (object, json_type_object))
+        continue;
+      bb_schema_read (source, "vms", "vms[]", path, object, vm);
+      vm->id = bb_name_key (vm->name);
+      vm->control.address = vm->data.address;
+      if (*vm->name && vm->data.address)
+        check_vm (source, path, vm, &claims);
+      list->vm_count++;
+    }
+  bb_claims_clear (&claims);
+}
+
+static void
+read_servers (const struct bb_source *source, json_object *array,
+              struct bb_vm_list *list)
+{
+  size_t count = array ? json_object_array_length (array) : 0;
+
+  list->servers = g_new0 (struct bb_listed_server, count);
+  for (size_t i = 0; i < count; i++)
+    {
+      json_object *object = json_object_array_get_idx (array, i);
+      struct bb_listed_keys keys = { .state = BB_VM_LIVE };
+      g_autofree char *path = g_strdup_printf ("/servers/%zu", i);
+      if (!json_object_is_type (object, json_type_object))
+        continue;
+      bb_schema_read (source, "vms", "servers[]", path, object, &keys);
+      list->servers[list->server_count++] = (struct bb_listed_server){
+        .key = bb_server_key (keys.service, keys.name),
+        .state = keys.state,
+      };
+    }
+}
+
+struct bb_vm_list *
+bb_config_parse_vms (const char *name, const uint8_t *bytes, size_t length,
+                     GPtrArray *problems)
+{
+  struct bb_config_document *d
+      = bb_config_parse (name, bytes, length, problems);
+  struct bb_vm_list *list = g_new0 (struct bb_vm_list, 1);
+
+  if (d)
+    {
+      struct bb_source source = { NULL, d, problems };
+      bb_schema_check (d, "vms", problems);
+      bb_schema_read (&source, "vms", "", "", d->root, list);
+      read_vms (&source, bb_json_member (d->root, "vms", json_type_array),
+                list);
+      read_servers (
+          &source, bb_json_member (d->root, "servers", json_type_array), list);
+      bb_config_document_free (d);
+    }
+  if (!bb_problems_fatal (problems))
+    return list;
+  bb_vm_list_free (list);
+  return NULL;
+}
+
+static void
+check_entry_count (const struct bb_source *source, const char *data_centre,
+                   const struct bb_vm_list *list)
+{
+  g_autofree char *path = g_strconcat ("/data_centres/", data_centre, NULL);
+  size_t live = 0;
+
+  for (size_t i = 0; i < list->vm_count; i++)
+    live += list->vms[i].state == BB_VM_LIVE
+            && !strcmp (list->vms[i].data_centre, data_centre);
+  if (live == 0)
+    bb_source_warn (source, path, "no live entry VM; nothing serves callers");
+  else if (live == 1)
+    bb_source_warn (source, path,
+                    "one live entry VM; its failure stops all services");
+}
+
+static bool
+in_networks (json_object *networks, uint32_t address)
+{
+  const struct bb_key *key
+      = bb_key_find ("base", "data_centres.NAME.entry_networks[]");
+  size_t count = networks ? json_object_array_length (networks) : 0;
+  enum bb_error_kind kind;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      json_object *value = json_object_array_get_idx (networks, i);
+      struct bb_network n = { 0 };
+      if (!bb_key_check (key, value, &kind))
+        continue;
+      bb_key_store (key, value, &n);
+      if (n.prefix == 0 || (address ^ n.address) >> (32 - n.prefix) == 0)
+        return true;
+    }
+  return count == 0;
+}
+
+static void
+check_vm_place (const struct bb_source *source, json_object *all,
+                const struct bb_vm *vm)
+{
+  json_object *own = bb_json_member (all, vm->data_centre, json_type_object);
+
+  if (!own)
+    bb_source_warn (source, "/data_centres",
+                    "VM %s is in data centre %s, which is not declared",
+                    vm->name, vm->data_centre);
+  else if (!in_networks (
+               bb_json_member (own, "entry_networks", json_type_array),
+               vm->data.address))
+    {
+      g_autofree char *address = bb_endpoint_format (vm->data);
+      g_autofree char *path = g_strdup_printf (
+          "/data_centres/%s/entry_networks", vm->data_centre);
+      bb_source_warn (source, path,
+                      "VM %s has address %s, which no entry network holds",
+                      vm->name, address);
+    }
+}
+
+void
+bb_config_check_vms (const struct bb_config_document *base,
+                     const struct bb_vm_list *list, GPtrArray *problems)
+{
+  struct bb_source source = { NULL, base, problems };
+  json_object *all
+      = bb_json_member (base->root, "data_centres", json_type_object);
+
+  if (!all)
+    return;
+  json_object_object_foreach (all, name, value)
+  {
+    (void)value;
+    check_entry_count (&source, name, list);
+  }
+  for (size_t i = 0; i < list->vm_count; i++)
+    check_vm_place (&source, all, &list->vms[i]);
+}
--- /dev/null
+++ b/tests/documents_test.c
@@ -0,0 +1,229 @@
+#include "config/config.h"
+#include <check.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Which parser a case is for.  */
+enum reader
+{
+  VMS,
+  SETTINGS
+};
+
+struct row
+{
+  enum reader reader;
+  const char *text;
+  enum bb_error_kind kind;
+  bool warning;
+  const char *path;
+  const char *part; /* of the problem's text */
+};
+
+#define VM(name, address)                                                     \
+  "{\"name\": \"" name                                                        \
+  "\", \"data_centre\": \"mde\", \"address\": \"" address "\"}"
+#define SELF                                                                  \
+  "\"name\": \"e1\", \"data_centre\": \"mde\", \"address\": \"10.1.0.1\""
+#define EGRESS "\"egress\": {\"address\": \"10.1.0.9\", \"port\": 6080}"
+#define FILES "\"platform\": {\"kind\": \"directory\", \"path\": \"/etc/bb\"}"
+
+static const struct row rows[] = {
+  { VMS, "{\"version\": 1}", BB_ERROR_MISSING_KEY, false, "/vms", "a list" },
+  { VMS, "{\"version\": 1, \"vms\": [" VM ("a", "10.1.0.1") ", {}]}",
+    BB_ERROR_MISSING_KEY, false, "/vms/1/name", "missing" },
+  { VMS,
+    "{\"version\": 1, \"vms\": [" VM ("a", "10.1.0.1") "," VM (
+        "b", "10.1.0.1") "]}",
+    BB_ERROR_CONFLICT, false, "/vms/1", "10.1.0.1:6080" },
+  { VMS,
+    "{\"version\": 1, \"vms\": [" VM ("vm98862", "10.1.0.1") "," VM (
+        "vm143874", "10.1.0.2") "]}",
+    BB_ERROR_CONFLICT, false, "/vms/1", "32-bit key" },
+  { VMS,
+    "{\"version\": 1, \"vms\": [], \"servers\": [{\"service\": \"s\", "
+    "\"name\": \"x\", \"state\": \"dead\"}]}",
+    BB_ERROR_RANGE, false, "/servers/0/state", "\"live\", \"leaving\"" },
+  { SETTINGS, "{" SELF "," EGRESS "}", BB_ERROR_MISSING_KEY, false,
+    "/platform", "missing" },
+  { SETTINGS, "{" SELF "," EGRESS ", \"platform\": {\"kind\": \"http\"}}",
+    BB_ERROR_MISSING_KEY, false, "/platform", "address and port" },
+  { SETTINGS,
+    "{" SELF "," EGRESS ", \"platform\": {\"kind\": \"directory\", \"path\": "
+    "\"/x\", \"port\": 1}}",
+    BB_ERROR_CONFLICT, false, "/platform", "not used" },
+  { SETTINGS, "{" SELF "," EGRESS "," FILES ", \"log_level\": \"loud\"}",
+    BB_ERROR_RANGE, false, "/log_level", "\"debug\"" },
+  { SETTINGS,
+    "{" SELF "," EGRESS "," FILES
+    ", \"peers\": [" VM ("e2", "10.1.0.2") "," VM ("e2", "10.1.0.3") "]}",
+    BB_ERROR_CONFLICT, false, "/peers/1", "expected it once" },
+  { SETTINGS, "{" SELF "," FILES "}", BB_ERROR_RANGE, true, "/egress",
+    "no reset" },
+};
+
+static bool
+parses (enum reader reader, const char *text, GPtrArray *problems)
+{
+  const uint8_t *bytes = (const uint8_t *)text;
+  size_t length = strlen (text);
+
+  if (reader == VMS)
+    {
+      struct bb_vm_list *list
+          = bb_config_parse_vms ("doc", bytes, length, problems);
+      bool ok = list != NULL;
+      bb_vm_list_free (list);
+      return ok;
+    }
+  struct bb_settings *s = bb_settings_parse ("doc", bytes, length, problems);
+  bool ok = s != NULL;
+  bb_settings_free (s);
+  return ok;
+}
+
+/* Guards against a mistake in a VM list or in settings that is accepted.  */
+START_TEST (refuses_mistake)
+{
+  const struct row *row = &rows[_i];
+  GPtrArray *problems = bb_problems_new ();
+
+  ck_assert_int_eq (parses (row->reader, row->text, problems), row->warning);
+  ck_assert_uint_ge (problems->len, 1);
+  const struct bb_problem *p = problems->pdata[0];
+  ck_assert_int_eq (p->kind, row->kind);
+  ck_assert_int_eq (p->warning, row->warning);
+  ck_assert_str_eq (p->path, row->path);
+  ck_assert_msg (strstr (p->text, row->part) != NULL, "%s", p->text);
+  g_ptr_array_unref (problems);
+}
+END_TEST
+
+/* Guards against settings that land in the wrong field, and against a
+   process that takes itself for a peer.  */
+START_TEST (reads_settings)
+{
+  static const char text[]
+      = "{" SELF "," EGRESS
+        ", \"metrics_port\": 9100, \"peers\": [" VM ("e1", "10.1.0.1") "," VM (
+            "e2", "10.1.0.2") "], \"platform\": "
+                              "{\"kind\": \"http\", \"address\": "
+                              "\"127.0.0.1\", \"port\": 80}}";
+  GPtrArray *problems = bb_problems_new ();
+  struct bb_settings *s = bb_settings_parse ("doc", (const uint8_t *)text,
+                                             sizeof text - 1, problems);
+
+  ck_assert_uint_eq (problems->len, 0);
+  ck_assert_str_eq (s->self.name, "e1");
+  ck_assert_uint_eq (s->self.id, bb_name_key ("e1"));
+  ck_assert_uint_eq (s->self.control.address, 0x0a010001);
+  ck_assert_uint_eq (s->self.control.port, 6081);
+  ck_assert_uint_eq (s->metrics.port, 9100);
+  ck_assert_str_eq (s->platform, "127.0.0.1:80");
+  ck_assert_uint_eq (s->peer_count, 1);
+  ck_assert_uint_eq (s->peers[0].data.address, 0x0a010002);
+  ck_assert_uint_eq (s->egress.port, 6080);
+  ck_assert_uint_eq (s->flow_capacity, 524288);
+  ck_assert_str_eq (s->log_level, "info");
+  bb_settings_free (s);
+  g_ptr_array_unref (problems);
+}
+END_TEST
+
+/* Guards against a document over the platform's limit for values.  */
+START_TEST (refuses_large_document)
+{
+  GPtrArray *problems = bb_problems_new ();
+  size_t length = BB_DOCUMENT_MAX + 1;
+  uint8_t *bytes = g_malloc (length);
+
+  memset (bytes, ' ', length);
+  ck_assert_ptr_null (bb_config_parse ("doc", bytes, length, problems));
+  const struct bb_problem *p = problems->pdata[0];
+  ck_assert_int_eq (p->kind, BB_ERROR_TOO_LARGE);
+  g_free (bytes);
+  g_ptr_array_unref (problems);
+}
+END_TEST
+
+static struct bb_config_document *
+parse_file (const char *path, GPtrArray *problems)
+{
+  char *text = NULL;
+  gsize length = 0;
+
+  ck_assert_msg (g_file_get_contents (path, &text, &length, NULL), "%s", path);
+  struct bb_config_document *d
+      = bb_config_parse (path, (const uint8_t *)text, length, problems);
+  g_free (text);
+  return d;
+}
+
+struct example
+{
+  const char *directory;
+  const char *data_centre;
+  const char *services[2];
+  size_t servers[2];
+  uint16_t slots;
+};
+
+static const struct example examples[] = {
+  { "restrepo", "medellin", { "catalogue", "order-desk" }, { 4, 14 }, 2 },
+  { "restrepo", "rionegro", { "catalogue", "order-desk" }, { 4, 14 }, 2 },
+  { "restrepo", "itagui", { "catalogue", "order-desk" }, { 4, 14 }, 2 },
+  { "restrepo", "apartado", { "catalogue", "order-desk" }, { 4, 14 }, 2 },
+  { "umunyu", "kigali", { "ledger", "note-printer" }, { 14, 4 }, 3 },
+  { "umunyu", "muhanga", { "ledger", "note-printer" }, { 14, 4 }, 3 },
+  { "umunyu", "bugesera", { "ledger", "note-printer" }, { 14, 4 }, 3 },
+};
+
+/* Guards against examples that the checker refuses or warns about, and
+   against inheritance of limits from the service that is lost.  */
+START_TEST (examples_hold)
+{
+  const struct example *e = &examples[_i];
+  GPtrArray *problems = bb_problems_new ();
+  char *base = g_strdup_printf ("examples/%s/base.json", e->directory);
+  char *overlay = g_strdup_printf ("examples/%s/overlay/%s.json", e->directory,
+                                   e->data_centre);
+  struct bb_config_document *b = parse_file (base, problems);
+  struct bb_config_document *o = parse_file (overlay, problems);
+  struct bb_fleet *f = bb_config_merge (b, o, e->data_centre, problems);
+
+  ck_assert_uint_eq (problems->len, 0);
+  ck_assert_uint_eq (f->service_count, 2);
+  for (size_t i = 0; i < 2; i++)
+    {
+      const struct bb_service *s = &f->services[i];
+      ck_assert_str_eq (s->name, e->services[i]);
+      ck_assert_uint_eq (s->server_count, e->servers[i]);
+      ck_assert_uint_eq (s->servers[0].slots, e->slots);
+      ck_assert_uint_eq (s->servers[0].connection_limit, 2000);
+    }
+  bb_fleet_free (f);
+  bb_config_document_free (b);
+  bb_config_document_free (o);
+  g_free (base);
+  g_free (overlay);
+  g_ptr_array_unref (problems);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("documents");
+  TCase *t = tcase_create ("parsers");
+  tcase_add_loop_test (t, refuses_mistake, 0, G_N_ELEMENTS (rows));
+  tcase_add_test (t, reads_settings);
+  tcase_add_test (t, refuses_large_document);
+  tcase_add_loop_test (t, examples_hold, 0, G_N_ELEMENTS (examples));
+  suite_add_tcase (s, t);
+  SRunner *r = srunner_create (s);
+  srunner_run_all (r, CK_ENV);
+  int failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
