--- a/config/lines.c
+++ b/config/lines.c
@@ -19,6 +19,8 @@
 static gpointer
 path_hash (const char *path)
 {
+  /* GLib tables without allocation take integers as pointers.  */
+  /* NOLINTNEXTLINE(performance-no-int-to-ptr) */
   return GSIZE_TO_POINTER (XXH3_64bits (path, strlen (path)));
 }
 
@@ -91,6 +93,7 @@
                     "the key occurs twice, first on line %d; expected it once",
                     first);
   else
+    /* NOLINTNEXTLINE(performance-no-int-to-ptr) */
     g_hash_table_insert (s->lines, hash, GINT_TO_POINTER (s->line));
 }
 
--- a/config/merge.c
+++ b/config/merge.c
@@ -315,6 +315,7 @@
 {
   struct merge m
       = { .source = { overlay, base, problems }, .data_centre = data_centre };
+  struct bb_source own = { NULL, base, problems };
   struct bb_fleet *fleet = g_new0 (struct bb_fleet, 1);
 
   bb_schema_check (base, "base", problems);
--- a/config/schema.c
+++ b/config/schema.c
@@ -73,8 +73,7 @@
   static const char *const texts[BB_KEY_TYPES] = {
     [BB_KEY_BOOLEAN] = "true or false",
     [BB_KEY_NAME]
-    = "a name of 1 to 63 letters, digits, '.', '-' and '_' that starts "
-      "with a letter or digit",
+    = "a name: 1 to 63 letters, digits, '.', '-', '_', first no sign",
     [BB_KEY_TEXT] = "a string that is not empty",
     [BB_KEY_ADDRESS] = "a unicast IPv4 address such as \"10.1.2.3\"",
     [BB_KEY_NETWORK]
