--- /dev/null
+++ b/tests/silence_test.c
@@ -0,0 +1,162 @@
+#include "core/silence.h"
+#include "tests/suite.h"
+#include <string.h>
+
+#define START (1000 * BB_SEC)
+#define LIMIT (8 * BB_SEC)
+
+enum
+{
+  SLOTS = 1024,
+  CROWD_SEED = 7,
+};
+
+/* Times are milliseconds after START.  */
+struct sighting_case
+{
+  const char *name;
+  struct
+  {
+    int at;
+    uint32_t sequence;
+    bool want;
+  } steps[8];
+};
+
+static const struct sighting_case sightings[] = {
+  { "repetition after the timeout",
+    { { 0, 1, false }, { 200, 1, true }, { 600, 1, true } } },
+  { "copies made by the fabric",
+    { { 0, 1, false }, { 1, 1, false }, { 199, 1, false } } },
+  { "a copy of a repetition counts once",
+    { { 0, 1, false }, { 300, 1, true }, { 301, 1, false } } },
+  { "progress", { { 0, 1, false }, { 300, 2, false }, { 600, 3, false } } },
+  { "progress, then a repetition",
+    { { 0, 1, false }, { 300, 2, false }, { 600, 2, true } } },
+  { "sequence number 0",
+    { { 0, 0, false }, { 100, 0, false }, { 200, 0, true } } },
+};
+
+/* Guards against packets that the fabric doubled being taken for
+   retransmissions.  */
+START_TEST (repetitions_are_seen)
+{
+  const struct sighting_case *c = &sightings[_i];
+  struct bb_silence *s = bb_silence_new (SLOTS);
+  for (size_t i = 0; i == 0 || c->steps[i].at > 0; i++)
+    ck_assert_msg (bb_silence_sight (s, 42, c->steps[i].sequence,
+                                     START + c->steps[i].at * BB_MSEC)
+                       == c->steps[i].want,
+                   "%s: step %zu", c->name, i);
+  bb_silence_free (s);
+}
+END_TEST
+
+struct tally_case
+{
+  const char *name;
+  bb_usec limit;
+  int seconds[10]; /* of the sightings, ends with -1 */
+  uint32_t sequences[10];
+  bool want; /* after the last sighting; earlier ones never reset */
+};
+
+static const struct tally_case tallies[] = {
+  { "4 sightings in 8 s", LIMIT, { 0, 1, 3, 8, -1 }, { 0 }, true },
+  { "4 sightings in 7 s", LIMIT, { 0, 1, 3, 7, -1 }, { 0 }, false },
+  { "3 sightings in 60 s", LIMIT, { 0, 20, 60, -1 }, { 0 }, false },
+  { "more sightings than needed",
+    LIMIT,
+    { 0, 1, 2, 3, 4, 5, 9, -1 },
+    { 0 },
+    true },
+  { "progress starts anew", LIMIT, { 0, 1, 3, 8, -1 }, { 1, 1, 2, 2 }, false },
+  { "starts anew after a reset",
+    LIMIT,
+    { 0, 1, 3, 8, 9, 10, -1 },
+    { 1, 1, 1, 2, 2, 2 },
+    false },
+  { "a stall of an hour ago", LIMIT, { 0, 1, 3, 3600, -1 }, { 0 }, false },
+  { "turned off", 0, { 0, 1, 3, 8, -1 }, { 0 }, false },
+};
+
+/* Guards against a reset of a flow that progresses or has stalled shortly,
+   which is a broken flow.  */
+START_TEST (tallies_reach_the_limit)
+{
+  const struct tally_case *c = &tallies[_i];
+  struct bb_silence *s = bb_silence_new (SLOTS);
+  for (size_t i = 0; c->seconds[i] >= 0; i++)
+    {
+      bool last = c->seconds[i + 1] < 0;
+      ck_assert_msg (bb_silence_count (s, 42, c->sequences[i], c->limit,
+                                       START + c->seconds[i] * BB_SEC)
+                         == (last && c->want),
+                     "%s: sighting %zu", c->name, i);
+    }
+  bb_silence_free (s);
+}
+END_TEST
+
+/* Guards against busy flows displacing a silent one, and against a count that
+   is charged to another flow: four times as many busy flows as slots send
+   between the repetitions.  */
+START_TEST (silent_flow_is_found_in_a_crowd)
+{
+  struct bb_silence *s = bb_silence_new (SLOTS);
+  GRand *rand = g_rand_new_with_seed (CROWD_SEED);
+  uint64_t silent = 0x123456789abcdef0;
+  int repeats = 0;
+  uint32_t sequence = 0;
+  for (int round = 0; round < 40; round++)
+    {
+      bb_usec now = START + round * BB_SEC;
+      /* The first repetition comes before the crowd: RTO 200 ms.  */
+      repeats += bb_silence_sight (s, silent, 1, now);
+      repeats += bb_silence_sight (s, silent, 1, now + 200 * BB_MSEC);
+      for (int i = 0; i < 4 * SLOTS; i++)
+        {
+          uint64_t hash = (uint64_t)g_rand_int (rand) << 32
+                          | (uint64_t)g_rand_int (rand);
+          ck_assert (
+              !bb_silence_sight (s, hash, sequence++, now + 300 * BB_MSEC));
+        }
+    }
+  ck_assert_int_eq (repeats, 79);
+  g_rand_free (rand);
+  bb_silence_free (s);
+}
+END_TEST
+
+/* Guards against resets while a whole service is silent, when a new
+   connection would do no better.  */
+START_TEST (services_progress)
+{
+  struct bb_silence *s = bb_silence_new (SLOTS);
+  ck_assert (!bb_silence_progressed (s, 5, LIMIT, START));
+  /* Service keys that meet in one set do not answer for one another.  */
+  for (uint32_t key = 5; key <= 5 + 3 * 256; key += 256)
+    bb_silence_progress (s, key, START);
+  ck_assert (bb_silence_progressed (s, 5, LIMIT, START + LIMIT));
+  ck_assert (!bb_silence_progressed (s, 5, LIMIT, START + LIMIT + 1));
+  ck_assert (!bb_silence_progressed (s, 5 + 4 * 256, LIMIT, START));
+  bb_silence_progress (s, 5, START + LIMIT);
+  bb_silence_progress (s, 5 + 4 * 256, START + LIMIT);
+  ck_assert (bb_silence_progressed (s, 5, LIMIT, START + 2 * LIMIT));
+  ck_assert (!bb_silence_progressed (s, 5 + 256, LIMIT, START + LIMIT));
+  bb_silence_free (s);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("silence");
+  TCase *t = tcase_create ("detection");
+  tcase_add_loop_test (t, repetitions_are_seen, 0, G_N_ELEMENTS (sightings));
+  tcase_add_loop_test (t, tallies_reach_the_limit, 0, G_N_ELEMENTS (tallies));
+  tcase_add_test (t, silent_flow_is_found_in_a_crowd);
+  tcase_add_test (t, services_progress);
+  suite_add_tcase (s, t);
+  return run_suite (s);
+}
