Rebase only to a head that was learnt; bound the doubt of a split

Cause, found by reading: removing one server by Maglev also moves some buckets between servers that stay, whose older flows had not been learnt; a prepared rebase counted as a version that all peers know; and two flows in one place of the doubt table could drop each other's packets for ever. Now the base set follows head only after head was stable for the idle limit, placement off base needs a version or bit that peers have, and a doubted flow is recorded once it has been let through.

--- a/core/baseset.c
+++ b/core/baseset.c
@@ -7,7 +7,6 @@
 
 #define SEND_INTERVAL (300 * BB_MSEC)
 #define STEADY_TIME (10 * BB_SEC) /* without change before a rebase */
-#define ABSENT_TIME (60 * BB_SEC) /* a server gone from the VM list */
 
 static uint32_t
 digest (const struct bb_engine *e, bool target)
@@ -154,6 +153,18 @@
   return 3 * (uint64_t)generation + phase;
 }
 
+static bool
+skipped_any (const struct bb_engine *e, bb_usec now)
+{
+  for (uint32_t i = 0; i < e->service_count; i++)
+    {
+      const struct bb_service_state *s = &e->services[i];
+      if (s->skipped && now - s->skipped < s->conf.idle_s * BB_SEC)
+        return true;
+    }
+  return false;
+}
+
 void
 bb_base_receive (struct bb_engine *e, struct bb_peer *p,
                  const struct bb_base_set *b, bb_usec now)
@@ -173,7 +184,7 @@
     }
   if (!same || theirs != mine + 1)
     return;
-  if (e->phase == BB_PHASE_SETTLED)
+  if (e->phase == BB_PHASE_SETTLED && !skipped_any (e, now))
     {
       take_sets (e, b, false, true);
       e->phase = BB_PHASE_PREPARE;
@@ -212,26 +223,15 @@
   return e->state == BB_PEER_ACTIVE;
 }
 
-static uint32_t
-idle_seconds (const struct bb_engine *e, const struct bb_slot *t)
-{
-  return e->services[t->service].conf.idle_s;
-}
-
-static bool
-is_gone (const struct bb_engine *e, const struct bb_slot *t, bb_usec now)
-{
-  if (t->listed)
-    return false;
-  bb_usec away = now - t->unlisted_since;
-  return (t->absent && away >= ABSENT_TIME)
-         || away >= idle_seconds (e, t) * BB_SEC;
-}
-
+/* Whether the listed servers of S may become its base set: its head has not
+   changed for so long that all older flows in the buckets that differ were
+   recorded or have ended.  */
 static bool
-is_learnt (const struct bb_engine *e, const struct bb_slot *t, bb_usec now)
+may_follow (const struct bb_service_state *s, bb_usec now)
 {
-  return t->listed && now - t->listed_since >= idle_seconds (e, t) * BB_SEC;
+  bb_usec idle = s->conf.idle_s * BB_SEC;
+  return s->listed && now - s->head_since >= idle
+         && (!s->skipped || now - s->skipped >= idle);
 }
 
 static void
@@ -241,7 +241,8 @@
   for (uint32_t i = 0; i < e->slot_count; i++)
     {
       struct bb_slot *t = &e->slots[i];
-      t->in_target = t->in_base ? !is_gone (e, t, now) : is_learnt (e, t, now);
+      bool follow = may_follow (&e->services[t->service], now);
+      t->in_target = follow ? t->listed : t->in_base;
       differs |= t->in_target != t->in_base;
     }
   if (!differs)
--- a/core/place.c
+++ b/core/place.c
@@ -159,7 +159,8 @@
           uint64_t hash)
 {
   uint16_t base = s->base[bucket], head = s->head[bucket];
-  bool version_known = e->version_acted && bb_bucket_inherent (s, bucket);
+  bool version_known
+      = e->version_acted && (head != base || bucket < s->spill_buckets);
   if (version_known && bucket < s->spill_buckets)
     {
       int slot = s->policy->spill (e, s, hash);
--- a/core/private.h
+++ b/core/private.h
@@ -38,7 +38,6 @@
   bool listed;  /* in the configuration in force */
   bool drain;   /* by configuration */
   bool leaving; /* by the VM list */
-  bool absent;  /* the VM list has other servers of the service, not this */
   bool in_base;
   bool in_target;
   bb_usec listed_since;
@@ -94,6 +93,8 @@
   struct bb_spill spill;
   bool uniform; /* all weights are equal */
   bool panic;
+  bb_usec head_since; /* head last changed */
+  bb_usec skipped;    /* an older flow could not be recorded; 0: never */
   bool limited; /* some server is near its limit: record all placements */
   const struct bb_policy *policy;
 };
--- a/core/steer.c
+++ b/core/steer.c
@@ -154,21 +154,20 @@
 
 /* While a peer is missing it may be serving flows of its own on the other
    side of a split.  The first packets of a flow without an entry are dropped,
-   so that their retransmissions reach the side that knows the flow.  */
+   so that their retransmissions reach the side that knows the flow.  A flow
+   that meets another one's count in the same place is let through, so that
+   none waits for ever.  */
 static bool
 doubtful (struct steering *c)
 {
   struct bb_engine *e = c->e;
-  if (!e->missing_peer)
-    return false;
   struct bb_doubt *d = &e->doubts[c->hash % BB_DOUBT_SIZE];
   uint32_t flow = (uint32_t)(c->hash >> 32);
+  if (d->flow != flow && d->sightings && d->sightings < BB_DOUBT_SIGHTINGS)
+    return false;
   if (d->flow != flow)
     *d = (struct bb_doubt){ .flow = flow };
-  if (d->sightings >= BB_DOUBT_SIGHTINGS)
-    return false;
-  d->sightings++;
-  return true;
+  return ++d->sightings < BB_DOUBT_SIGHTINGS;
 }
 
 static uint16_t
@@ -180,28 +179,41 @@
 }
 
 /* Whether older flows of the bucket are to be recorded, so that the bucket
-   can get another base server later.  */
+   can get another base server later.  One that cannot be recorded puts the
+   rebase off.  */
 static bool
-learning (const struct steering *c)
+learning (struct steering *c)
 {
-  const struct bb_service_state *s = c->s;
-  return s->head[c->bucket] != s->base[c->bucket] && !is_end (c->p)
-         && c->e->flows.used < c->e->flows.capacity / 2;
+  struct bb_service_state *s = c->s;
+  if (s->head[c->bucket] == s->base[c->bucket] && !c->e->missing_peer)
+    return false;
+  if (c->e->flows.used < c->e->flows.capacity / 2)
+    return true;
+  s->skipped = c->now;
+  return false;
 }
 
 static void
 decide_old (struct steering *c)
 {
   uint16_t base = base_of (c);
-  if (!is_end (c->p) && doubtful (c))
+  if (base == BB_MISSING_SLOT)
+    {
+      drop (c, BB_DROP_NO_SERVER);
+      return;
+    }
+  if (is_end (c->p))
+    {
+      c->e->slots[base].own_open--;
+      forward (c, base);
+      return;
+    }
+  if (c->e->missing_peer && doubtful (c))
     {
       drop (c, BB_DROP_UNCERTAIN);
       return;
     }
-  if (is_end (c->p) && base != BB_MISSING_SLOT)
-    c->e->slots[base].own_open--;
-  if (base != BB_MISSING_SLOT && learning (c)
-      && bb_record (c->e, c->hash, base, BB_FLOW_OPEN))
+  if (learning (c) && bb_record (c->e, c->hash, base, BB_FLOW_OPEN))
     replicate (c, base);
   else
     forward (c, base);
@@ -235,7 +247,8 @@
       return;
     }
   bool tcp = is_syn (c->p);
-  if (slot != base_of (c) || c->s->limited)
+  /* During a rebase the balancers may miss differently.  */
+  if (slot != base_of (c) || c->s->limited || c->s->target)
     {
       if (!bb_record (e, c->hash, (uint16_t)slot,
                       tcp ? BB_FLOW_SYN : BB_FLOW_OPEN))
@@ -287,6 +300,15 @@
     hand (c, (uint32_t)owner, BB_HAND_FINAL, 0);
 }
 
+/* Whether a SYN of the flow is placed again: its 5-tuple is reused, or the
+   server went down before the flow was established.  */
+static bool
+starts_anew (const struct bb_engine *e, const struct bb_flow *f)
+{
+  return f->state == BB_FLOW_CLOSING
+         || (f->state == BB_FLOW_SYN && !e->slots[f->slot].health.up);
+}
+
 static void
 look_up (struct steering *c)
 {
@@ -294,7 +316,7 @@
   /* The hash alone must never lead to a server of another service.  */
   if (f && &c->e->services[c->e->slots[f->slot].service] != c->s)
     f = NULL;
-  if (f && f->state == BB_FLOW_CLOSING && is_syn (c->p))
+  if (f && is_syn (c->p) && starts_anew (c->e, f))
     {
       bb_forget (c->e, f);
       f = NULL;
--- a/core/tables.c
+++ b/core/tables.c
@@ -99,6 +99,18 @@
   s->route = g_new0 (uint16_t, s->buckets);
 }
 
+static void
+rebuild_head (struct bb_engine *e, uint16_t index, bb_usec now)
+{
+  struct bb_service_state *s = &e->services[index];
+  size_t bytes = s->buckets * sizeof *s->head;
+  uint16_t *before = g_memdup2 (s->head, bytes);
+  fill (e, index, s->head, is_listed);
+  if (memcmp (before, s->head, bytes) != 0)
+    s->head_since = now;
+  g_free (before);
+}
+
 static void
 rebuild_service (struct bb_engine *e, uint16_t index, bb_usec now)
 {
@@ -109,7 +121,7 @@
   s->policy = bb_policy_find (s->conf.policy);
   s->spill_buckets = s->policy->spills ? s->buckets * s->conf.spill / 1000 : 0;
   fill (e, index, s->base, is_base);
-  fill (e, index, s->head, is_listed);
+  rebuild_head (e, index, now);
   g_clear_pointer (&s->target, g_free);
   if (e->phase != BB_PHASE_SETTLED)
     {
--- a/core/version.c
+++ b/core/version.c
@@ -110,39 +110,27 @@
   return true;
 }
 
+/* The list may lack a live server, so one that it does not name is live.  */
 static enum bb_vm_state
-listed_state (const struct bb_vm_list *l, uint32_t key, bool *found)
+listed_state (const struct bb_vm_list *l, uint32_t key)
 {
-  *found = false;
   for (size_t i = 0; i < l->server_count; i++)
     if (l->servers[i].key == key)
-      {
-        *found = true;
-        return l->servers[i].state;
-      }
+      return l->servers[i].state;
   return BB_VM_LIVE;
 }
 
-/* A server that the list lacks is gone only if the list knows others of its
-   service: a list of balancers alone says nothing about servers.  */
 static void
 note_servers (struct bb_engine *e, const struct bb_vm_list *l)
 {
-  bool *known = g_new0 (bool, e->service_count + 1);
   for (uint32_t i = 0; i < e->slot_count; i++)
     {
       struct bb_slot *t = &e->slots[i];
-      bool found;
-      bool leaving = listed_state (l, t->key, &found) == BB_VM_LEAVING;
+      bool leaving = listed_state (l, t->key) == BB_VM_LEAVING;
       if (leaving && !t->leaving)
         bb_engine_event (e, BB_EVENT_SERVER_DRAIN, 0, t->key, l->version);
       t->leaving = leaving;
-      t->absent = !found;
-      known[t->service] |= found;
     }
-  for (uint32_t i = 0; i < e->slot_count; i++)
-    e->slots[i].absent &= known[e->slots[i].service];
-  g_free (known);
 }
 
 bool
