Add the runtime and the balancer: packets are forwarded end to end

First version with all parts: the UDP data path in batches of 64, ZeroMQ peers, the platform over HTTP and from a directory, health probes, events, the JSON log, metrics, status and the graceful stop.

--- /dev/null
+++ b/bluebellstand/main.c
@@ -0,0 +1,115 @@
+/* bluebellstand: one balancer.  */
+
+#include "runtime/process.h"
+#include <stdio.h>
+#include <stdlib.h>
+
+static gchar *settings_file;
+static gboolean check_only;
+static gboolean show_version;
+
+static const GOptionEntry entries[] = {
+  { "settings", 's', 0, G_OPTION_ARG_FILENAME, &settings_file,
+    "Read the settings of this balancer from FILE", "FILE" },
+  { "check", 'c', 0, G_OPTION_ARG_NONE, &check_only,
+    "Check the settings and exit", NULL },
+  { "version", 'v', 0, G_OPTION_ARG_NONE, &show_version,
+    "Print the version and exit", NULL },
+  G_OPTION_ENTRY_NULL,
+};
+
+static int
+fail (enum bb_error_kind kind, GError *error)
+{
+  fprintf (stderr, "bluebellstand: %s\n", error->message);
+  g_error_free (error);
+  return bb_error_answer (kind)->exit_status;
+}
+
+static void
+print_problems (const GPtrArray *problems)
+{
+  for (guint i = 0; i < problems->len; i++)
+    {
+      const struct bb_problem *p = g_ptr_array_index (problems, i);
+      fprintf (stderr, "%s:%d: %s: %s: %s\n", p->file ? p->file : "", p->line,
+               p->warning ? "warning" : "error", p->path ? p->path : "",
+               p->text);
+    }
+}
+
+/* Returns the settings, or NULL with *STATUS set to the exit status.  */
+static struct bb_settings *
+read_settings (const char *file, int *status)
+{
+  gchar *bytes;
+  gsize length;
+  GError *error = NULL;
+  if (!g_file_get_contents (file, &bytes, &length, &error))
+    {
+      *status = fail (BB_ERROR_IO, error);
+      return NULL;
+    }
+  GPtrArray *problems = bb_problems_new ();
+  struct bb_settings *settings
+      = bb_settings_parse (file, (const uint8_t *)bytes, length, problems);
+  print_problems (problems);
+  if (settings && bb_problems_fatal (problems))
+    {
+      bb_settings_free (settings);
+      settings = NULL;
+    }
+  *status = bb_error_answer (BB_ERROR_SYNTAX)->exit_status;
+  g_ptr_array_unref (problems);
+  g_free (bytes);
+  return settings;
+}
+
+static int
+run (const struct bb_settings *settings)
+{
+  GError *error = NULL;
+  struct bb_process *p = bb_process_new (settings, &error);
+  if (!p)
+    return fail (BB_ERROR_IO, error);
+  int status = bb_process_run (p);
+  bb_process_free (p);
+  return status;
+}
+
+static bool
+parse_options (int *argc, char ***argv, GError **error)
+{
+  GOptionContext *context = g_option_context_new ("- layer-4 load balancer");
+  g_option_context_add_main_entries (context, entries, NULL);
+  bool ok = g_option_context_parse (context, argc, argv, error);
+  g_option_context_free (context);
+  if (ok && !show_version && (!settings_file || *argc > 1))
+    {
+      g_set_error (error, BB_ERROR, BB_ERROR_MISSING_KEY,
+                   "usage: bluebellstand --settings FILE [--check]");
+      return false;
+    }
+  return ok;
+}
+
+int
+main (int argc, char **argv)
+{
+  GError *error = NULL;
+  int status;
+  if (!parse_options (&argc, &argv, &error))
+    return fail (BB_ERROR_MISSING_KEY, error);
+  if (show_version)
+    {
+      puts ("bluebellstand " BB_VERSION_TEXT);
+      return EXIT_SUCCESS;
+    }
+  struct bb_settings *settings = read_settings (settings_file, &status);
+  g_free (settings_file);
+  if (!settings)
+    return status;
+  status = check_only ? EXIT_SUCCESS : run (settings);
+  bb_settings_free (settings);
+  return status;
+}
--- /dev/null
+++ b/runtime/documents.c
@@ -0,0 +1,391 @@
+#include "runtime/documents.h"
+#include "runtime/log.h"
+#include "runtime/private.h"
+#include "runtime/probe.h"
+#include <string.h>
+
+struct held
+{
+  uint64_t version; /* 0: none */
+  GBytes *bytes;
+  struct bb_config_document *parsed; /* NULL for the VM list */
+};
+
+struct refusal
+{
+  char *text; /* NULL: the last document was not refused */
+  GBytes *bytes;
+};
+
+struct bb_documents
+{
+  struct bb_process *process;
+  bool no_overlay;
+  bool from_peer; /* the document that is being judged */
+  struct held current[BB_DOCUMENT_KINDS]; /* in force */
+  /* Newer than the one in force, and not valid together with the counterparts
+     seen so far.  */
+  struct held candidate[BB_DOCUMENT_KINDS];
+  struct refusal refusals[BB_DOCUMENT_KINDS];
+  uint64_t stale[BB_DOCUMENT_KINDS]; /* last older version reported */
+};
+
+static const char *const names[BB_DOCUMENT_KINDS] = {
+  [BB_DOCUMENT_BASE] = "base",
+  [BB_DOCUMENT_OVERLAY] = "overlay",
+  [BB_DOCUMENT_VMS] = "vms",
+};
+
+const char *
+bb_document_name (enum bb_document_kind kind)
+{
+  return names[kind];
+}
+
+struct bb_documents *
+bb_documents_new (struct bb_process *p)
+{
+  struct bb_documents *d = g_new0 (struct bb_documents, 1);
+  d->process = p;
+  return d;
+}
+
+static void
+held_clear (struct held *held)
+{
+  if (held->parsed)
+    bb_config_document_free (held->parsed);
+  g_bytes_unref (held->bytes);
+  *held = (struct held){ 0 };
+}
+
+static void
+refusal_clear (struct refusal *refusal)
+{
+  g_free (refusal->text);
+  g_bytes_unref (refusal->bytes);
+  *refusal = (struct refusal){ 0 };
+}
+
+void
+bb_documents_free (struct bb_documents *d)
+{
+  if (!d)
+    return;
+  for (int i = 0; i < BB_DOCUMENT_KINDS; i++)
+    {
+      held_clear (&d->current[i]);
+      held_clear (&d->candidate[i]);
+      refusal_clear (&d->refusals[i]);
+    }
+  g_free (d);
+}
+
+static void
+add_event (struct bb_documents *d, enum bb_event_kind kind, uint64_t value)
+{
+  struct bb_event event = { .kind = kind, .value = value };
+  bb_events_add (d->process->events, &event, bb_clock_boot (),
+                 bb_clock_wall ());
+}
+
+static char *
+problem_text (const struct bb_problem *problem)
+{
+  return g_strdup_printf ("%s:%d: %s: %s", problem->file ? problem->file : "",
+                          problem->line, problem->path ? problem->path : "",
+                          problem->text);
+}
+
+/* Logs PROBLEMS.  Returns the text of the first fatal one, or NULL.  */
+static char *
+report_problems (struct bb_documents *d, const GPtrArray *problems)
+{
+  char *first = NULL;
+  for (guint i = 0; i < problems->len; i++)
+    {
+      const struct bb_problem *problem = g_ptr_array_index (problems, i);
+      char *text = problem_text (problem);
+      bb_log_text (d->process->log,
+                   problem->warning ? BB_LOG_WARN : BB_LOG_ERROR,
+                   bb_error_answer (problem->kind)->name, text);
+      if (!first && !problem->warning)
+        first = g_steal_pointer (&text);
+      g_free (text);
+    }
+  return first;
+}
+
+/* Takes ownership of TEXT.  The engine adds the event for a document that
+   came from a peer.  */
+static enum bb_offer
+refuse (struct bb_documents *d, enum bb_document_kind kind, uint64_t version,
+        GBytes *bytes, char *text)
+{
+  struct refusal *refusal = &d->refusals[kind];
+  refusal_clear (refusal);
+  refusal->text = text ? text : g_strdup ("not valid");
+  refusal->bytes = g_bytes_ref (bytes);
+  bb_log_text (d->process->log, BB_LOG_ERROR, "document_refused",
+               refusal->text);
+  if (!d->from_peer)
+    add_event (d, BB_EVENT_VERSION_REFUSED, version);
+  return BB_OFFER_REFUSED;
+}
+
+static void
+promote (struct bb_documents *d, enum bb_document_kind kind)
+{
+  if (d->candidate[kind].version == 0)
+    return;
+  held_clear (&d->current[kind]);
+  d->current[kind] = d->candidate[kind];
+  d->candidate[kind] = (struct held){ 0 };
+  refusal_clear (&d->refusals[kind]);
+  uint64_t versions[BB_DOCUMENT_KINDS];
+  for (int i = 0; i < BB_DOCUMENT_KINDS; i++)
+    versions[i] = d->current[i].version;
+  bb_events_set_versions (d->process->events, versions);
+  gsize size;
+  const uint8_t *bytes = g_bytes_get_data (d->current[kind].bytes, &size);
+  bb_engine_keep_document (d->process->engine, kind, d->current[kind].version,
+                           bytes, size);
+}
+
+static void
+put_in_force (struct bb_documents *d, const struct bb_fleet *fleet)
+{
+  struct bb_process *p = d->process;
+  bb_names_add_fleet (p->names, fleet);
+  bb_engine_set_fleet (p->engine, fleet, bb_clock_boot ());
+  bb_probes_set_fleet (p->probes, fleet);
+}
+
+/* Tries base and overlay together.  Returns the configuration or NULL with
+ *PROBLEMS set anew.  */
+static struct bb_fleet *
+try_pair (struct bb_documents *d, const struct held *base,
+          const struct held *overlay, GPtrArray **problems)
+{
+  if (!base->parsed || (!overlay->parsed && !d->no_overlay))
+    return NULL;
+  g_ptr_array_unref (*problems);
+  *problems = bb_problems_new ();
+  return bb_config_merge (base->parsed, overlay->parsed,
+                          d->process->settings->self.data_centre, *problems);
+}
+
+/* Puts the newest valid pair with at least one candidate in force.  On
+   failure *PROBLEMS has those of the last pair tried.  */
+static bool
+advance (struct bb_documents *d, GPtrArray **problems)
+{
+  const int base = BB_DOCUMENT_BASE, overlay = BB_DOCUMENT_OVERLAY;
+  static const struct
+  {
+    bool new_base;
+    bool new_overlay;
+  } pairs[] = { { true, true }, { true, false }, { false, true } };
+  for (size_t i = 0; i < G_N_ELEMENTS (pairs); i++)
+    {
+      if ((pairs[i].new_base && !d->candidate[base].parsed)
+          || (pairs[i].new_overlay && !d->candidate[overlay].parsed))
+        continue;
+      struct bb_fleet *fleet = try_pair (
+          d, pairs[i].new_base ? &d->candidate[base] : &d->current[base],
+          pairs[i].new_overlay ? &d->candidate[overlay] : &d->current[overlay],
+          problems);
+      if (!fleet)
+        continue;
+      if (pairs[i].new_base)
+        promote (d, BB_DOCUMENT_BASE);
+      if (pairs[i].new_overlay)
+        promote (d, BB_DOCUMENT_OVERLAY);
+      g_free (report_problems (d, *problems));
+      put_in_force (d, fleet);
+      bb_fleet_free (fleet);
+      return true;
+    }
+  return false;
+}
+
+bool
+bb_documents_waiting (const struct bb_documents *d)
+{
+  return d->candidate[BB_DOCUMENT_BASE].parsed && !d->no_overlay
+         && !d->candidate[BB_DOCUMENT_OVERLAY].parsed
+         && !d->current[BB_DOCUMENT_OVERLAY].parsed;
+}
+
+/* Whether the counterpart of KIND is missing, so that nothing can be tried. */
+static bool
+alone (const struct bb_documents *d, enum bb_document_kind kind)
+{
+  if (kind == BB_DOCUMENT_BASE)
+    return bb_documents_waiting (d);
+  return !d->candidate[BB_DOCUMENT_BASE].parsed
+         && !d->current[BB_DOCUMENT_BASE].parsed;
+}
+
+static void
+report_stale (struct bb_documents *d, enum bb_document_kind kind,
+              uint64_t version)
+{
+  if (d->stale[kind] != version && !d->from_peer)
+    add_event (d, BB_EVENT_VERSION_STALE, version);
+  d->stale[kind] = version;
+}
+
+/* Compares VERSION with the one in force.  Returns whether it is newer;
+   otherwise *OFFER is set.  */
+static bool
+is_newer (struct bb_documents *d, enum bb_document_kind kind, uint64_t version,
+          GBytes *bytes, enum bb_offer *offer)
+{
+  const struct held *current = &d->current[kind];
+  if (version > current->version)
+    return true;
+  if (version < current->version)
+    {
+      report_stale (d, kind, version);
+      *offer = BB_OFFER_OLDER;
+    }
+  else if (g_bytes_equal (bytes, current->bytes))
+    {
+      refusal_clear (&d->refusals[kind]);
+      *offer = BB_OFFER_SAME;
+    }
+  else
+    *offer = refuse (d, kind, version, bytes,
+                     g_strdup_printf ("%s: version %" G_GUINT64_FORMAT
+                                      " has other content than the one in "
+                                      "force; raise the version",
+                                      names[kind], version));
+  return false;
+}
+
+static char *
+mismatch_text (enum bb_document_kind kind, uint64_t announced, uint64_t found)
+{
+  return g_strdup_printf ("%s: announced as version %" G_GUINT64_FORMAT
+                          ", but the document has version %" G_GUINT64_FORMAT,
+                          names[kind], announced, found);
+}
+
+static enum bb_offer
+offer_part (struct bb_documents *d, enum bb_document_kind kind,
+            uint64_t announced, GBytes *bytes, GPtrArray **problems)
+{
+  gsize size;
+  const uint8_t *data = g_bytes_get_data (bytes, &size);
+  enum bb_offer offer;
+  struct held new = { .bytes = bytes };
+  new.parsed = bb_config_parse (names[kind], data, size, *problems);
+  if (!new.parsed || bb_problems_fatal (*problems))
+    {
+      if (new.parsed)
+        bb_config_document_free (new.parsed);
+      return refuse (d, kind, announced, bytes,
+                     report_problems (d, *problems));
+    }
+  new.version = bb_config_document_version (new.parsed);
+  if (announced != 0 && announced != new.version)
+    offer = refuse (d, kind, announced, bytes,
+                    mismatch_text (kind, announced, new.version));
+  else if (is_newer (d, kind, new.version, bytes, &offer))
+    {
+      held_clear (&d->candidate[kind]);
+      d->candidate[kind] = new;
+      g_bytes_ref (bytes);
+      if (advance (d, problems))
+        return d->candidate[kind].parsed ? BB_OFFER_WAITING
+                                         : BB_OFFER_ACCEPTED;
+      if (alone (d, kind))
+        return BB_OFFER_WAITING;
+      return refuse (d, kind, new.version, bytes,
+                     report_problems (d, *problems));
+    }
+  bb_config_document_free (new.parsed);
+  return offer;
+}
+
+static enum bb_offer
+offer_vms (struct bb_documents *d, uint64_t announced, GBytes *bytes,
+           GPtrArray *problems)
+{
+  const enum bb_document_kind kind = BB_DOCUMENT_VMS;
+  struct bb_process *p = d->process;
+  gsize size;
+  const uint8_t *data = g_bytes_get_data (bytes, &size);
+  enum bb_offer offer = BB_OFFER_ACCEPTED;
+  struct bb_vm_list *list
+      = bb_config_parse_vms (names[kind], data, size, problems);
+  if (!list || bb_problems_fatal (problems))
+    offer = refuse (d, kind, announced, bytes, report_problems (d, problems));
+  else if (announced != 0 && announced != list->version)
+    offer = refuse (d, kind, announced, bytes,
+                    mismatch_text (kind, announced, list->version));
+  else if (is_newer (d, kind, list->version, bytes, &offer))
+    {
+      g_free (report_problems (d, problems));
+      d->candidate[kind]
+          = (struct held){ list->version, g_bytes_ref (bytes), NULL };
+      promote (d, kind);
+      bb_names_add_vms (p->names, list->vms, list->vm_count);
+      bb_engine_set_list (p->engine, list, bb_clock_boot ());
+    }
+  if (list)
+    bb_vm_list_free (list);
+  return offer;
+}
+
+enum bb_offer
+bb_documents_offer (struct bb_documents *d, enum bb_document_kind kind,
+                    uint64_t version, const uint8_t *bytes, size_t length,
+                    const char *source)
+{
+  const struct refusal *last = &d->refusals[kind];
+  GBytes *copy = g_bytes_new (bytes, length);
+  GPtrArray *problems = bb_problems_new ();
+  enum bb_offer offer;
+  d->from_peer = strcmp (source, "peer") == 0;
+  if (last->bytes && g_bytes_equal (last->bytes, copy))
+    offer = BB_OFFER_REFUSED; /* reported when it first came */
+  else if (length > BB_DOCUMENT_MAX)
+    offer = refuse (d, kind, version, copy,
+                    g_strdup_printf ("%s from %s: %zu bytes, at most %d are "
+                                     "accepted",
+                                     names[kind], source, length,
+                                     BB_DOCUMENT_MAX));
+  else if (kind == BB_DOCUMENT_VMS)
+    offer = offer_vms (d, version, copy, problems);
+  else
+    offer = offer_part (d, kind, version, copy, &problems);
+  g_ptr_array_unref (problems);
+  g_bytes_unref (copy);
+  return offer;
+}
+
+void
+bb_documents_no_overlay (struct bb_documents *d)
+{
+  if (d->no_overlay || d->current[BB_DOCUMENT_OVERLAY].version != 0)
+    return;
+  d->no_overlay = true;
+  GPtrArray *problems = bb_problems_new ();
+  if (!advance (d, &problems))
+    g_free (report_problems (d, problems));
+  g_ptr_array_unref (problems);
+}
+
+uint64_t
+bb_documents_version (const struct bb_documents *d, enum bb_document_kind kind)
+{
+  return d->current[kind].version;
+}
+
+const char *
+bb_documents_refusal (const struct bb_documents *d, enum bb_document_kind kind)
+{
+  return d->refusals[kind].text;
+}
--- /dev/null
+++ b/runtime/fetch.c
@@ -0,0 +1,97 @@
+#include "runtime/fetch.h"
+#include "runtime/util.h"
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+struct bb_fetch
+{
+  struct evhttp_connection *connection;
+  struct event *timer; /* time-out; raised by hand when an answer is there */
+  struct evbuffer *body;
+  struct bb_fetch_answer answer;
+  bb_fetch_done done;
+  void *context;
+};
+
+/* evhttp uses the connection after the call-back of a request has returned,
+   so that it can only be freed later.  The answer is therefore kept and
+   reported from the timer.  */
+static void
+on_answer (struct evhttp_request *request, void *context)
+{
+  struct bb_fetch *fetch = context;
+  if (request && evhttp_request_get_response_code (request) != 0)
+    {
+      struct evkeyvalq *headers = evhttp_request_get_input_headers (request);
+      const char *version = evhttp_find_header (headers, "Config-Version");
+      guint64 number = 0;
+      if (version)
+        g_ascii_string_to_unsigned (version, 10, 0, UINT64_MAX, &number, NULL);
+      evbuffer_add_buffer (fetch->body,
+                           evhttp_request_get_input_buffer (request));
+      fetch->answer.status = evhttp_request_get_response_code (request);
+      fetch->answer.version = number;
+    }
+  event_active (fetch->timer, EV_TIMEOUT, 0);
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  struct bb_fetch *fetch = context;
+  fetch->answer.length = evbuffer_get_length (fetch->body);
+  fetch->answer.body = evbuffer_pullup (fetch->body, -1);
+  evhttp_connection_free (fetch->connection);
+  fetch->connection = NULL;
+  fetch->done (fetch->context, &fetch->answer);
+}
+
+static bool
+send_request (struct bb_fetch *fetch, const char *host, const char *path)
+{
+  struct evhttp_request *request = evhttp_request_new (on_answer, fetch);
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+  evhttp_add_header (headers, "Host", host);
+  evhttp_add_header (headers, "Connection", "close");
+  return evhttp_make_request (fetch->connection, request, EVHTTP_REQ_GET, path)
+         == 0;
+}
+
+struct bb_fetch *
+bb_fetch_new (struct event_base *loop, const struct bb_endpoint *endpoint,
+              const char *path, bb_usec timeout, size_t limit,
+              bb_fetch_done done, void *context)
+{
+  char address[BB_ENDPOINT_TEXT], host[BB_ENDPOINT_TEXT];
+  struct timeval tv = bb_clock_timeval (timeout);
+  struct bb_fetch *fetch = g_new0 (struct bb_fetch, 1);
+  fetch->done = done;
+  fetch->context = context;
+  fetch->body = evbuffer_new ();
+  fetch->timer = event_new (loop, -1, 0, on_timer, fetch);
+  event_add (fetch->timer, &tv);
+  bb_address_text (address, endpoint->address);
+  fetch->connection
+      = evhttp_connection_base_new (loop, NULL, address, endpoint->port);
+  evhttp_connection_set_timeout_tv (fetch->connection, &tv);
+  evhttp_connection_set_max_headers_size (fetch->connection, 8192);
+  evhttp_connection_set_max_body_size (fetch->connection, (ev_ssize_t)limit);
+  if (!send_request (fetch, bb_endpoint_text (host, endpoint), path))
+    event_active (fetch->timer, EV_TIMEOUT, 0);
+  return fetch;
+}
+
+void
+bb_fetch_free (struct bb_fetch *fetch)
+{
+  if (!fetch)
+    return;
+  event_free (fetch->timer);
+  if (fetch->connection)
+    evhttp_connection_free (fetch->connection);
+  evbuffer_free (fetch->body);
+  g_free (fetch);
+}
--- /dev/null
+++ b/runtime/http.h
@@ -0,0 +1,14 @@
+/* Serves /metrics, /status and /events on the metrics endpoint.  */
+
+#ifndef BB_RUNTIME_HTTP_H
+#define BB_RUNTIME_HTTP_H
+
+#include "core/core.h"
+
+struct bb_process;
+struct bb_http;
+
+/* Binds the metrics endpoint of the settings, which must have a port.  */
+struct bb_http *bb_http_new (struct bb_process *p, GError **error);
+void bb_http_free (struct bb_http *http);
+#endif
--- /dev/null
+++ b/runtime/log.c
@@ -0,0 +1,232 @@
+#include "runtime/log.h"
+#include "runtime/util.h"
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <log4c.h>
+#include <poll.h>
+#include <string.h>
+#include <unistd.h>
+
+struct bb_log
+{
+  const struct bb_vm *vm;
+  const struct bb_names *names;
+  log4c_category_t *category;
+  log4c_appender_t *appender;
+  uint64_t written; /* seq of the last event written */
+  uint64_t lost;
+};
+
+static const struct
+{
+  const char *name;
+  int priority;
+} levels[BB_LOG_LEVELS] = {
+  [BB_LOG_ERROR] = { "error", LOG4C_PRIORITY_ERROR },
+  [BB_LOG_WARN] = { "warn", LOG4C_PRIORITY_WARN },
+  [BB_LOG_INFO] = { "info", LOG4C_PRIORITY_INFO },
+  [BB_LOG_DEBUG] = { "debug", LOG4C_PRIORITY_DEBUG },
+};
+
+static const enum bb_log_level event_levels[BB_EVENT_KINDS] = {
+  [BB_EVENT_VERSION_REFUSED] = BB_LOG_ERROR,
+  [BB_EVENT_BASE_CONFLICT] = BB_LOG_ERROR,
+  [BB_EVENT_VERSION_STALE] = BB_LOG_WARN,
+  [BB_EVENT_PEER_LOST] = BB_LOG_WARN,
+  [BB_EVENT_SERVER_DOWN] = BB_LOG_WARN,
+  [BB_EVENT_PANIC] = BB_LOG_WARN,
+  [BB_EVENT_PAUSE] = BB_LOG_WARN,
+  [BB_EVENT_REFUSED] = BB_LOG_WARN,
+  [BB_EVENT_SILENT_RESET] = BB_LOG_WARN,
+  [BB_EVENT_BIT_SET] = BB_LOG_DEBUG,
+  [BB_EVENT_BIT_ACTED] = BB_LOG_DEBUG,
+  [BB_EVENT_BIT_CLEARED] = BB_LOG_DEBUG,
+};
+
+static const char *
+format_line (const log4c_layout_t *layout, const log4c_logging_event_t *event)
+{
+  (void)layout;
+  return event->evt_msg;
+}
+
+/* A log reader that stopped must not stop the balancer: a line is lost when
+   standard error cannot take it at once.  A pipe that polls as writable takes
+   PIPE_BUF bytes.  */
+static int
+append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+  struct bb_log *log = log4c_appender_get_udata (appender);
+  struct pollfd pfd = { .fd = STDERR_FILENO, .events = POLLOUT };
+  size_t length = strlen (event->evt_rendered_msg);
+  if (poll (&pfd, 1, 0) != 1 || !(pfd.revents & POLLOUT)
+      || write (STDERR_FILENO, event->evt_rendered_msg, length) < 0)
+    log->lost++;
+  return 0;
+}
+
+static const log4c_layout_type_t layout_type = {
+  .name = "json_lines",
+  .format = format_line,
+};
+
+static const log4c_appender_type_t appender_type = {
+  .name = "standard_error",
+  .append = append_line,
+};
+
+/* log4c_init is not called: it would read a log4crc file from the working
+   directory, which is not among the settings that are checked.  */
+struct bb_log *
+bb_log_new (const struct bb_vm *vm, const struct bb_names *names,
+            const char *level)
+{
+  struct bb_log *log = g_new0 (struct bb_log, 1);
+  log->vm = vm;
+  log->names = names;
+  int priority = LOG4C_PRIORITY_INFO;
+  for (int i = 0; i < BB_LOG_LEVELS; i++)
+    if (level && strcmp (level, levels[i].name) == 0)
+      priority = levels[i].priority;
+  log4c_layout_type_set (&layout_type);
+  log4c_appender_type_set (&appender_type);
+  log4c_layout_t *layout = log4c_layout_get ("bluebellstand");
+  log4c_layout_set_type (layout, &layout_type);
+  log->appender = log4c_appender_get ("bluebellstand");
+  log4c_appender_set_type (log->appender, &appender_type);
+  log4c_appender_set_layout (log->appender, layout);
+  log4c_appender_set_udata (log->appender, log);
+  log->category = log4c_category_get ("bluebellstand");
+  log4c_category_set_appender (log->category, log->appender);
+  log4c_category_set_additivity (log->category, 0);
+  log4c_category_set_priority (log->category, priority);
+  return log;
+}
+
+void
+bb_log_free (struct bb_log *log)
+{
+  if (!log)
+    return;
+  log4c_fini ();
+  g_free (log);
+}
+
+static void
+add_string (struct json_object *object, const char *key, const char *value)
+{
+  json_object_object_add (object, key,
+                          value ? json_object_new_string (value) : NULL);
+}
+
+static void
+add_number (struct json_object *object, const char *key, uint64_t value)
+{
+  json_object_object_add (object, key, json_object_new_uint64 (value));
+}
+
+static struct json_object *
+new_line (const struct bb_log *log, int64_t time_us, bb_usec mono_us,
+          enum bb_log_level level, const char *event)
+{
+  struct json_object *line = json_object_new_object ();
+  json_object_object_add (line, "time_us", json_object_new_int64 (time_us));
+  json_object_object_add (line, "mono_us", json_object_new_int64 (mono_us));
+  add_string (line, "vm", log->vm->name);
+  add_string (line, "data_centre", log->vm->data_centre);
+  add_string (line, "level", levels[level].name);
+  add_string (line, "event", event);
+  return line;
+}
+
+/* Frees LINE.  */
+static char *
+to_text (struct json_object *line)
+{
+  char *text = g_strdup (json_object_to_json_string_ext (
+      line, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
+  json_object_put (line);
+  return text;
+}
+
+/* KEY 0 is none; a key whose name is not known is written in hexadecimal.  */
+static void
+add_key (const struct bb_log *log, struct json_object *line, const char *field,
+         uint32_t key, const char **service)
+{
+  char text[16];
+  const char *name = key ? bb_names_get (log->names, key, service) : NULL;
+  if (key && !name)
+    {
+      g_snprintf (text, sizeof text, "%08" PRIx32, key);
+      name = text;
+    }
+  add_string (line, field, name);
+}
+
+char *
+bb_log_format (const struct bb_log *log, const struct bb_event_record *record)
+{
+  const struct bb_event *event = &record->event;
+  const char *service = NULL, *unused = NULL;
+  char flow[20];
+  struct json_object *line
+      = new_line (log, record->time_us, record->mono_us,
+                  event_levels[event->kind], bb_event_name (event->kind));
+  add_number (line, "seq", record->seq);
+  struct json_object *versions = json_object_new_array ();
+  for (int i = 0; i < BB_DOCUMENT_KINDS; i++)
+    json_object_array_add (versions,
+                           json_object_new_uint64 (record->versions[i]));
+  json_object_object_add (line, "versions", versions);
+  add_key (log, line, "peer", event->peer, &unused);
+  add_key (log, line, "server", event->server, &service);
+  add_string (line, "service", service);
+  g_snprintf (flow, sizeof flow, "%016" PRIx64, event->flow);
+  add_string (line, "flow", event->flow ? flow : NULL);
+  add_number (line, "value", event->value);
+  if (record->suppressed)
+    add_number (line, "suppressed", record->suppressed);
+  return to_text (line);
+}
+
+static void
+write_line (struct bb_log *log, enum bb_log_level level, const char *text)
+{
+  log4c_category_log (log->category, levels[level].priority, "%s\n", text);
+}
+
+void
+bb_log_flush (struct bb_log *log, const struct bb_events *events)
+{
+  const struct bb_event_record *record;
+  while ((record = bb_events_next (events, log->written)))
+    {
+      enum bb_log_level level = event_levels[record->event.kind];
+      log->written = record->seq;
+      if (!log4c_category_is_priority_enabled (log->category,
+                                               levels[level].priority))
+        continue;
+      char *text = bb_log_format (log, record);
+      write_line (log, level, text);
+      g_free (text);
+    }
+}
+
+void
+bb_log_text (struct bb_log *log, enum bb_log_level level, const char *event,
+             const char *text)
+{
+  struct json_object *line
+      = new_line (log, bb_clock_wall (), bb_clock_boot (), level, event);
+  add_string (line, "text", text);
+  char *out = to_text (line);
+  write_line (log, level, out);
+  g_free (out);
+}
+
+uint64_t
+bb_log_lost (const struct bb_log *log)
+{
+  return log->lost;
+}
--- /dev/null
+++ b/runtime/names.c
@@ -0,0 +1,111 @@
+#include "runtime/names.h"
+
+/* VMs and servers come and go for years.  When the current generation of
+   names is full, it replaces the one before it, so that memory is bounded and
+   names that were in use lately are still known.  */
+#define NAMES_PER_GENERATION 16384
+
+struct generation
+{
+  GHashTable *table;     /* key to struct name */
+  GStringChunk *strings; /* each string once */
+};
+
+struct bb_names
+{
+  struct generation current;
+  struct generation previous; /* members are NULL at first */
+};
+
+struct name
+{
+  const char *text;
+  const char *service; /* NULL: a VM or a service */
+};
+
+static struct generation
+generation_new (void)
+{
+  return (struct generation){
+    .table = g_hash_table_new_full (NULL, NULL, NULL, g_free),
+    .strings = g_string_chunk_new (4096),
+  };
+}
+
+static void
+generation_clear (struct generation *g)
+{
+  if (!g->table)
+    return;
+  g_hash_table_unref (g->table);
+  g_string_chunk_free (g->strings);
+}
+
+struct bb_names *
+bb_names_new (void)
+{
+  struct bb_names *names = g_new0 (struct bb_names, 1);
+  names->current = generation_new ();
+  return names;
+}
+
+void
+bb_names_free (struct bb_names *names)
+{
+  if (!names)
+    return;
+  generation_clear (&names->current);
+  generation_clear (&names->previous);
+  g_free (names);
+}
+
+static void
+add (struct bb_names *names, uint32_t key, const char *text,
+     const char *service)
+{
+  if (g_hash_table_contains (names->current.table, GUINT_TO_POINTER (key)))
+    return;
+  if (g_hash_table_size (names->current.table) >= NAMES_PER_GENERATION)
+    {
+      generation_clear (&names->previous);
+      names->previous = names->current;
+      names->current = generation_new ();
+    }
+  GStringChunk *strings = names->current.strings;
+  struct name *name = g_new0 (struct name, 1);
+  name->text = g_string_chunk_insert_const (strings, text);
+  if (service)
+    name->service = g_string_chunk_insert_const (strings, service);
+  g_hash_table_insert (names->current.table, GUINT_TO_POINTER (key), name);
+}
+
+void
+bb_names_add_fleet (struct bb_names *names, const struct bb_fleet *fleet)
+{
+  for (size_t i = 0; i < fleet->service_count; i++)
+    {
+      const struct bb_service *s = &fleet->services[i];
+      add (names, s->key, s->name, NULL);
+      for (size_t j = 0; j < s->server_count; j++)
+        add (names, s->servers[j].key, s->servers[j].name, s->name);
+    }
+}
+
+void
+bb_names_add_vms (struct bb_names *names, const struct bb_vm *vms,
+                  size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    add (names, vms[i].id, vms[i].name, NULL);
+}
+
+const char *
+bb_names_get (const struct bb_names *names, uint32_t key, const char **service)
+{
+  const struct name *name
+      = g_hash_table_lookup (names->current.table, GUINT_TO_POINTER (key));
+  if (!name && names->previous.table)
+    name = g_hash_table_lookup (names->previous.table, GUINT_TO_POINTER (key));
+  *service = name ? name->service : NULL;
+  return name ? name->text : NULL;
+}
--- /dev/null
+++ b/runtime/peers.c
@@ -0,0 +1,302 @@
+#include "runtime/peers.h"
+#include "runtime/private.h"
+#include "wire/wire.h"
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <zmq.h>
+
+enum
+{
+  HIGH_WATER = 256,        /* messages queued to or from one peer */
+  LINKS_MAX = 256,         /* connections; the engine has BB_PEER_MAX peers */
+  RECEIVE_MAX = 256,       /* messages before packets get a turn */
+  RECONNECT_MS = 100,      /* doubles up to the maximum */
+  RECONNECT_MAX_MS = 1000, /* below BB_SUSPECT_AFTER */
+  /* A connection can go silent for good while new ones work.  It is closed
+     before BB_SUSPECT_AFTER has passed, so that a new one keeps the peer from
+     being suspected.  */
+  PING_INTERVAL_MS = 500,
+  PING_TIMEOUT_MS = 600,
+  FRAME_SHORT = 2, /* ZMTP header of a frame below 256 bytes */
+  FRAME_LONG = 9,
+};
+
+#define LINK_IDLE (30 * BB_SEC)
+
+struct link
+{
+  void *socket;
+  bb_usec used;
+};
+
+struct bb_peers
+{
+  struct bb_process *process;
+  void *context;
+  void *router;
+  struct event *readable;
+  GHashTable *links; /* endpoint as a number to struct link */
+  struct bb_peers_counters counters;
+};
+
+static gint64
+endpoint_number (const struct bb_endpoint *endpoint)
+{
+  return (gint64)endpoint->address << 16 | endpoint->port;
+}
+
+static uint64_t
+frame_bytes (size_t length)
+{
+  return length + (length < 256 ? FRAME_SHORT : FRAME_LONG);
+}
+
+static bool
+from_peer (const struct bb_peers *peers, zmq_msg_t *message)
+{
+  const char *text = zmq_msg_gets (message, "Peer-Address");
+  struct in_addr in;
+  return text && inet_pton (AF_INET, text, &in) == 1
+         && bb_engine_admits (peers->process->engine, ntohl (in.s_addr));
+}
+
+static void
+take_message (struct bb_peers *peers, zmq_msg_t *message, bb_usec now)
+{
+  size_t length = zmq_msg_size (message);
+  peers->counters.received_messages++;
+  peers->counters.received_bytes += frame_bytes (length);
+  if (!from_peer (peers, message))
+    {
+      peers->counters.refused_sources++;
+      return;
+    }
+  struct bb_decoded decoded;
+  if (!bb_wire_decode (zmq_msg_data (message), length, &decoded, NULL))
+    {
+      peers->counters.undecodable++;
+      return;
+    }
+  if (decoded.message.from != peers->process->settings->self.id)
+    bb_engine_message (peers->process->engine, &decoded.message, now);
+  bb_wire_decoded_clear (&decoded);
+}
+
+/* Takes one message with all its frames; the first is the connection's
+   identity, the second the content.  Returns whether there was one.  */
+static bool
+receive_one (struct bb_peers *peers, bb_usec now)
+{
+  int frame = 0, more = 1;
+  while (more)
+    {
+      zmq_msg_t message;
+      zmq_msg_init (&message);
+      if (zmq_msg_recv (&message, peers->router, ZMQ_DONTWAIT) < 0)
+        {
+          zmq_msg_close (&message);
+          return false;
+        }
+      more = zmq_msg_more (&message);
+      if (frame++ == 1)
+        take_message (peers, &message, now);
+      zmq_msg_close (&message);
+    }
+  return true;
+}
+
+/* ZMQ_FD is edge-triggered: it must be read until EAGAIN.  After RECEIVE_MAX
+   messages the event is raised by hand, which lets packets have a turn.  */
+static void
+receive_all (struct bb_peers *peers)
+{
+  bb_usec now = bb_clock_boot ();
+  for (int i = 0; i < RECEIVE_MAX; i++)
+    if (!receive_one (peers, now))
+      return;
+  event_active (peers->readable, EV_READ, 0);
+}
+
+static void
+on_readable (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  receive_all (context);
+}
+
+static void
+set_option (void *socket, int option, int value)
+{
+  zmq_setsockopt (socket, option, &value, sizeof value);
+}
+
+static void
+set_options (void *socket)
+{
+  set_option (socket, ZMQ_LINGER, 0);
+  set_option (socket, ZMQ_SNDHWM, HIGH_WATER);
+  set_option (socket, ZMQ_RCVHWM, HIGH_WATER);
+  set_option (socket, ZMQ_HEARTBEAT_IVL, PING_INTERVAL_MS);
+  set_option (socket, ZMQ_HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS);
+  set_option (socket, ZMQ_CONNECT_TIMEOUT, RECONNECT_MAX_MS);
+  set_option (socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
+  set_option (socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+  /* Nothing is queued for a peer that is not connected: a state that is sent
+     late is worse than none, and the next heartbeat is due soon.  */
+  set_option (socket, ZMQ_IMMEDIATE, 1);
+  int64_t max = BB_WIRE_MESSAGE_MAX;
+  zmq_setsockopt (socket, ZMQ_MAXMSGSIZE, &max, sizeof max);
+}
+
+static void
+link_free (void *data)
+{
+  struct link *link = data;
+  zmq_close (link->socket);
+  g_free (link);
+}
+
+static struct link *
+get_link (struct bb_peers *peers, const struct bb_endpoint *control,
+          bb_usec now)
+{
+  gint64 number = endpoint_number (control);
+  struct link *link = g_hash_table_lookup (peers->links, &number);
+  if (link)
+    {
+      link->used = now;
+      return link;
+    }
+  if (g_hash_table_size (peers->links) >= LINKS_MAX)
+    return NULL;
+  char text[BB_ENDPOINT_TEXT], url[BB_ENDPOINT_TEXT + 8];
+  g_snprintf (url, sizeof url, "tcp://%s", bb_endpoint_text (text, control));
+  void *socket = zmq_socket (peers->context, ZMQ_DEALER);
+  if (!socket)
+    return NULL;
+  set_options (socket);
+  if (zmq_connect (socket, url) != 0)
+    {
+      zmq_close (socket);
+      return NULL;
+    }
+  link = g_new (struct link, 1);
+  *link = (struct link){ socket, now };
+  g_hash_table_insert (peers->links, g_memdup2 (&number, sizeof number), link);
+  return link;
+}
+
+void
+bb_peers_connect (struct bb_peers *peers, const struct bb_endpoint *control)
+{
+  get_link (peers, control, bb_clock_boot ());
+}
+
+/* The answer of the last zmq_getsockopt is not needed: reading ZMQ_EVENTS
+   makes the socket process its internal commands, such as a new connection,
+   for which its own ZMQ_FD is not watched.  */
+static void
+process_commands (void *socket)
+{
+  int events;
+  size_t size = sizeof events;
+  zmq_getsockopt (socket, ZMQ_EVENTS, &events, &size);
+}
+
+void
+bb_peers_send (struct bb_peers *peers, const struct bb_vm *to,
+               const struct bb_message *message)
+{
+  GByteArray *bytes = bb_wire_encode (message);
+  struct link *link = get_link (peers, &to->control, bb_clock_boot ());
+  int sent = -1;
+  if (link && bytes->len <= BB_WIRE_MESSAGE_MAX)
+    {
+      process_commands (link->socket);
+      sent = zmq_send (link->socket, bytes->data, bytes->len, ZMQ_DONTWAIT);
+      process_commands (link->socket);
+    }
+  if (sent < 0)
+    peers->counters.send_drops++;
+  else
+    {
+      peers->counters.sent_messages++;
+      peers->counters.sent_bytes += frame_bytes (bytes->len);
+    }
+  g_byte_array_unref (bytes);
+}
+
+static gboolean
+is_idle (gpointer key, gpointer value, gpointer now)
+{
+  (void)key;
+  const struct link *link = value;
+  return *(const bb_usec *)now - link->used > LINK_IDLE;
+}
+
+void
+bb_peers_sweep (struct bb_peers *peers, bb_usec now)
+{
+  g_hash_table_foreach_remove (peers->links, is_idle, &now);
+  receive_all (peers);
+}
+
+const struct bb_peers_counters *
+bb_peers_get_counters (const struct bb_peers *peers)
+{
+  return &peers->counters;
+}
+
+static bool
+open_router (struct bb_peers *peers, GError **error)
+{
+  const struct bb_endpoint *control = &peers->process->settings->self.control;
+  char text[BB_ENDPOINT_TEXT], url[BB_ENDPOINT_TEXT + 8];
+  g_snprintf (url, sizeof url, "tcp://%s", bb_endpoint_text (text, control));
+  peers->context = zmq_ctx_new ();
+  peers->router = zmq_socket (peers->context, ZMQ_ROUTER);
+  set_options (peers->router);
+  if (zmq_bind (peers->router, url) != 0)
+    {
+      g_set_error (error, BB_ERROR, BB_ERROR_IO, "control: TCP %s: %s", text,
+                   zmq_strerror (errno));
+      return false;
+    }
+  int fd;
+  size_t size = sizeof fd;
+  zmq_getsockopt (peers->router, ZMQ_FD, &fd, &size);
+  peers->readable = event_new (peers->process->loop, fd, EV_READ | EV_PERSIST,
+                               on_readable, peers);
+  event_add (peers->readable, NULL);
+  return true;
+}
+
+struct bb_peers *
+bb_peers_new (struct bb_process *p, GError **error)
+{
+  struct bb_peers *peers = g_new0 (struct bb_peers, 1);
+  peers->process = p;
+  peers->links
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, link_free);
+  if (!open_router (peers, error))
+    {
+      bb_peers_free (peers);
+      return NULL;
+    }
+  return peers;
+}
+
+void
+bb_peers_free (struct bb_peers *peers)
+{
+  if (!peers)
+    return;
+  if (peers->readable)
+    event_free (peers->readable);
+  g_hash_table_unref (peers->links);
+  zmq_close (peers->router);
+  zmq_ctx_term (peers->context);
+  g_free (peers);
+}
--- /dev/null
+++ b/runtime/platform_http.c
@@ -0,0 +1,206 @@
+/* Reads documents from the configuration service: one long poll a document. */
+
+#include "runtime/fetch.h"
+#include "runtime/platform.h"
+#include "runtime/util.h"
+#include <event2/event.h>
+
+enum
+{
+  WAIT_S = 25, /* the service answers a long poll after that at the latest */
+  JITTER_PERCENT = 50,
+  REQUEST_BURST = 6,              /* two for each document */
+  BODY_MAX = 2 * BB_DOCUMENT_MAX, /* a document above the limit is to be
+                                     reported as such, not as no answer */
+  REQUEST_RATE = 2 /* a second; 9 VMs stay below 1 % of the service's 2,000 */
+};
+
+#define TIMEOUT ((WAIT_S + 5) * BB_SEC)
+#define RETRY_FIRST (200 * BB_MSEC)
+#define RETRY_MAX (10 * BB_SEC)
+/* A service that has nothing newer, or nothing at all, and answers at once
+   does not support long polls; it is asked at this interval.  */
+#define POLL_INTERVAL (2 * BB_SEC)
+/* For a document that was refused, or is older than the one in force.  */
+#define REFUSED_INTERVAL (5 * BB_SEC)
+
+struct http;
+
+struct watch
+{
+  struct http *http;
+  enum bb_document_kind kind;
+  struct bb_fetch *fetch; /* NULL: none under way */
+  struct event *timer;    /* the next request */
+  bb_usec retry;          /* last delay after a failure, 0: it worked */
+  bb_usec asked;
+  /* Version of a refused document.  It is named in one long poll, so that the
+     document is not sent again and again, and is then forgotten: a corrected
+     one may have a lower version.  */
+  uint64_t skip;
+};
+
+struct http
+{
+  struct bb_platform *platform;
+  struct bb_endpoint endpoint;
+  int64_t tokens; /* millionths of a request */
+  bb_usec filled;
+  struct watch watches[BB_DOCUMENT_KINDS];
+};
+
+static void
+schedule (struct watch *w, bb_usec delay)
+{
+  struct timeval tv = bb_clock_timeval (
+      bb_clock_jitter (w->http->platform->random, delay, JITTER_PERCENT));
+  event_add (w->timer, &tv);
+}
+
+/* Returns how long to wait before a request may be sent, 0: now.  The budget
+   bounds what an outage and the recovery from it can send.  */
+static bb_usec
+take_request (struct http *h, bb_usec now)
+{
+  h->tokens = MIN (h->tokens + (now - h->filled) * REQUEST_RATE,
+                   REQUEST_BURST * BB_SEC);
+  h->filled = now;
+  if (h->tokens < BB_SEC)
+    return (BB_SEC - h->tokens) / REQUEST_RATE + BB_MSEC;
+  h->tokens -= BB_SEC;
+  return 0;
+}
+
+static bb_usec
+after_document (struct watch *w, const struct bb_fetch_answer *answer)
+{
+  enum bb_offer offer
+      = bb_platform_offer (w->http->platform, w->kind, answer->version,
+                           answer->body, answer->length);
+  if (offer == BB_OFFER_ACCEPTED)
+    return 0;
+  if (offer != BB_OFFER_SAME && offer != BB_OFFER_OLDER)
+    w->skip = answer->version;
+  return offer == BB_OFFER_OLDER ? REFUSED_INTERVAL : POLL_INTERVAL;
+}
+
+static bb_usec
+after_failure (struct watch *w)
+{
+  w->retry = w->retry ? MIN (2 * w->retry, RETRY_MAX) : RETRY_FIRST;
+  return w->retry;
+}
+
+/* Returns the delay before the next request.  */
+static bb_usec
+judge (struct watch *w, const struct bb_fetch_answer *answer)
+{
+  struct bb_platform *platform = w->http->platform;
+  bool answered = answer->status == 200 || answer->status == 304
+                  || answer->status == 404;
+  bb_platform_note (platform, answered);
+  if (!answered)
+    return after_failure (w);
+  w->retry = 0;
+  if (answer->status == 200)
+    return after_document (w, answer);
+  w->skip = 0;
+  if (answer->status == 404)
+    {
+      platform->sink->absent (platform->context, w->kind);
+      return POLL_INTERVAL;
+    }
+  if (answer->version != 0)
+    platform->status.served[w->kind] = answer->version;
+  bb_usec waited = bb_clock_boot () - w->asked;
+  return waited < POLL_INTERVAL ? POLL_INTERVAL : 0;
+}
+
+static void
+on_done (void *context, const struct bb_fetch_answer *answer)
+{
+  struct watch *w = context;
+  schedule (w, judge (w, answer));
+  bb_fetch_free (w->fetch);
+  w->fetch = NULL;
+}
+
+static void
+format_path (char *path, size_t size, const struct watch *w)
+{
+  static const char *const names[BB_DOCUMENT_KINDS] = {
+    [BB_DOCUMENT_BASE] = "base",
+    [BB_DOCUMENT_OVERLAY] = "overlay/",
+    [BB_DOCUMENT_VMS] = "vms",
+  };
+  const struct bb_platform *platform = w->http->platform;
+  uint64_t version = platform->sink->version (platform->context, w->kind);
+  g_snprintf (path, size, "/v1/%s%s?after=%" G_GUINT64_FORMAT "&wait_s=%d",
+              names[w->kind],
+              w->kind == BB_DOCUMENT_OVERLAY ? platform->data_centre : "",
+              MAX (version, w->skip), WAIT_S);
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  struct watch *w = context;
+  char path[BB_NAME_MAX + 96];
+  w->asked = bb_clock_boot ();
+  bb_usec delay = take_request (w->http, w->asked);
+  if (delay > 0)
+    {
+      struct timeval tv = bb_clock_timeval (delay);
+      event_add (w->timer, &tv);
+      return;
+    }
+  format_path (path, sizeof path, w);
+  w->fetch = bb_fetch_new (w->http->platform->loop, &w->http->endpoint, path,
+                           TIMEOUT, BODY_MAX, on_done, w);
+}
+
+static void *
+start (struct bb_platform *platform, GError **error)
+{
+  struct bb_endpoint endpoint;
+  if (!bb_endpoint_parse (platform->location, &endpoint))
+    {
+      g_set_error (error, BB_ERROR, BB_ERROR_IO,
+                   "platform: \"%s\" is not ADDRESS:PORT", platform->location);
+      return NULL;
+    }
+  struct http *h = g_new0 (struct http, 1);
+  h->platform = platform;
+  h->endpoint = endpoint;
+  h->filled = bb_clock_boot ();
+  h->tokens = REQUEST_BURST * BB_SEC;
+  for (int i = 0; i < BB_DOCUMENT_KINDS; i++)
+    {
+      struct watch *w = &h->watches[i];
+      w->http = h;
+      w->kind = (enum bb_document_kind)i;
+      w->timer = event_new (platform->loop, -1, 0, on_timer, w);
+      schedule (w, 0);
+    }
+  return h;
+}
+
+static void
+stop (void *state)
+{
+  struct http *h = state;
+  for (int i = 0; i < BB_DOCUMENT_KINDS; i++)
+    {
+      bb_fetch_free (h->watches[i].fetch);
+      event_free (h->watches[i].timer);
+    }
+  g_free (h);
+}
+
+const struct bb_platform_ops bb_platform_http = {
+  .name = "http",
+  .start = start,
+  .stop = stop,
+};
--- /dev/null
+++ b/runtime/process.h
@@ -0,0 +1,24 @@
+/* One balancer process: event loop and all I/O.  */
+
+#ifndef BB_RUNTIME_PROCESS_H
+#define BB_RUNTIME_PROCESS_H
+
+#include "config/config.h"
+
+#define BB_VERSION_TEXT "0.1.0"
+
+struct bb_process;
+
+/* Binds the sockets of SETTINGS, which must outlive the process, and starts
+   the balancer.  Returns NULL with BB_ERROR_IO set if that fails.  */
+struct bb_process *bb_process_new (const struct bb_settings *settings,
+                                   GError **error);
+void bb_process_free (struct bb_process *p);
+
+/* Runs until a graceful stop has ended; SIGTERM and SIGINT start one.
+   Returns the exit status.  */
+int bb_process_run (struct bb_process *p);
+
+/* Starts the graceful stop.  */
+void bb_process_leave (struct bb_process *p);
+#endif
