--- a/Makefile
+++ b/Makefile
@@ -58,7 +58,7 @@
 link = $(CC) $(CFLAGS) -o $@ $(filter %.o, $^) -Wl,--start-group $(LIBS) \
   -Wl,--end-group $(LDLIBS)
 
-STANDIN_COMMON = $(call objects, $(wildcard standins/common.c))
+STANDIN_COMMON = $(call objects, $(wildcard standins/common.c standins/common/*.c))
 $(BUILD)/bin/standin-%: $(BUILD)/standins/%.o $(STANDIN_COMMON) $(LIBS)
 	@mkdir -p $(@D)
 	$(link)
--- /dev/null
+++ b/standins/caller.c
@@ -0,0 +1,358 @@
+/* Callers: many flows from inner addresses that exist only inside the GUE
+   payload.  Long flows send a request now and then until SIGTERM, short ones
+   end after one or two and are opened anew.  All that the callers see is
+   written to a history file.  On SIGTERM every request in progress is waited
+   for, every flow is closed, and the process ends.  */
+
+#include "standins/common/call.h"
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  TICK_MS = 5,
+  SERVICES_MAX = 8,
+  INNER_ADDRESSES = 250, /* inner addresses of one process */
+  FIRST_PORT = 1024,
+  PAUSE_MAX_MS = 200 /* before a flow is opened anew */
+};
+
+struct service
+{
+  char *name;
+  struct bb_endpoint endpoint;
+};
+
+/* CALL is first: the hooks of a call find its flow there.  */
+struct flow
+{
+  struct bb_call call;
+  const struct service *service;
+  uint64_t key; /* inner address and port */
+  bool lasting;
+  int requests_left; /* of a short flow */
+  bool waiting;      /* for an answer */
+  uint64_t id;       /* of the request in hand or in progress */
+  uint32_t length;
+  bb_usec act_at; /* next request or opening */
+};
+
+static struct
+{
+  char *ingress, *listen, *inner, *history, **service;
+  gint number, seed, lasting, brief, interval_ms, body_max, grace_ms;
+} options = { .number = 1,
+              .seed = 1,
+              .lasting = 100,
+              .brief = 20,
+              .interval_ms = 500,
+              .body_max = 6000,
+              .grace_ms = 10000 };
+
+static const GOptionEntry entries[]
+    = { BB_STANDIN_STRING ("ingress", options.ingress),
+        BB_STANDIN_STRING ("listen", options.listen),
+        BB_STANDIN_STRING ("inner", options.inner),
+        BB_STANDIN_STRING ("history", options.history),
+        BB_STANDIN_STRINGS ("service", options.service),
+        BB_STANDIN_INT ("number", options.number),
+        BB_STANDIN_INT ("seed", options.seed),
+        BB_STANDIN_INT ("long", options.lasting),
+        BB_STANDIN_INT ("short", options.brief),
+        BB_STANDIN_INT ("interval-ms", options.interval_ms),
+        BB_STANDIN_INT ("body-max", options.body_max),
+        BB_STANDIN_INT ("grace-ms", options.grace_ms),
+        { 0 } };
+
+static struct
+{
+  struct event_base *base;
+  struct bb_call_net net;
+  FILE *history;
+  GRand *random;
+  struct service services[SERVICES_MAX];
+  int service_count;
+  struct flow *flows;
+  int flow_count;
+  GHashTable *open; /* flows by key */
+  struct bb_endpoint inner;
+  uint32_t opened;
+  uint64_t requests;
+  bb_usec finish_by; /* 0: not asked to finish */
+} caller;
+
+static void
+record (const char *event, const struct flow *f, const char *more)
+{
+  char ends[2][24];
+  bb_standin_record (
+      caller.history, event,
+      "\"service\":\"%s\",\"flow\":\"%s>%s\","
+      "\"id\":\"%016" G_GINT64_MODIFIER "x\"%s",
+      f->service->name, bb_standin_format_endpoint (ends[0], f->call.inner),
+      bb_standin_format_endpoint (ends[1], f->call.service), f->id, more);
+}
+
+static bb_usec
+pause_ms (gint max)
+{
+  return g_rand_int_range (caller.random, 1, max + 1) * BB_MSEC;
+}
+
+/* Puts the next request in hand.  */
+static void
+prepare_request (struct flow *f)
+{
+  f->id = (uint64_t)options.number << 40 | ++caller.requests;
+  f->length
+      = (uint32_t)g_rand_int_range (caller.random, 1, options.body_max + 1);
+}
+
+static void
+send_request (struct flow *f)
+{
+  f->waiting = true;
+  record ("send", f, "");
+  bb_call_send_request (&caller.net, &f->call, f->id, f->length);
+}
+
+static void
+open_flow (struct flow *f)
+{
+  uint32_t n = caller.opened++;
+  f->call.inner
+      = (struct bb_endpoint){ caller.inner.address + 1 + n % INNER_ADDRESSES,
+                              (uint16_t)(FIRST_PORT + n / INNER_ADDRESSES) };
+  f->call.service = f->service->endpoint;
+  f->key = (uint64_t)f->call.inner.address << 16 | f->call.inner.port;
+  f->requests_left = g_rand_int_range (caller.random, 1, 3);
+  f->waiting = false;
+  f->act_at = 0;
+  prepare_request (f);
+  g_hash_table_replace (caller.open, &f->key, f);
+  record ("open", f, "");
+  bb_call_open (&caller.net, &f->call);
+}
+
+static void
+take_established (struct bb_call *c)
+{
+  struct flow *f = (struct flow *)c;
+  record ("established", f, "");
+  send_request (f);
+}
+
+static void
+take_answer (struct flow *f, const struct bb_answer *a, const uint8_t *body)
+{
+  char more[160];
+  g_snprintf (more, sizeof more,
+              ",\"answer_id\":\"%016" G_GINT64_MODIFIER "x\",\"length\":%u,"
+              "\"asked\":%u,\"server\":\"%s\","
+              "\"digest\":\"%016" G_GINT64_MODIFIER "x\"",
+              a->id, a->length, f->length, a->server,
+              bb_standin_digest (body, a->length));
+  record ("answer", f, more);
+  f->waiting = false;
+  g_byte_array_set_size (f->call.in, 0);
+  if (caller.finish_by || (!f->lasting && --f->requests_left <= 0))
+    {
+      bb_call_close (&caller.net, &f->call);
+      return;
+    }
+  prepare_request (f);
+  f->act_at = bb_standin_now () + pause_ms (options.interval_ms);
+}
+
+static void
+take_octets (struct bb_call *c)
+{
+  struct flow *f = (struct flow *)c;
+  struct bb_answer a;
+  size_t length = c->in->len;
+  if (length < BB_STANDIN_ANSWER)
+    return;
+  if (!f->waiting || !bb_standin_read_answer (c->in->data, length, &a)
+      || length > BB_STANDIN_ANSWER + a.length)
+    record ("garbage", f, "");
+  else if (length == BB_STANDIN_ANSWER + a.length)
+    take_answer (f, &a, c->in->data + BB_STANDIN_ANSWER);
+}
+
+static void
+end_flow (struct bb_call *c, const char *event)
+{
+  struct flow *f = (struct flow *)c;
+  record (event, f, "");
+  g_hash_table_remove (caller.open, &f->key);
+  f->act_at = bb_standin_now () + pause_ms (PAUSE_MAX_MS);
+}
+
+static void
+take_refused (struct bb_call *c)
+{
+  end_flow (c, "refused");
+}
+
+static void
+take_reset (struct bb_call *c)
+{
+  end_flow (c, "reset");
+}
+
+static void
+take_gave_up (struct bb_call *c)
+{
+  end_flow (c, "gave_up");
+}
+
+static void
+take_closed (struct bb_call *c)
+{
+  end_flow (c, "closed");
+}
+
+static void
+take_resent (struct bb_call *c)
+{
+  record ("resend", (struct flow *)c, "");
+}
+
+static const struct bb_call_ops ops = { .established = take_established,
+                                        .received = take_octets,
+                                        .refused = take_refused,
+                                        .reset = take_reset,
+                                        .gave_up = take_gave_up,
+                                        .closed = take_closed,
+                                        .resent = take_resent };
+
+static void
+receive_packets (void *context)
+{
+  uint8_t buffer[BB_STANDIN_DATAGRAM], *inner;
+  struct bb_endpoint from;
+  struct bb_segment s;
+  ssize_t n;
+  (void)context;
+  while ((n = bb_standin_receive_packet (caller.net.fd, buffer, &inner, &from))
+         >= 0)
+    {
+      if (!n || !bb_standin_parse_segment (inner, (size_t)n, &s))
+        continue;
+      uint64_t key
+          = (uint64_t)s.destination.address << 16 | s.destination.port;
+      struct flow *f = g_hash_table_lookup (caller.open, &key);
+      if (f && bb_standin_equal_endpoint (f->call.service, s.source))
+        bb_call_take_segment (&caller.net, &f->call, &s);
+      else
+        bb_call_take_stray (&caller.net, &s);
+    }
+}
+
+/* Returns whether F has nothing left to do.  */
+static bool
+tick_flow (struct flow *f, bb_usec now)
+{
+  bool due = f->act_at && f->act_at <= now;
+  bool idle = f->call.state == BB_CALL_OPEN && !f->waiting;
+  bb_call_tick (&caller.net, &f->call, now);
+  if (f->call.state == BB_CALL_ENDED)
+    {
+      if (due && !caller.finish_by)
+        open_flow (f);
+      return caller.finish_by;
+    }
+  if (idle && caller.finish_by)
+    bb_call_close (&caller.net, &f->call);
+  else if (idle && due)
+    {
+      f->act_at = 0;
+      send_request (f);
+    }
+  return false;
+}
+
+static void
+tick (void *context)
+{
+  bb_usec now = bb_standin_now ();
+  int ended = 0;
+  (void)context;
+  for (int i = 0; i < caller.flow_count; i++)
+    ended += tick_flow (&caller.flows[i], now);
+  if (ended < caller.flow_count
+      && (!caller.finish_by || now < caller.finish_by))
+    return;
+  bb_standin_record (caller.history, "stop", "\"unfinished\":%d",
+                     caller.flow_count - ended);
+  event_base_loopbreak (caller.base);
+}
+
+static void
+finish (void *context)
+{
+  (void)context;
+  if (!caller.finish_by)
+    caller.finish_by = bb_standin_now () + options.grace_ms * BB_MSEC;
+}
+
+static void
+read_services (void)
+{
+  for (char **s = options.service; s && *s; s++)
+    {
+      char **parts = g_strsplit (*s, "=", 2);
+      if (caller.service_count == SERVICES_MAX)
+        exit (2);
+      caller.services[caller.service_count++]
+          = (struct service){ g_strdup (parts[0]),
+                              bb_standin_parse_endpoint (parts[1]) };
+      g_strfreev (parts);
+    }
+  if (!caller.service_count)
+    {
+      g_printerr ("--service NAME=ADDRESS:PORT is missing\n");
+      exit (2);
+    }
+}
+
+/* Spreads the openings over one interval.  */
+static void
+make_flows (void)
+{
+  bb_usec now = bb_standin_now ();
+  caller.flow_count = options.lasting + options.brief;
+  caller.flows = g_new0 (struct flow, caller.flow_count);
+  caller.open = g_hash_table_new (g_int64_hash, g_int64_equal);
+  for (int i = 0; i < caller.flow_count; i++)
+    {
+      caller.flows[i].lasting = i < options.lasting;
+      caller.flows[i].service = &caller.services[i % caller.service_count];
+      caller.flows[i].act_at = now + pause_ms (options.interval_ms);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  bb_standin_parse_options (argc, argv, entries);
+  caller.base = event_base_new ();
+  caller.history = bb_standin_open_history (options.history);
+  caller.random = g_rand_new_with_seed ((guint32)options.seed);
+  char *inner = g_strdup_printf ("%s:0", options.inner);
+  caller.inner = bb_standin_parse_endpoint (inner);
+  g_free (inner);
+  caller.net = (struct bb_call_net){
+    .fd = bb_standin_open_udp (bb_standin_parse_endpoint (options.listen)),
+    .ingress = bb_standin_parse_endpoint (options.ingress),
+    .ops = &ops,
+  };
+  read_services ();
+  make_flows ();
+  bb_standin_watch_socket (caller.base, caller.net.fd, receive_packets, NULL);
+  bb_standin_watch_timer (caller.base, TICK_MS, tick, NULL);
+  bb_standin_watch_signal (caller.base, SIGTERM, finish, NULL);
+  event_base_dispatch (caller.base);
+  return 0;
+}
--- /dev/null
+++ b/standins/checker.c
@@ -0,0 +1,399 @@
+/* Reads the history files of callers and backend servers, and the event logs
+   of balancers, and proves from them alone what was broken, misrouted, run
+   twice, lost, answered wrongly, run although refused, placed on a leaving
+   server, or reverted to an older version.  The exit status is 0 if nothing
+   was, 1 if something was, and 2 if the files prove nothing.
+
+   Events of other kinds are skipped.  "step" and "kill" events are written by
+   the script that makes the changes: what breaks after a kill and before the
+   next step is counted as broken by the kill.  */
+
+#include "standins/common.h"
+#include "standins/common/line.h"
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  VERSIONS = 3,
+  SHOWN_MAX = 20 /* findings printed of each kind */
+};
+
+enum count
+{
+  COUNT_FLOWS,
+  COUNT_REQUESTS,
+  COUNT_REFUSED,
+  COUNT_RUNS,
+  COUNT_REPORTS,
+  COUNT_BROKEN, /* faults from here to COUNT_FAULTS_END */
+  COUNT_MISROUTED,
+  COUNT_DUPLICATED,
+  COUNT_LOST,
+  COUNT_REVERTS,
+  COUNT_WRONG,
+  COUNT_REFUSED_RUN,
+  COUNT_LATE_NEW,
+  COUNT_UNREADABLE,
+  COUNT_FAULTS_END,
+  COUNT_BROKEN_BY_KILL = COUNT_FAULTS_END,
+  COUNT_LOST_BY_KILL,
+  COUNTS
+};
+static const char *const count_names[COUNTS]
+    = { "flows",    "requests",       "refused",        "runs",
+        "reports",  "broken",         "misrouted",      "duplicated",
+        "lost",     "config_reverts", "wrong",          "refused_run",
+        "late_new", "unreadable",     "broken_by_kill", "lost_by_kill" };
+
+struct flow
+{
+  char *service;
+  bool established;
+  bb_usec broken_at; /* 0: not broken */
+};
+
+struct request
+{
+  struct flow *flow;
+  bool sent, refused, answered;
+  int runs;
+  char *answered_by; /* server */
+};
+
+struct server
+{
+  char *service;
+  bb_usec draining_at;  /* 0: not draining */
+  GArray *new_flows_at; /* of bb_usec */
+};
+
+static gint drain_bound_ms = 3000;
+static gint without_bound;
+static uint64_t counts[COUNTS];
+static GHashTable *flows, *requests, *servers;
+static GArray *kills, *steps; /* of bb_usec */
+
+static void G_GNUC_PRINTF (2, 3)
+    find (enum count kind, const char *format, ...)
+{
+  va_list arguments;
+  if (++counts[kind] > SHOWN_MAX)
+    return;
+  va_start (arguments, format);
+  char *text = g_strdup_vprintf (format, arguments);
+  va_end (arguments);
+  g_printerr ("%s: %s\n", count_names[kind], text);
+  g_free (text);
+}
+
+/* Returns the value of KEY in TABLE; a new one of SIZE zero bytes if there is
+   none.  */
+static void *
+get_value (GHashTable *table, const char *key, size_t size)
+{
+  void *value = g_hash_table_lookup (table, key);
+  if (!value)
+    {
+      value = g_malloc0 (size);
+      g_hash_table_insert (table, g_strdup (key), value);
+    }
+  return value;
+}
+
+static struct flow *
+get_flow (const struct bb_line *l)
+{
+  return get_value (flows, bb_line_string (l, "flow"), sizeof (struct flow));
+}
+
+static struct request *
+get_request (const struct bb_line *l)
+{
+  return get_value (requests, bb_line_string (l, "id"),
+                    sizeof (struct request));
+}
+
+static struct server *
+get_server (const struct bb_line *l)
+{
+  struct server *s = get_value (servers, bb_line_string (l, "server"),
+                                sizeof (struct server));
+  if (!s->service)
+    {
+      s->service = g_strdup (bb_line_string (l, "service"));
+      s->new_flows_at = g_array_new (FALSE, FALSE, sizeof (bb_usec));
+    }
+  return s;
+}
+
+static void
+take_open (const struct bb_line *l)
+{
+  struct flow *f = get_flow (l);
+  g_free (f->service);
+  f->service = g_strdup (bb_line_string (l, "service"));
+  get_request (l)->flow = f;
+}
+
+static void
+take_established (const struct bb_line *l)
+{
+  counts[COUNT_FLOWS]++;
+  get_flow (l)->established = true;
+}
+
+static void
+take_send (const struct bb_line *l)
+{
+  struct request *r = get_request (l);
+  counts[COUNT_REQUESTS]++;
+  r->flow = get_flow (l);
+  r->sent = true;
+}
+
+static void
+take_refused (const struct bb_line *l)
+{
+  counts[COUNT_REFUSED]++;
+  get_request (l)->refused = true;
+}
+
+static void
+take_broken (const struct bb_line *l)
+{
+  struct flow *f = get_flow (l);
+  if (f->established)
+    f->broken_at = l->time;
+}
+
+static bool
+has_right_body (const struct bb_line *l)
+{
+  uint64_t id = g_ascii_strtoull (bb_line_string (l, "id"), NULL, 16);
+  uint32_t length
+      = (uint32_t)CLAMP (bb_line_number (l, "asked"), 1, BB_STANDIN_BODY_MAX);
+  uint8_t *body = g_malloc (length);
+  bb_standin_fill_body (body, length, id);
+  uint64_t digest = bb_standin_digest (body, length);
+  g_free (body);
+  return bb_line_number (l, "length") == length
+         && !strcmp (bb_line_string (l, "id"), bb_line_string (l, "answer_id"))
+         && g_ascii_strtoull (bb_line_string (l, "digest"), NULL, 16)
+                == digest;
+}
+
+static void
+take_answer (const struct bb_line *l)
+{
+  struct request *r = get_request (l);
+  const char *id = bb_line_string (l, "id");
+  if (r->answered || !r->sent)
+    find (COUNT_WRONG, "request %s: answered again or never sent", id);
+  else if (!has_right_body (l))
+    find (COUNT_WRONG, "request %s: the answer belongs to another", id);
+  r->answered = true;
+  g_free (r->answered_by);
+  r->answered_by = g_strdup (bb_line_string (l, "server"));
+}
+
+static void
+take_garbage (const struct bb_line *l)
+{
+  find (COUNT_WRONG, "%s at %s", l->event, bb_line_string (l, "flow"));
+}
+
+static void
+take_run (const struct bb_line *l)
+{
+  struct request *r = get_request (l);
+  counts[COUNT_RUNS]++;
+  r->runs++;
+  if (r->runs > 1)
+    find (COUNT_DUPLICATED, "request %s: run again by %s",
+          bb_line_string (l, "id"), bb_line_string (l, "server"));
+}
+
+static void
+take_foreign (const struct bb_line *l)
+{
+  find (COUNT_MISROUTED, "packet of %s at %s", bb_line_string (l, "flow"),
+        bb_line_string (l, "server"));
+}
+
+static void
+take_server (const struct bb_line *l)
+{
+  struct server *s = get_server (l);
+  if (!strcmp (l->event, "new_flow"))
+    g_array_append_val (s->new_flows_at, l->time);
+  else if (!strcmp (l->event, "draining"))
+    s->draining_at = l->time;
+}
+
+static void
+take_step (const struct bb_line *l)
+{
+  g_array_append_val (!strcmp (l->event, "kill") ? kills : steps, l->time);
+}
+
+static const struct
+{
+  const char *event;
+  void (*take) (const struct bb_line *l);
+} takers[] = {
+  { "open", take_open },       { "established", take_established },
+  { "send", take_send },       { "answer", take_answer },
+  { "refused", take_refused }, { "reset", take_broken },
+  { "gave_up", take_broken },  { "garbage", take_garbage },
+  { "damaged", take_garbage }, { "run", take_run },
+  { "foreign", take_foreign }, { "start", take_server },
+  { "new_flow", take_server }, { "draining", take_server },
+  { "kill", take_step },       { "step", take_step },
+};
+
+/* Versions in force at one balancer; a "start" event begins anew.  */
+static void
+take_versions (const struct bb_line *l, uint64_t *last)
+{
+  counts[COUNT_REPORTS]++;
+  if (!strcmp (l->event, "start"))
+    memset (last, 0, VERSIONS * sizeof *last);
+  for (size_t i = 0; i < VERSIONS; i++)
+    {
+      uint64_t v = json_object_get_uint64 (
+          json_object_array_get_idx (l->versions, i));
+      if (v < last[i])
+        find (COUNT_REVERTS,
+              "%s: document %zu from version %" G_GUINT64_FORMAT
+              " to %" G_GUINT64_FORMAT,
+              bb_line_string (l, "vm"), i, last[i], v);
+      last[i] = v;
+    }
+}
+
+static void
+take_line (const struct bb_line *l, void *last)
+{
+  if (!l->root)
+    find (COUNT_UNREADABLE, "%s", l->text);
+  else if (l->versions)
+    take_versions (l, last);
+  else
+    for (size_t i = 0; i < G_N_ELEMENTS (takers); i++)
+      if (!strcmp (takers[i].event, l->event))
+        takers[i].take (l);
+}
+
+/* Whether TIME lies between a kill and the step after it.  */
+static bool
+follows_kill (bb_usec time)
+{
+  bb_usec kill = 0, step = 0;
+  for (guint i = 0; i < kills->len; i++)
+    if (g_array_index (kills, bb_usec, i) <= time)
+      kill = MAX (kill, g_array_index (kills, bb_usec, i));
+  for (guint i = 0; i < steps->len; i++)
+    if (g_array_index (steps, bb_usec, i) <= time)
+      step = MAX (step, g_array_index (steps, bb_usec, i));
+  return kill && kill > step;
+}
+
+static void
+judge_flow (gpointer key, gpointer value, gpointer context)
+{
+  const struct flow *f = value;
+  (void)context;
+  if (f->broken_at)
+    find (follows_kill (f->broken_at) ? COUNT_BROKEN_BY_KILL : COUNT_BROKEN,
+          "flow %s", (const char *)key);
+}
+
+static void
+judge_request (gpointer key, gpointer value, gpointer context)
+{
+  const struct request *r = value;
+  const char *id = key;
+  const struct server *s
+      = r->answered_by ? g_hash_table_lookup (servers, r->answered_by) : NULL;
+  (void)context;
+  if (r->refused && (r->runs || r->sent))
+    find (COUNT_REFUSED_RUN, "request %s", id);
+  if (r->runs && !r->sent)
+    find (COUNT_WRONG, "request %s: run and never sent", id);
+  if (r->answered && !r->runs)
+    find (COUNT_WRONG, "request %s: answered and never run", id);
+  if (s && r->flow && g_strcmp0 (s->service, r->flow->service) != 0)
+    find (COUNT_MISROUTED, "request %s to %s: answered by %s", id,
+          r->flow->service, r->answered_by);
+  if (r->answered || r->refused || !r->flow)
+    return;
+  bool killed = r->flow->broken_at && follows_kill (r->flow->broken_at);
+  find (killed ? COUNT_LOST_BY_KILL : COUNT_LOST, "request %s to %s", id,
+        r->flow->service);
+}
+
+static void
+judge_server (gpointer key, gpointer value, gpointer context)
+{
+  const struct server *s = value;
+  (void)context;
+  if (!s->draining_at || without_bound)
+    return;
+  for (guint i = 0; i < s->new_flows_at->len; i++)
+    {
+      bb_usec late = g_array_index (s->new_flows_at, bb_usec, i)
+                     - s->draining_at - drain_bound_ms * BB_MSEC;
+      if (late > 0)
+        find (COUNT_LATE_NEW, "flow at %s, %" G_GINT64_FORMAT " us late",
+              (const char *)key, late);
+    }
+}
+
+static int
+print_counts (void)
+{
+  uint64_t faults = 0;
+  for (int i = 0; i < COUNTS; i++)
+    {
+      printf ("%s%s=%" G_GUINT64_FORMAT, i ? " " : "", count_names[i],
+              counts[i]);
+      if (i >= COUNT_BROKEN && i < COUNT_FAULTS_END)
+        faults += counts[i];
+    }
+  printf ("\n");
+  if (faults)
+    return 1;
+  return counts[COUNT_FLOWS] && counts[COUNT_REQUESTS] && counts[COUNT_RUNS]
+             ? 0
+             : 2;
+}
+
+int
+main (int argc, char **argv)
+{
+  char **paths = NULL;
+  const GOptionEntry entries[]
+      = { BB_STANDIN_INT ("drain-bound-ms", drain_bound_ms),
+          { "without-bound", 0, 0, G_OPTION_ARG_NONE, &without_bound, NULL,
+            NULL },
+          { G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_FILENAME_ARRAY, &paths,
+            NULL, "FILE..." },
+          { 0 } };
+  bb_standin_parse_options (argc, argv, entries);
+  flows = g_hash_table_new (g_str_hash, g_str_equal);
+  requests = g_hash_table_new (g_str_hash, g_str_equal);
+  servers = g_hash_table_new (g_str_hash, g_str_equal);
+  kills = g_array_new (FALSE, FALSE, sizeof (bb_usec));
+  steps = g_array_new (FALSE, FALSE, sizeof (bb_usec));
+  for (char **p = paths; p && *p; p++)
+    {
+      uint64_t last[VERSIONS] = { 0 };
+      if (!bb_line_read_file (*p, take_line, last))
+        find (COUNT_UNREADABLE, "%s", *p);
+    }
+  g_hash_table_foreach (flows, judge_flow, NULL);
+  g_hash_table_foreach (requests, judge_request, NULL);
+  g_hash_table_foreach (servers, judge_server, NULL);
+  return print_counts ();
+}
--- /dev/null
+++ b/standins/fabric.c
@@ -0,0 +1,243 @@
+/* Network fabric: sprays the callers' packets over the targets of their data
+   centre, and delivers what comes in at the egress to the caller whose inner
+   address it has as destination.
+
+   A targets file has one line per target: "ADDRESS:PORT", or, without
+   balancers, "ADDRESS:PORT SERVICE", which receives the flows to that service
+   address, chosen by flow.  */
+
+#include "standins/common.h"
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+
+enum
+{
+  REREAD_MS = 20,
+  TARGETS_MAX = 256
+};
+
+/* Faults for tests, one in EVERY packets from callers.  */
+enum fault
+{
+  FAULT_NONE,
+  FAULT_DUPLICATE, /* sent to two targets; not a fault to TCP */
+  FAULT_MISDIRECT, /* sent to VICTIM */
+  FAULT_LOSS,      /* not sent; not a fault to TCP */
+  FAULTS
+};
+static const char *const fault_names[FAULTS]
+    = { "none", "duplicate", "misdirect", "loss" };
+
+struct target
+{
+  struct bb_endpoint endpoint;
+  struct bb_endpoint service; /* port 0: any */
+};
+
+struct caller
+{
+  gint address; /* inner */
+  struct bb_endpoint endpoint;
+};
+
+struct ingress
+{
+  int fd;
+  char *path;
+  struct timespec read; /* modification time of what was read */
+  ino_t inode;
+  struct target targets[TARGETS_MAX];
+  uint32_t target_count;
+};
+
+static struct
+{
+  char **ingress, *egress, *fault, *victim;
+  gint every, seed;
+} options = { .every = 1, .seed = 1 };
+
+static const GOptionEntry entries[]
+    = { BB_STANDIN_STRINGS ("ingress", options.ingress),
+        BB_STANDIN_STRING ("egress", options.egress),
+        BB_STANDIN_STRING ("fault", options.fault),
+        BB_STANDIN_STRING ("victim", options.victim),
+        BB_STANDIN_INT ("every", options.every),
+        BB_STANDIN_INT ("seed", options.seed),
+        { 0 } };
+
+static struct
+{
+  int egress_fd;
+  GHashTable *callers; /* of struct caller, by inner address */
+  GRand *random;
+  enum fault fault;
+  struct bb_endpoint victim;
+  uint64_t packets;
+} fabric;
+
+static void
+read_targets (struct ingress *in)
+{
+  char *text;
+  in->target_count = 0;
+  if (!g_file_get_contents (in->path, &text, NULL, NULL))
+    return;
+  char **lines = g_strsplit (text, "\n", -1);
+  for (char **l = lines; *l && in->target_count < TARGETS_MAX; l++)
+    {
+      char **words = g_strsplit (g_strstrip (*l), " ", 2);
+      struct target *t = &in->targets[in->target_count];
+      if (words[0] && *words[0])
+        {
+          *t = (struct target){ bb_standin_parse_endpoint (words[0]), { 0 } };
+          if (words[1])
+            t->service = bb_standin_parse_endpoint (words[1]);
+          in->target_count++;
+        }
+      g_strfreev (words);
+    }
+  g_strfreev (lines);
+  g_free (text);
+}
+
+static void
+reread_targets (void *context)
+{
+  struct ingress *in = context;
+  struct stat s;
+  if (stat (in->path, &s) != 0
+      || (s.st_mtim.tv_sec == in->read.tv_sec
+          && s.st_mtim.tv_nsec == in->read.tv_nsec && s.st_ino == in->inode))
+    return;
+  in->read = s.st_mtim;
+  in->inode = s.st_ino;
+  read_targets (in);
+}
+
+static const struct target *
+choose_target (const struct ingress *in, const struct bb_segment *s)
+{
+  const struct target *fit[TARGETS_MAX];
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < in->target_count; i++)
+    {
+      const struct target *t = &in->targets[i];
+      if (!t->service.port
+          || bb_standin_equal_endpoint (t->service, s->destination))
+        fit[count++] = t;
+    }
+  if (!count)
+    return NULL;
+  if (fit[0]->service.port)
+    return fit[(s->source.address * 31 + s->source.port) % count];
+  return fit[g_rand_int (fabric.random) % count];
+}
+
+static void
+learn_caller (uint32_t address, struct bb_endpoint from)
+{
+  gint key = (gint)address;
+  struct caller *c = g_hash_table_lookup (fabric.callers, &key);
+  if (!c)
+    {
+      c = g_new (struct caller, 1);
+      c->address = key;
+      g_hash_table_insert (fabric.callers, &c->address, c);
+    }
+  c->endpoint = from;
+}
+
+static void
+spray_packet (struct ingress *in, const uint8_t *packet, size_t length,
+              const struct bb_segment *s)
+{
+  const struct target *t = choose_target (in, s);
+  bool due = ++fabric.packets % (uint64_t)options.every == 0;
+  enum fault fault = due ? fabric.fault : FAULT_NONE;
+  if (fault == FAULT_MISDIRECT)
+    bb_standin_send_packet (in->fd, fabric.victim, packet, length);
+  if (!t || fault == FAULT_MISDIRECT || fault == FAULT_LOSS)
+    return;
+  bb_standin_send_packet (in->fd, t->endpoint, packet, length);
+  t = choose_target (in, s);
+  if (fault == FAULT_DUPLICATE && t)
+    bb_standin_send_packet (in->fd, t->endpoint, packet, length);
+}
+
+static void
+receive_ingress (void *context)
+{
+  struct ingress *in = context;
+  uint8_t buffer[BB_STANDIN_DATAGRAM], *inner;
+  struct bb_endpoint from;
+  struct bb_segment s;
+  ssize_t n;
+  while ((n = bb_standin_receive_packet (in->fd, buffer, &inner, &from)) >= 0)
+    if (n && bb_standin_parse_segment (inner, (size_t)n, &s))
+      {
+        learn_caller (s.source.address, from);
+        spray_packet (in, inner, (size_t)n, &s);
+      }
+}
+
+static void
+receive_egress (void *context)
+{
+  uint8_t buffer[BB_STANDIN_DATAGRAM], *inner;
+  struct bb_endpoint from;
+  struct bb_segment s;
+  ssize_t n;
+  (void)context;
+  while (
+      (n = bb_standin_receive_packet (fabric.egress_fd, buffer, &inner, &from))
+      >= 0)
+    {
+      if (!n || !bb_standin_parse_segment (inner, (size_t)n, &s))
+        continue;
+      gint key = (gint)s.destination.address;
+      const struct caller *c = g_hash_table_lookup (fabric.callers, &key);
+      if (c)
+        bb_standin_send_packet (fabric.egress_fd, c->endpoint, inner,
+                                (size_t)n);
+    }
+}
+
+/* TEXT is "ADDRESS:PORT=FILE".  */
+static void
+open_ingress (struct event_base *base, const char *text)
+{
+  struct ingress *in = g_new0 (struct ingress, 1);
+  char **parts = g_strsplit (text, "=", 2);
+  in->fd = bb_standin_open_udp (bb_standin_parse_endpoint (parts[0]));
+  in->path = g_strdup (parts[1]);
+  if (!in->path)
+    {
+      g_printerr ("\"%s\" is not ADDRESS:PORT=FILE\n", text);
+      exit (2);
+    }
+  g_strfreev (parts);
+  reread_targets (in);
+  bb_standin_watch_socket (base, in->fd, receive_ingress, in);
+  bb_standin_watch_timer (base, REREAD_MS, reread_targets, in);
+}
+
+int
+main (int argc, char **argv)
+{
+  bb_standin_parse_options (argc, argv, entries);
+  struct event_base *base = event_base_new ();
+  fabric.fault = bb_standin_find_name (options.fault, fault_names, FAULTS);
+  if (fabric.fault == FAULT_MISDIRECT)
+    fabric.victim = bb_standin_parse_endpoint (options.victim);
+  fabric.random = g_rand_new_with_seed ((guint32)options.seed);
+  fabric.callers
+      = g_hash_table_new_full (g_int_hash, g_int_equal, NULL, g_free);
+  fabric.egress_fd
+      = bb_standin_open_udp (bb_standin_parse_endpoint (options.egress));
+  bb_standin_watch_socket (base, fabric.egress_fd, receive_egress, NULL);
+  for (char **i = options.ingress; i && *i; i++)
+    open_ingress (base, *i);
+  event_base_dispatch (base);
+  return 0;
+}
