--- /dev/null
+++ b/demo/lib.sh
@@ -0,0 +1,126 @@
+# What the demo and the end-to-end tests share.  A script that reads this file
+# has a directory of its own in $dir, a loopback network of its own in $net,
+# and ends the processes that it started when it exits.
+
+bin=${BUILD:-build}/bin
+dir=$(mktemp -d "${TMPDIR:-/tmp}/bluebellstand.XXXXXX")
+declare -gA pids=()
+
+cleanup ()
+{
+  local p
+  trap - EXIT
+  [ "${#pids[@]}" = 0 ] || kill -KILL "${pids[@]}" 2>/dev/null
+  for p in "${pids[@]}"; do
+    wait "$p" 2>/dev/null
+  done
+  [ -n "${keep:-}" ] || rm -rf "$dir"
+}
+trap cleanup EXIT
+trap 'exit 130' INT
+trap 'exit 143' TERM HUP
+
+# Sets $net to a prefix 127.A.B in which no socket is bound.
+choose_net ()
+{
+  local a b
+  while :; do
+    a=$((RANDOM % 200 + 20)) b=$((RANDOM % 256))
+    net=127.$a.$b
+    grep -qi "$(printf ' [0-9A-F][0-9A-F]%02X%02X7F:' $b $a)" \
+      /proc/net/udp /proc/net/tcp || return 0
+  done
+}
+
+# Sets the variable NAME to a port that no socket of any address uses, below
+# the range that the system takes ephemeral ports from.
+choose_port () # NAME
+{
+  local port
+  while :; do
+    port=$((RANDOM % 20000 + 10000))
+    grep -qi "$(printf ':%04X ' $port)" /proc/net/udp /proc/net/tcp || break
+  done
+  printf -v "$1" %d $port
+}
+
+# Starts COMMAND as a process called NAME; its output goes to $dir/NAME.log.
+start () # NAME COMMAND...
+{
+  local name=$1
+  shift
+  "$@" >>"$dir/$name.log" 2>&1 &
+  pids[$name]=$!
+}
+
+signal () # NAME SIGNAL
+{
+  kill "-$2" "${pids[$1]}"
+}
+
+# Waits for the process NAME to end; returns its exit status.
+await_end () # NAME
+{
+  local status=0
+  wait "${pids[$1]}" 2>/dev/null || status=$?
+  unset "pids[$1]"
+  return $status
+}
+
+# Waits until COMMAND succeeds; fails after LIMIT tenths of a second.
+await () # LIMIT COMMAND...
+{
+  local left=$1
+  shift
+  until "$@" 2>/dev/null; do
+    [ $((left--)) -gt 0 ] || return 1
+    sleep 0.1
+  done
+}
+
+# Replaces FILE by the standard input in one step.
+replace ()
+{
+  cat >"$1.new" && mv "$1.new" "$1"
+}
+
+record_step () # EVENT NAME
+{
+  echo "{\"event\":\"$1\",\"time_us\":${EPOCHREALTIME/[.,]/},\"name\":\"$2\"}" \
+    >>"$dir/steps.history"
+}
+
+start_backend () # SERVICE SERVER LAST-OCTET ARGUMENTS...
+{
+  local service=$1 name=$2 octet=$3
+  shift 3
+  start "$name" "$bin/standin-backend" --name "$name" --service "$service" \
+    --serve "${service_address[$service]}" --gue "$net.$octet:$gue_port" \
+    --health "$net.$octet:$health_port" --egress "$net.3:$gue_port" \
+    --history "$dir/$name.history" "$@"
+}
+
+start_caller () # NAME NUMBER INGRESS LAST-OCTET ARGUMENTS...
+{
+  local name=$1 number=$2 ingress=$3 octet=$4 service services=()
+  shift 4
+  for service in "${!service_address[@]}"; do
+    services+=(--service "$service=${service_address[$service]}")
+  done
+  start "$name" "$bin/standin-caller" --number "$number" --ingress "$ingress" \
+    --listen "$net.$octet:0" --inner "198.18.$number.0" \
+    --history "$dir/$name.history" "${services[@]}" "$@"
+}
+
+has_event () # FILE EVENT
+{
+  grep -q "\"event\":\"$2\"" "$1"
+}
+
+declare -gA service_address=(
+  [orders]=203.0.113.10:7000
+  [catalogue]=203.0.113.20:8000
+)
+choose_net
+choose_port gue_port
+choose_port health_port
