Add bbctl: check, render, diff, place, keys, status and timeline

Operators are away for weeks, so what a change does is to be seen before it is published (check, diff, place) and what happened is to be found later (status, timeline).

--- /dev/null
+++ b/bbctl/changes.h
@@ -0,0 +1,33 @@
+/* Differences between two effective configurations, in operators' terms.  */
+
+#ifndef BB_BBCTL_CHANGES_H
+#define BB_BBCTL_CHANGES_H
+
+#include "bbctl/bbctl.h"
+
+struct bb_ctl_change
+{
+  char *what; /* server_added, weight, ... */
+  char service[BB_NAME_MAX];
+  char server[BB_NAME_MAX]; /* "": the service */
+  char *text;
+  bool risky; /* can break established flows or callers */
+};
+
+/* New flows of one service whose server changes.  */
+struct bb_ctl_move
+{
+  char service[BB_NAME_MAX];
+  double share; /* 0 to 1 */
+};
+
+struct bb_ctl_changes
+{
+  GPtrArray *changes; /* struct bb_ctl_change */
+  GArray *moves;      /* struct bb_ctl_move */
+};
+
+struct bb_ctl_changes *bb_ctl_changes_find (const struct bb_fleet *old,
+                                            const struct bb_fleet *new);
+void bb_ctl_changes_free (struct bb_ctl_changes *changes);
+#endif
--- /dev/null
+++ b/bbctl/check.c
@@ -0,0 +1,133 @@
+#include "bbctl/bbctl.h"
+#include <stdio.h>
+#include <string.h>
+
+static gboolean json;
+static char *vms_path;
+
+static const GOptionEntry entries[]
+    = { { "vms", 0, 0, G_OPTION_ARG_FILENAME, &vms_path,
+          "also check against this list of VMs", "FILE" },
+        { "json", 0, 0, G_OPTION_ARG_NONE, &json, "print JSON", NULL },
+        G_OPTION_ENTRY_NULL };
+
+static const struct bb_ctl_options options = {
+  .entries = entries,
+  .usage = "BASE [OVERLAY...]",
+  .summary = "Checks a base with its overlays and reports all problems.\n"
+             "Data centres without an overlay are checked with the base "
+             "alone.",
+  .description = "Exit status: 0 valid, perhaps with warnings; 2 invalid; "
+                 "4 a file cannot be read.",
+  .least = 1,
+  .most = -1,
+};
+
+static void
+add_conflict (GPtrArray *problems, enum bb_error_kind kind, const char *file,
+              int line, char *text)
+{
+  struct bb_problem *p = g_new0 (struct bb_problem, 1);
+
+  *p = (struct bb_problem){ .kind = kind,
+                            .file = g_strdup (file),
+                            .path = g_strdup ("/data_centre"),
+                            .line = line,
+                            .text = text };
+  g_ptr_array_add (problems, p);
+}
+
+/* Overlays for a data centre that is unknown, or that has one already.  */
+static void
+check_overlay_names (const struct bb_ctl_documents *d, char **paths,
+                     GPtrArray *problems)
+{
+  GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
+
+  for (guint i = 0; i < d->overlays->len; i++)
+    {
+      const struct bb_config_document *o = d->overlays->pdata[i];
+      const char *name = bb_config_document_data_centre (o);
+      int line = bb_config_document_line (o, "/data_centre");
+      if (!name)
+        bb_fleet_free (bb_config_merge (
+            d->base, o, d->data_centres[0] ? d->data_centres[0] : "none",
+            problems));
+      else if (!g_strv_contains ((const char *const *)d->data_centres, name))
+        bb_fleet_free (bb_config_merge (d->base, o, name, problems));
+      else if (!g_hash_table_add (seen, (gpointer)name))
+        add_conflict (
+            problems, BB_ERROR_CONFLICT, paths[i], line,
+            g_strdup_printf ("%s has another overlay; expected one", name));
+    }
+  g_hash_table_unref (seen);
+}
+
+static void
+check_vms (const struct bb_ctl_documents *d, GPtrArray *problems)
+{
+  g_autofree char *bytes = NULL;
+  size_t length = 0;
+
+  if (!bb_ctl_read (vms_path, problems, &bytes, &length))
+    return;
+  struct bb_vm_list *list = bb_config_parse_vms (
+      vms_path, (const uint8_t *)bytes, length, problems);
+  if (list)
+    bb_config_check_vms (d->base, list, problems);
+  bb_vm_list_free (list);
+}
+
+static void
+print_fleet (const struct bb_fleet *f)
+{
+  size_t servers = 0;
+
+  for (size_t i = 0; i < f->service_count; i++)
+    servers += f->services[i].server_count;
+  printf ("%s: base %" G_GUINT64_FORMAT ", overlay %" G_GUINT64_FORMAT
+          ", %zu services, %zu servers: valid\n",
+          f->data_centre, f->base_version, f->overlay_version,
+          f->service_count, servers);
+}
+
+/* Each data centre gets its own list, so that a mistake in one overlay does
+   not hide that the others are valid.  */
+static void
+check_data_centre (const struct bb_ctl_documents *d, const char *name,
+                   bool quiet, GPtrArray *problems)
+{
+  GPtrArray *own = bb_problems_new ();
+  struct bb_fleet *f = bb_ctl_documents_merge (d, name, own);
+
+  if (f && !quiet)
+    print_fleet (f);
+  bb_fleet_free (f);
+  g_ptr_array_extend_and_steal (problems, own);
+}
+
+int
+bb_ctl_run_check (int argc, char **argv)
+{
+  struct bb_ctl_documents d = { 0 };
+
+  if (!bb_ctl_parse (&options, &argc, &argv))
+    return BB_CTL_USAGE;
+  GPtrArray *problems = bb_problems_new ();
+  bool loaded = bb_ctl_documents_load (&d, argv[1], argv + 2, problems);
+  if (d.base)
+    {
+      if (loaded)
+        check_overlay_names (&d, argv + 2, problems);
+      for (char **name = d.data_centres; *name; name++)
+        check_data_centre (&d, *name, json || !loaded, problems);
+      if (!d.data_centres[0])
+        check_data_centre (&d, "none", true, problems);
+      if (vms_path)
+        check_vms (&d, problems);
+    }
+  int status = bb_ctl_report (problems, json);
+  g_ptr_array_unref (problems);
+  bb_ctl_documents_clear (&d);
+  return status;
+}
--- /dev/null
+++ b/bbctl/order.c
@@ -0,0 +1,176 @@
+#include "bbctl/timeline.h"
+#include <string.h>
+
+/* A peer that hears of a leave does so within a heartbeat or two; events that
+   are further apart belong to different leaves.  */
+#define PAIR_WINDOW_US ((int64_t)10 * 1000 * 1000)
+
+/* A leave of FROM was received by TO GAP microseconds before it happened, by
+   the clocks of the two.  */
+struct violation
+{
+  const char *from;
+  const char *to;
+  int64_t from_us;
+  int64_t to_us;
+};
+
+static int64_t *
+correction (const struct bb_ctl_timeline *t, const char *vm)
+{
+  GArray *a = g_hash_table_lookup (t->corrections, vm);
+  int64_t zero = 0;
+
+  if (!a)
+    {
+      a = g_array_new (FALSE, TRUE, sizeof (int64_t));
+      g_array_append_val (a, zero);
+      g_hash_table_insert (t->corrections, g_strdup (vm), a);
+    }
+  return &g_array_index (a, int64_t, 0);
+}
+
+int64_t
+bb_ctl_timeline_correction (const struct bb_ctl_timeline *t, const char *vm)
+{
+  return *correction (t, vm);
+}
+
+static GPtrArray *
+find_events (const struct bb_ctl_timeline *t, const char *name)
+{
+  GPtrArray *found = g_ptr_array_new ();
+
+  for (guint r = 0; r < t->runs->len; r++)
+    {
+      const struct bb_ctl_run *run = t->runs->pdata[r];
+      for (guint i = 0; i < run->events->len; i++)
+        {
+          struct bb_ctl_event *e = run->events->pdata[i];
+          if (!strcmp (bb_ctl_text (e->line, "event"), name))
+            g_ptr_array_add (found, e);
+        }
+    }
+  return found;
+}
+
+/* The leave of the peer that E names which is nearest in time, or NULL.  */
+static const struct bb_ctl_event *
+find_cause (const GPtrArray *causes, const struct bb_ctl_event *e)
+{
+  const char *peer = bb_ctl_text (e->line, "peer");
+  const struct bb_ctl_event *best = NULL;
+  int64_t nearest = PAIR_WINDOW_US;
+
+  for (guint i = 0; i < causes->len; i++)
+    {
+      const struct bb_ctl_event *c = causes->pdata[i];
+      int64_t gap = ABS (c->time_us - e->time_us);
+      if (strcmp (c->run->vm, peer) != 0 || gap >= nearest)
+        continue;
+      nearest = gap;
+      best = c;
+    }
+  return best;
+}
+
+static GArray *
+find_pairs (const struct bb_ctl_timeline *t)
+{
+  GArray *pairs = g_array_new (FALSE, FALSE, sizeof (struct violation));
+  GPtrArray *causes = find_events (t, "leaving");
+  GPtrArray *effects = find_events (t, "peer_leaving");
+
+  for (guint i = 0; i < effects->len; i++)
+    {
+      const struct bb_ctl_event *e = effects->pdata[i];
+      const struct bb_ctl_event *c = find_cause (causes, e);
+      if (!c)
+        continue;
+      struct violation v = { c->run->vm, e->run->vm, c->time_us, e->time_us };
+      g_array_append_val (pairs, v);
+    }
+  g_ptr_array_unref (causes);
+  g_ptr_array_unref (effects);
+  return pairs;
+}
+
+/* Moves each VM that received a leave too early to a later time, until no
+   receipt precedes its cause or the limit is reached.  Rounds are bounded by
+   the number of VMs, as a shift passes each VM at most once.  */
+static void
+correct_clocks (struct bb_ctl_timeline *t, int64_t limit_us)
+{
+  GArray *pairs = find_pairs (t);
+  bool moved = true;
+
+  for (guint round = 0; moved && round <= t->runs->len; round++)
+    {
+      moved = false;
+      for (guint i = 0; i < pairs->len; i++)
+        {
+          const struct violation *v
+              = &g_array_index (pairs, struct violation, i);
+          int64_t *to = correction (t, v->to);
+          int64_t least = v->from_us + *correction (t, v->from) - v->to_us;
+          int64_t next = MIN (MAX (*to, least), limit_us);
+          moved = moved || next > *to;
+          *to = MAX (*to, next);
+        }
+    }
+  g_array_unref (pairs);
+}
+
+static int
+compare_seq (gconstpointer a, gconstpointer b)
+{
+  const struct bb_ctl_event *x = *(struct bb_ctl_event *const *)a;
+  const struct bb_ctl_event *y = *(struct bb_ctl_event *const *)b;
+
+  return (x->seq > y->seq) - (x->seq < y->seq);
+}
+
+static int
+compare_place (gconstpointer a, gconstpointer b)
+{
+  const struct bb_ctl_event *x = *(struct bb_ctl_event *const *)a;
+  const struct bb_ctl_event *y = *(struct bb_ctl_event *const *)b;
+  int by_vm = strcmp (x->run->vm, y->run->vm);
+
+  if (x->place_us != y->place_us)
+    return x->place_us < y->place_us ? -1 : 1;
+  if (x->run == y->run)
+    return compare_seq (a, b);
+  if (by_vm)
+    return by_vm;
+  return x->run->index < y->run->index ? -1 : 1;
+}
+
+static void
+place_run (struct bb_ctl_timeline *t, struct bb_ctl_run *run)
+{
+  int64_t shift = *correction (t, run->vm);
+  int64_t last = INT64_MIN;
+  int64_t seq = -1;
+
+  g_ptr_array_sort (run->events, compare_seq);
+  for (guint i = 0; i < run->events->len; i++)
+    {
+      struct bb_ctl_event *e = run->events->pdata[i];
+      /* A wall clock that was set back does not break the order of seq.  */
+      e->place_us = MAX (e->time_us + shift, last);
+      last = e->place_us;
+      e->missing = seq < 0 ? 0 : e->seq - seq - 1;
+      seq = e->seq;
+      g_ptr_array_add (t->order, e);
+    }
+}
+
+void
+bb_ctl_timeline_sort (struct bb_ctl_timeline *t, int64_t limit_us)
+{
+  correct_clocks (t, limit_us);
+  for (guint i = 0; i < t->runs->len; i++)
+    place_run (t, t->runs->pdata[i]);
+  g_ptr_array_sort (t->order, compare_place);
+}
--- /dev/null
+++ b/bbctl/status_judge.c
@@ -0,0 +1,133 @@
+#include "bbctl/status.h"
+#include <string.h>
+
+/* Accepted versions reach all balancers within 2 s (design.md, "Targets"), so
+   older differences are worth a look.  */
+#define VERSION_SPREAD_US 2000000
+
+static void add (struct bb_ctl_status *s, const char *format, ...)
+    G_GNUC_PRINTF (2, 3);
+
+/* Balancers often say the same; each line is shown once.  */
+static void
+add (struct bb_ctl_status *s, const char *format, ...)
+{
+  va_list arguments;
+
+  va_start (arguments, format);
+  char *text = g_strdup_vprintf (format, arguments);
+  va_end (arguments);
+  if (g_ptr_array_find_with_equal_func (s->attention, text, g_str_equal, NULL))
+    g_free (text);
+  else
+    g_ptr_array_add (s->attention, text);
+}
+
+void
+bb_ctl_status_versions (json_object *o, int64_t versions[3])
+{
+  static const char *const names[3] = { "base", "overlay", "vms" };
+
+  for (size_t i = 0; i < 3; i++)
+    versions[i]
+        = json_object_is_type (o, json_type_array)
+              ? json_object_get_int64 (json_object_array_get_idx (o, i))
+              : bb_ctl_number (o, names[i]);
+}
+
+/* A balancer itself says what it knows alone.  */
+static void
+judge_balancer (struct bb_ctl_status *s, const struct bb_ctl_balancer *b)
+{
+  json_object *own = bb_ctl_member (b->status, "attention");
+  size_t n = json_object_is_type (own, json_type_array)
+                 ? json_object_array_length (own)
+                 : 0;
+
+  for (size_t i = 0; i < n; i++)
+    add (s, "%s: %s", bb_ctl_text (b->status, "vm"),
+         json_object_get_string (json_object_array_get_idx (own, i)));
+}
+
+/* Compares A with B of the same data centre.  */
+static void
+judge_pair (struct bb_ctl_status *s, json_object *a, json_object *b)
+{
+  static const char *const names[3] = { "base", "overlay", "VM list" };
+  int64_t x[3];
+  int64_t y[3];
+  int64_t age = MIN (bb_ctl_number (a, "version_age_us"),
+                     bb_ctl_number (b, "version_age_us"));
+
+  if (strcmp (bb_ctl_text (a, "data_centre"), bb_ctl_text (b, "data_centre"))
+      != 0)
+    return;
+  bb_ctl_status_versions (bb_ctl_member (a, "versions"), x);
+  bb_ctl_status_versions (bb_ctl_member (b, "versions"), y);
+  for (size_t i = 0; i < 3; i++)
+    if (x[i] != y[i] && age > VERSION_SPREAD_US)
+      add (s,
+           "%s has %s version %" G_GINT64_FORMAT
+           " and %s has %" G_GINT64_FORMAT ", for %.0f s",
+           bb_ctl_text (a, "vm"), names[i], x[i], bb_ctl_text (b, "vm"), y[i],
+           (double)age / 1e6);
+  if (bb_ctl_number (a, "generation") != bb_ctl_number (b, "generation")
+      && !strcmp (bb_ctl_text (a, "phase"), bb_ctl_text (b, "phase")))
+    add (s, "%s and %s have different generations of the base set",
+         bb_ctl_text (a, "vm"), bb_ctl_text (b, "vm"));
+}
+
+/* Servers that some balancers believe to be well and others do not.  */
+static void
+collect_servers (json_object *status, GHashTable *seen)
+{
+  json_object *servers = bb_ctl_member (status, "servers");
+  size_t n = json_object_is_type (servers, json_type_array)
+                 ? json_object_array_length (servers)
+                 : 0;
+
+  for (size_t i = 0; i < n; i++)
+    {
+      json_object *v = json_object_array_get_idx (servers, i);
+      char *name = g_strdup_printf ("%s/%s", bb_ctl_text (v, "service"),
+                                    bb_ctl_text (v, "server"));
+      guint mark = bb_ctl_flag (v, "healthy") ? 1 : 2;
+      guint marks = GPOINTER_TO_UINT (g_hash_table_lookup (seen, name)) | mark;
+      /* NOLINTNEXTLINE(performance-no-int-to-ptr) */
+      g_hash_table_insert (seen, name, GUINT_TO_POINTER (marks));
+    }
+}
+
+void
+bb_ctl_status_judge (struct bb_ctl_status *s)
+{
+  GHashTable *seen
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  GHashTableIter iter;
+  gpointer name;
+  gpointer marks;
+  const struct bb_ctl_balancer *first = NULL;
+
+  for (size_t i = 0; i < s->count; i++)
+    {
+      const struct bb_ctl_balancer *b = &s->balancers[i];
+      if (!b->status)
+        {
+          add (s, "%s does not answer: %s", b->address, b->error);
+          continue;
+        }
+      judge_balancer (s, b);
+      collect_servers (b->status, seen);
+      if (first)
+        judge_pair (s, first->status, b->status);
+      else
+        first = b;
+    }
+  g_hash_table_iter_init (&iter, seen);
+  while (g_hash_table_iter_next (&iter, &name, &marks))
+    if (GPOINTER_TO_UINT (marks) == 3)
+      add (s, "balancers disagree on whether %s is healthy", (char *)name);
+    else if (GPOINTER_TO_UINT (marks) == 2)
+      add (s, "%s is unhealthy", (char *)name);
+  g_hash_table_unref (seen);
+}
--- /dev/null
+++ b/bbctl/status_show.c
@@ -0,0 +1,191 @@
+#include "bbctl/status.h"
+#include <stdio.h>
+#include <string.h>
+
+#define RED "\033[31m"
+#define YELLOW "\033[33m"
+#define GREEN "\033[32m"
+#define BOLD "\033[1m"
+#define RESET "\033[0m"
+
+static size_t
+length_of (json_object *list)
+{
+  return json_object_is_type (list, json_type_array)
+             ? json_object_array_length (list)
+             : 0;
+}
+
+static int
+peers_lost (json_object *status)
+{
+  json_object *peers = bb_ctl_member (status, "peers");
+  int lost = 0;
+
+  for (size_t i = 0; i < length_of (peers); i++)
+    lost += bb_ctl_flag (json_object_array_get_idx (peers, i), "suspected");
+  return lost;
+}
+
+static void
+show_balancer (const struct bb_ctl_balancer *b)
+{
+  int64_t v[3];
+
+  if (!b->status)
+    {
+      printf (RED "%-16.16s %s" RESET "\n", b->address, b->error);
+      return;
+    }
+  bool ready = bb_ctl_flag (b->status, "ready");
+  int lost = peers_lost (b->status);
+  bb_ctl_status_versions (bb_ctl_member (b->status, "versions"), v);
+  printf (
+      "%-16.16s %-12.12s %s%-8.8s" RESET " %4" G_GINT64_FORMAT
+      "/%" G_GINT64_FORMAT "/%-4" G_GINT64_FORMAT " %8.0f s %4" G_GINT64_FORMAT
+      " %-8.8s %9" G_GINT64_FORMAT "  %s%zu of %zu" RESET "\n",
+      bb_ctl_text (b->status, "vm"), bb_ctl_text (b->status, "data_centre"),
+      ready ? GREEN : YELLOW, bb_ctl_text (b->status, "state"), v[0], v[1],
+      v[2], (double)bb_ctl_number (b->status, "version_age_us") / 1e6,
+      bb_ctl_number (b->status, "generation"),
+      bb_ctl_text (b->status, "phase"), bb_ctl_number (b->status, "flows"),
+      lost ? RED : "",
+      length_of (bb_ctl_member (b->status, "peers")) - (size_t)lost,
+      length_of (bb_ctl_member (b->status, "peers")));
+}
+
+static const char *
+server_word (json_object *v, const char **colour)
+{
+  static const struct
+  {
+    const char *word;
+    const char *colour;
+  } words[] = { { "gone", YELLOW },
+                { "down", RED },
+                { "draining", YELLOW },
+                { "impaired", YELLOW },
+                { "ok", GREEN } };
+  size_t i = !bb_ctl_flag (v, "listed")    ? 0
+             : !bb_ctl_flag (v, "healthy") ? 1
+             : bb_ctl_flag (v, "draining") ? 2
+             : bb_ctl_flag (v, "bit")      ? 3
+             : bb_ctl_flag (v, "bit_peer") ? 3
+                                           : 4;
+
+  *colour = words[i].colour;
+  return words[i].word;
+}
+
+static void
+show_server (json_object *v)
+{
+  const char *colour = "";
+  const char *word = server_word (v, &colour);
+
+  printf ("%-20.20s %-20.20s %s%-9s" RESET " %-4s %9" G_GINT64_FORMAT
+          " %5.1f %% %8.1f s\n",
+          bb_ctl_text (v, "service"), bb_ctl_text (v, "server"), colour, word,
+          bb_ctl_flag (v, "in_base") ? "yes" : "no",
+          bb_ctl_number (v, "flows"), (double)bb_ctl_number (v, "load") / 10,
+          (double)bb_ctl_number (v, "report_age_us") / 1e6);
+}
+
+/* Servers as the first balancer that is ready sees them; what the others see
+   differently is in the attention lines.  */
+static json_object *
+choose_servers (const struct bb_ctl_status *s)
+{
+  json_object *any = NULL;
+
+  for (size_t i = 0; i < s->count; i++)
+    {
+      json_object *o = s->balancers[i].status;
+      if (o && bb_ctl_flag (o, "ready"))
+        return bb_ctl_member (o, "servers");
+      any = any ? any : bb_ctl_member (o, "servers");
+    }
+  return any;
+}
+
+void
+bb_ctl_status_show (const struct bb_ctl_status *s)
+{
+  json_object *servers = choose_servers (s);
+
+  printf (BOLD "%-16s %-12s %-8s %14s %10s %4s %-8s %9s  %s" RESET "\n",
+          "BALANCER", "DATA CENTRE", "STATE", "BASE/OVERLAY/VM", "AGE", "GEN",
+          "PHASE", "FLOWS", "PEERS");
+  for (size_t i = 0; i < s->count; i++)
+    show_balancer (&s->balancers[i]);
+  printf (BOLD "\n%-20s %-20s %-9s %-4s %9s %7s %10s" RESET "\n", "SERVICE",
+          "SERVER", "STATE", "BASE", "FLOWS", "LOAD", "REPORT");
+  for (size_t i = 0; i < length_of (servers); i++)
+    show_server (json_object_array_get_idx (servers, i));
+  printf (BOLD "\nATTENTION" RESET "\n");
+  for (guint i = 0; i < s->attention->len; i++)
+    printf (YELLOW "! " RESET "%s\n", (char *)s->attention->pdata[i]);
+  if (s->attention->len == 0)
+    puts (GREEN "nothing" RESET);
+}
+
+/* Prints the plain members of O; objects and lists have lines of their own. */
+static void
+list_members (const char *kind, const char *vm, json_object *o)
+{
+  printf ("%s vm=%s", kind, vm);
+  json_object_object_foreach (o, key, value)
+  {
+    bool nested = json_object_is_type (value, json_type_object)
+                  || json_object_is_type (value, json_type_array);
+    if (nested && !strcmp (key, "versions"))
+      {
+        int64_t v[3];
+        bb_ctl_status_versions (value, v);
+        printf (" versions=%" G_GINT64_FORMAT "/%" G_GINT64_FORMAT
+                "/%" G_GINT64_FORMAT,
+                v[0], v[1], v[2]);
+      }
+    else if (!nested && strcmp (key, "vm") != 0)
+      printf (" %s=%s", key, value ? json_object_get_string (value) : "none");
+    else if (!nested && strcmp (kind, "peer") == 0)
+      printf (" peer=%s", json_object_get_string (value));
+  }
+  putchar ('\n');
+}
+
+static void
+list_balancer (json_object *status)
+{
+  static const char *const lists[][2]
+      = { { "peers", "peer" }, { "servers", "server" } };
+  const char *vm = bb_ctl_text (status, "vm");
+  json_object *counters = bb_ctl_member (status, "counters");
+
+  list_members ("balancer", vm, status);
+  for (size_t l = 0; l < G_N_ELEMENTS (lists); l++)
+    {
+      json_object *list = bb_ctl_member (status, lists[l][0]);
+      for (size_t i = 0; i < length_of (list); i++)
+        {
+          json_object *e = json_object_array_get_idx (list, i);
+          if (json_object_is_type (e, json_type_object))
+            list_members (lists[l][1], vm, e);
+        }
+    }
+  if (json_object_is_type (counters, json_type_object))
+    list_members ("counters", vm, counters);
+}
+
+void
+bb_ctl_status_list (const struct bb_ctl_status *s)
+{
+  for (size_t i = 0; i < s->count; i++)
+    if (s->balancers[i].status)
+      list_balancer (s->balancers[i].status);
+    else
+      printf ("unreachable address=%s error=\"%s\"\n", s->balancers[i].address,
+              s->balancers[i].error);
+  for (guint i = 0; i < s->attention->len; i++)
+    printf ("attention %s\n", (char *)s->attention->pdata[i]);
+}
--- a/config/config.h
+++ b/config/config.h
@@ -32,6 +32,17 @@
 void bb_config_document_free (struct bb_config_document *document);
 uint64_t bb_config_document_version (const struct bb_config_document *d);
 
+/* The data centre that an overlay names, or NULL; owned by D.  */
+const char *
+bb_config_document_data_centre (const struct bb_config_document *d);
+
+/* Names of the data centres that a base declares; freed with g_strfreev.  */
+char **bb_config_document_data_centres (const struct bb_config_document *d);
+
+/* Line of the key at PATH, as in struct bb_problem, or 0.  */
+int bb_config_document_line (const struct bb_config_document *d,
+                             const char *path);
+
 /* Merges OVERLAY (may be NULL) into BASE as RFC 7396 does, checks the result
    and returns the effective configuration of DATA_CENTRE, or NULL when
    PROBLEMS has a fatal one.  All problems are reported, not only the first. */
--- a/config/document.c
+++ b/config/document.c
@@ -259,3 +259,36 @@
 {
   return d->version;
 }
+
+const char *
+bb_config_document_data_centre (const struct bb_config_document *d)
+{
+  json_object *o = bb_json_member (d->root, "data_centre", json_type_string);
+
+  return o ? json_object_get_string (o) : NULL;
+}
+
+char **
+bb_config_document_data_centres (const struct bb_config_document *d)
+{
+  json_object *all
+      = bb_json_member (d->root, "data_centres", json_type_object);
+  GPtrArray *names = g_ptr_array_new ();
+
+  if (all)
+    {
+      json_object_object_foreach (all, name, value)
+      {
+        (void)value;
+        g_ptr_array_add (names, g_strdup (name));
+      }
+    }
+  g_ptr_array_add (names, NULL);
+  return (char **)g_ptr_array_free (names, FALSE);
+}
+
+int
+bb_config_document_line (const struct bb_config_document *d, const char *path)
+{
+  return bb_lines_find (d->lines, path);
+}
--- a/config/keys_fleet.c
+++ b/config/keys_fleet.c
@@ -25,7 +25,7 @@
   { "base", "data_centres.NAME.entry_networks", BB_KEY_LIST, "", 0, 0, NULL,
     "none", "networks in which entry VMs may have their addresses", 0, 0 },
   { "base", "data_centres.NAME.entry_networks[]", BB_KEY_NETWORK, "", 0, 0,
-    NULL, "", "one network", 0, 0 },
+    NULL, "", "one network", 0, sizeof (struct bb_network) },
   { "base", "services", BB_KEY_NAMES, "", 0, 0, NULL, "required",
     "what callers connect to", 0, 0 },
   { "base", "services.NAME", BB_KEY_OBJECT, "", 0, 0, NULL, "", "one service",
