core: let the chain reach a replica that was the ingress

Cause: the owner's chain skipped every balancer that had handed the SYN over, although the ingress may be the second or third replica. It then held no entry: after the owner died, packets after the settle time went to base.

--- a/core/steer.c
+++ b/core/steer.c
@@ -107,10 +107,14 @@
   return -1;
 }
 
-/* Passes the packet along the replicas, the last of which forwards it.  */
+/* Passes the packet along the replicas, the last of which forwards it.  The
+   balancers that handed it over before have not recorded the flow, so they
+   count as not visited: the ingress may be one of the replicas.  */
 static void
 replicate (struct steering *c, uint16_t slot)
 {
+  if (c->h && !(c->h->flags & BB_HAND_RECORD))
+    c->h = NULL;
   int next = next_replica (c);
   if (next < 0)
     forward (c, slot);
