driver: run several engines over simulated time

One event queue; fakes for callers, servers, the fabric, peers and the configuration service; planted faults to show that checks bite.

--- /dev/null
+++ b/driver/private.h
@@ -0,0 +1,95 @@
+#ifndef BB_DRIVER_PRIVATE_H
+#define BB_DRIVER_PRIVATE_H
+
+#include "driver/driver.h"
+
+#define BB_DRIVER_NO_FLOW UINT32_MAX
+
+enum bb_driver_kind
+{
+  BB_DRIVER_TICK,
+  BB_DRIVER_MESSAGE,
+  BB_DRIVER_PACKET,
+  BB_DRIVER_ARRIVAL,
+  BB_DRIVER_FLOW,
+  BB_DRIVER_START,
+  BB_DRIVER_PROBE,
+  BB_DRIVER_REPORT,
+  BB_DRIVER_CONFIG,
+  BB_DRIVER_LIST
+};
+
+struct bb_driver_event
+{
+  bb_usec time;
+  uint64_t order;
+  bb_usec sent;
+  enum bb_driver_kind kind;
+  int16_t node;
+  int16_t server;
+  uint32_t run; /* of the node */
+  uint32_t flow;
+  uint32_t sequence; /* of the packet in its flow, 0: the SYN */
+  uint8_t flags;
+  bool handed;
+  uint64_t version;
+  union
+  {
+    struct bb_handover handover;
+    struct bb_report report;
+    GBytes *bytes;
+  } u;
+};
+
+struct bb_driver
+{
+  struct bb_driver_options o;
+  GRand *random;
+  bb_usec now;
+  uint64_t order;
+  GArray *queue; /* binary heap */
+  struct bb_driver_node nodes[BB_DRIVER_NODES];
+  struct bb_driver_server servers[BB_DRIVER_SERVERS];
+  int server_count;
+  GArray *flows;
+  struct bb_fleet *fleets[BB_DRIVER_VERSIONS];
+  struct bb_vm_list *lists[BB_DRIVER_VERSIONS];
+  uint32_t fleet_count;
+  uint32_t list_count;
+  bb_usec last_message[BB_DRIVER_NODES][BB_DRIVER_NODES];
+  struct bb_driver_result result;
+  bool starting; /* new flows */
+  bool trace_events;
+  int64_t trace_flow;
+};
+
+/* queue.c */
+struct bb_driver_event *bb_driver_push (struct bb_driver *d, bb_usec delay,
+                                        enum bb_driver_kind kind);
+void bb_driver_push_again (struct bb_driver *d, struct bb_driver_event *ev,
+                           bb_usec time);
+bool bb_driver_pop (struct bb_driver *d, bb_usec until,
+                    struct bb_driver_event *ev);
+double bb_driver_exponential (struct bb_driver *d, double mean);
+double bb_driver_normal (struct bb_driver *d);
+bool bb_driver_chance (struct bb_driver *d, uint32_t ppm);
+
+/* platform.c */
+void bb_driver_platform_init (struct bb_driver *d);
+void bb_driver_read_config (struct bb_driver *d, struct bb_driver_event *ev);
+bool bb_driver_adopt (struct bb_driver *d, int node,
+                      enum bb_document_kind kind, uint64_t version);
+
+/* traffic.c */
+void bb_driver_handle_packet (struct bb_driver *d, struct bb_driver_event *ev);
+void bb_driver_close (struct bb_driver *d, struct bb_driver_flow *f,
+                      enum bb_driver_flow_state state);
+void bb_driver_break (struct bb_driver *d, uint32_t flow);
+
+/* servers.c */
+void bb_driver_handle_arrival (struct bb_driver *d,
+                               struct bb_driver_event *ev);
+void bb_driver_handle_flow (struct bb_driver *d, struct bb_driver_event *ev);
+void bb_driver_handle_start (struct bb_driver *d);
+void bb_driver_handle_probe (struct bb_driver *d, struct bb_driver_event *ev);
+#endif
--- /dev/null
+++ b/driver/servers.c
@@ -0,0 +1,106 @@
+/* Backend servers, which remember flows as TCP endpoints do.  */
+
+#include "driver/private.h"
+
+#include <netinet/in.h>
+
+#define PROBE_INTERVAL (1000 * BB_MSEC)
+#define MEAN_PERMILLE 500.0 /* load of a server with a mean share */
+
+static void
+open_at_server (struct bb_driver *d, struct bb_driver_flow *f, int server)
+{
+  struct bb_driver_server *s = &d->servers[server];
+  f->server = server;
+  f->state = BB_DRIVER_OPEN;
+  d->result.opened++;
+  s->flows++;
+  s->flows_max = MAX (s->flows_max, s->flows);
+  s->load += (double)f->load;
+  s->last_new = d->now;
+}
+
+void
+bb_driver_handle_arrival (struct bb_driver *d, struct bb_driver_event *ev)
+{
+  struct bb_driver_server *s = &d->servers[ev->server];
+  if (ev->flow == BB_DRIVER_NO_FLOW || !s->up)
+    return;
+  struct bb_driver_flow *f = bb_driver_flow (d, ev->flow);
+  if (f->packet.destination
+      != d->fleets[1]->services[s->service].address.address)
+    d->result.misrouted++;
+  if (f->state > BB_DRIVER_OPEN)
+    return;
+  if (f->server < 0 && ev->sequence == 1)
+    open_at_server (d, f, ev->server);
+  if (f->server != ev->server)
+    {
+      /* A second server drops a SYN that its caller does not follow up, and
+         answers other packets with a reset.  */
+      if (f->packet.protocol == IPPROTO_UDP && ev->sequence <= f->acked)
+        d->result.duplicated++;
+      if (ev->sequence > 1)
+        bb_driver_break (d, ev->flow);
+      return;
+    }
+  if (f->hung || ev->sequence != f->sent)
+    return;
+  f->acked = f->sent;
+  if (ev->flags & BB_TCP_FIN)
+    bb_driver_close (d, f, BB_DRIVER_CLOSED);
+}
+
+void
+bb_driver_kill_server (struct bb_driver *d, int server)
+{
+  d->servers[server].up = false;
+  for (uint32_t i = 0; i < d->flows->len; i++)
+    {
+      struct bb_driver_flow *f = bb_driver_flow (d, i);
+      if (f->server == server && f->state == BB_DRIVER_OPEN)
+        bb_driver_close (d, f, BB_DRIVER_CLOSED);
+    }
+}
+
+static double
+mean_load (const struct bb_driver *d, int service)
+{
+  double sum = 0;
+  int n = 0;
+  for (int i = 0; i < d->server_count; i++)
+    if (d->servers[i].service == service && d->servers[i].up)
+      {
+        sum += d->servers[i].load;
+        n++;
+      }
+  return n && sum > 0 ? sum / n : 1;
+}
+
+static void
+probe (struct bb_driver *d, int node, const struct bb_driver_server *s)
+{
+  double noise = 1 + d->o.report_noise / 1000.0 * bb_driver_normal (d);
+  double load = s->load / mean_load (d, s->service) * MEAN_PERMILLE;
+  struct bb_report r
+      = { .ok = s->up && s->lie != BB_LIE_DEAD,
+          .draining = s->draining,
+          .connections = s->flows,
+          .load = (uint32_t)MAX (0, load * (d->o.report_noise ? noise : 1)),
+          .uptime_ms = (uint32_t)((d->now - s->started) / BB_MSEC) };
+  if (s->lie == BB_LIE_ZERO)
+    r.load = 0, r.connections = 0;
+  bb_engine_report (d->nodes[node].engine, s->key, &r, d->now);
+}
+
+void
+bb_driver_handle_probe (struct bb_driver *d, struct bb_driver_event *ev)
+{
+  struct bb_driver_node *n = &d->nodes[ev->node];
+  if (!n->engine || n->runs != ev->run)
+    return;
+  for (int i = 0; i < d->server_count && n->paused_until <= d->now; i++)
+    if (d->servers[i].lie != BB_LIE_STALE)
+      probe (d, ev->node, &d->servers[i]);
+  bb_driver_push_again (d, ev, d->now + PROBE_INTERVAL);
+}
