standins: free the list of files of the checker

Cause: LeakSanitizer reported the paths that GLib's option parser had allocated, so all cases of tests/standins_test.sh failed under sanitizers.

--- a/standins/checker.c
+++ b/standins/checker.c
@@ -392,6 +392,7 @@
       if (!bb_line_read_file (*p, take_line, last))
         find (COUNT_UNREADABLE, "%s", *p);
     }
+  g_strfreev (paths);
   g_hash_table_foreach (flows, judge_flow, NULL);
   g_hash_table_foreach (requests, judge_request, NULL);
   g_hash_table_foreach (servers, judge_server, NULL);
