--- a/bbctl/http.c
+++ b/bbctl/http.c
@@ -70,6 +70,9 @@
   evhttp_request_set_error_cb (request, note_error);
   evhttp_add_header (evhttp_request_get_output_headers (request), "Host",
                      f->answer->address);
+  /* Otherwise the loop waits for the time-out of a connection kept open.  */
+  evhttp_add_header (evhttp_request_get_output_headers (request), "Connection",
+                     "close");
   evhttp_make_request (f->connection, request, EVHTTP_REQ_GET, path);
 }
 
