Bound problems and paths of damaged documents; test truncation and damage

A key of 200 KB above 70,000 others cost 2.3 s, since its path was hashed for each of them; a balancer that parses it would count as paused. Lists of problems stop at 2,000, of which faults have at least half.

--- a/config/document.c
+++ b/config/document.c
@@ -30,8 +30,13 @@
 static void
 add_problem (GPtrArray *problems, const struct bb_problem *problem, char *text)
 {
+  if (problems->len >= BB_PROBLEMS_MAX
+      || (problem->warning && problems->len >= BB_WARNINGS_MAX))
+    {
+      g_free (text);
+      return;
+    }
   struct bb_problem *p = g_memdup2 (problem, sizeof *problem);
-
   p->file = g_strdup (problem->file);
   p->path = g_strdup (problem->path && *problem->path ? problem->path : "/");
   p->text = text;
--- a/config/document.h
+++ b/config/document.h
@@ -7,7 +7,10 @@
 
 enum
 {
-  BB_DEPTH_MAX = 8 /* nesting; the deepest key is at 5 */
+  BB_DEPTH_MAX = 8,       /* nesting; the deepest key is at 5 */
+  BB_WARNINGS_MAX = 1000, /* problems after which warnings are left out */
+  BB_PROBLEMS_MAX = 2000  /* after which faults are left out, too; at least
+                             one of those before is a fault */
 };
 
 struct bb_config_document
@@ -18,7 +21,8 @@
   uint64_t version;  /* 0 if missing or wrong */
 };
 
-/* Appends a problem.  FILE and PATH are copied.  */
+/* Appends a problem; its strings are copied.  Of a document with more faults
+   than anyone reads, the rest is left out.  */
 void bb_problem_add (GPtrArray *problems, const struct bb_problem *problem,
                      const char *format, ...) G_GNUC_PRINTF (3, 4);
 
@@ -34,7 +38,8 @@
 /* Line of the key at PATH, 0 if the document has no such key.  */
 int bb_lines_find (GHashTable *lines, const char *path);
 
-/* Appends /KEY to PATH, with ~ and / escaped as in RFC 6901.  */
+/* Appends /KEY to PATH, with ~ and / escaped as in RFC 6901; the end of a long
+   key is left out.  */
 void bb_path_push (GString *path, const char *key);
 
 /* Where a value may come from: UPPER overrides LOWER; UPPER may be NULL.  */
--- a/config/lines.c
+++ b/config/lines.c
@@ -33,14 +33,23 @@
 void
 bb_path_push (GString *path, const char *key)
 {
+  const char *end = key + strnlen (key, BB_NAME_MAX);
+
+  /* Longer keys are never valid.  Whole, one of 500 KB would be copied and
+     hashed again for each key below it.  */
+  if (*end)
+    while (end > key && (*end & 0xc0) == 0x80)
+      end--;
   g_string_append_c (path, '/');
-  for (; *key; key++)
-    if (*key == '~')
+  for (const char *p = key; p < end; p++)
+    if (*p == '~')
       g_string_append (path, "~0");
-    else if (*key == '/')
+    else if (*p == '/')
       g_string_append (path, "~1");
     else
-      g_string_append_c (path, *key);
+      g_string_append_c (path, *p);
+  if (*end)
+    g_string_append (path, "...");
 }
 
 static void
@@ -70,6 +79,9 @@
 {
   const char *start = s->p;
   size_t length = skip_string (s);
+
+  if (length >= 2 && !memchr (start, '\\', length))
+    return g_strndup (start + 1, length - 2);
   g_autofree char *quoted = g_strndup (start, length);
   json_object *o = json_tokener_parse (quoted);
   char *key = g_strdup (o ? json_object_get_string (o) : "");
--- a/tests/bbctl_test.c
+++ b/tests/bbctl_test.c
@@ -1,9 +1,8 @@
 #include "config/config.h"
 #include "core/engine.h"
-#include <check.h>
+#include "tests/suite.h"
 #include <glib/gstdio.h>
 #include <netinet/in.h>
-#include <stdlib.h>
 #include <string.h>
 
 #define BASE "examples/umunyu/base.json"
@@ -59,6 +58,13 @@
   write_base ("bad.json", "\"policy\": \"even\"", "\"policy\": \"odd\"");
   write_base ("seed.json", "\"version\": 1,\n  \"hash_seed\": 31063",
               "\"version\": 2,\n  \"hash_seed\": 31064");
+  g_autofree char *vms = g_build_filename (directory, "vms.json", NULL);
+  ck_assert (g_file_set_contents (
+      vms,
+      "{\"version\": 1, \"vms\": [{\"name\": \"a\", \"data_centre\": "
+      "\"kigali\", \"address\": \"10.40.0.1\"}, {\"name\": \"b\", "
+      "\"data_centre\": \"huye\", \"address\": \"10.30.1.2\"}]}",
+      -1, NULL));
   g_autofree char *overlay = g_build_filename (directory, "o.json", NULL);
   ck_assert (g_file_set_contents (
       overlay,
@@ -101,6 +107,10 @@
   { "check --help", 0, "Exit status" },
   { "check --nonsense", 1, "--nonsense" },
   { "check " BASE " " KIGALI " --vms " VMS, 0, "18 servers: valid" },
+  { "check " BASE " --vms @/vms.json", 0, "kigali: one live entry VM" },
+  { "check " BASE " --vms @/vms.json", 0, "muhanga: no live entry VM" },
+  { "check " BASE " --vms @/vms.json", 0, "10.40.0.1:6080, which no entry" },
+  { "check " BASE " --vms @/vms.json", 0, "huye, which is not declared" },
   { "check @/absent.json", 4, "absent.json" },
   { "check @/bad.json", 2, "bad.json:" },
   { "check @/bad.json --json", 2, "\"kind\": \"range\"" },
@@ -126,6 +136,8 @@
   { "place 10.0.0.1:1 10.30.255.1:7101 " BASE " -d kigali", 0, "bucket" },
   { "place 10.0.0.1:1 10.30.255.1:7109 " BASE " -d kigali", 7, "no service" },
   { "place 10.0.0.1:1 10.30.255.1:7101 " BASE " -d kigali -p udp", 7, "udp" },
+  { "place 10.0.0.5:4000 10.30.255.1:7101 " BASE " @/o.json", 0,
+    "ledger-03 for bucket 833, but it drains" },
   { "place 10.0.0.1 10.30.255.1:7101 " BASE, 1, "ADDRESS:PORT" },
   { "status 127.0.0.1:1", 6, "does not answer" },
   { "status elsewhere", 6, "expected ADDRESS:PORT" },
@@ -253,10 +265,7 @@
   tcase_add_test (t, reference_is_current);
   tcase_add_test (t, place_agrees_with_engine);
   suite_add_tcase (s, t);
-  SRunner *r = srunner_create (s);
-  srunner_run_all (r, CK_ENV);
-  int failed = srunner_ntests_failed (r);
-  srunner_free (r);
+  int status = run_suite (s);
   g_free (program);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return status;
 }
--- a/tests/config_test.c
+++ b/tests/config_test.c
@@ -1,6 +1,5 @@
 #include "config/config.h"
-#include <check.h>
-#include <stdlib.h>
+#include "tests/suite.h"
 #include <string.h>
 
 static const char good_base[]
@@ -247,6 +246,68 @@
 }
 END_TEST
 
+/* Guards against a document cut off in transfer that is accepted, and against
+   reading behind its end.  */
+START_TEST (refuses_truncated)
+{
+  for (size_t length = 0; length < strlen (good_base) - 2; length++)
+    {
+      GPtrArray *problems = bb_problems_new ();
+      g_autofree char *text = g_strndup (good_base, length);
+      ck_assert_ptr_null (merge (text, good_overlay, problems));
+      ck_assert (bb_problems_fatal (problems));
+      g_ptr_array_unref (problems);
+    }
+}
+END_TEST
+
+/* Guards against a crash or a silent refusal of a damaged document.  */
+START_TEST (survives_damage)
+{
+  GRand *random = g_rand_new_with_seed ((guint32)_i);
+
+  for (int round = 0; round < 200; round++)
+    {
+      GPtrArray *problems = bb_problems_new ();
+      g_autofree char *text = g_strdup (good_base);
+      gint32 length = (gint32)strlen (text);
+      for (int i = 0; i < 3; i++)
+        text[g_rand_int_range (random, 0, length)]
+            = "{}[]\",:/*\\n0-\xc3 "[g_rand_int_range (random, 0, 15)];
+      struct bb_fleet *f = merge (text, good_overlay, problems);
+      ck_assert_int_eq (f == NULL, bb_problems_fatal (problems));
+      bb_fleet_free (f);
+      g_ptr_array_unref (problems);
+    }
+  g_rand_free (random);
+}
+END_TEST
+
+/* Guards against a list of problems that fills memory, and against warnings
+   that leave no room for a fault.  */
+START_TEST (bounds_problems)
+{
+  GPtrArray *problems = bb_problems_new ();
+  GString *new = g_string_new ("");
+
+  for (int i = 0; i < 5000; i++)
+    g_string_append_printf (new,
+                            "\"s%d\": {\"address\": \"10.8.%d.%d\", "
+                            "\"port\": 1, \"silent_ms\": 1, "
+                            "\"servers\": {\"x\": {\"address\": "
+                            "\"10.7.0.1\", \"gue_port\": 1}}},",
+                            i, i / 250, i % 250 + 1);
+  g_string_append (new, "\"stock\": {\"prot\": 1,");
+  char *base = edit (good_base, "\"stock\": {", new->str);
+  ck_assert_ptr_null (merge (base, good_overlay, problems));
+  ck_assert (bb_problems_fatal (problems));
+  ck_assert_uint_le (problems->len, 2000);
+  g_free (base);
+  g_string_free (new, TRUE);
+  g_ptr_array_unref (problems);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -256,10 +317,9 @@
                        G_N_ELEMENTS (base_mistakes));
   tcase_add_loop_test (t, refuses_overlay_mistake, 0,
                        G_N_ELEMENTS (overlay_mistakes));
+  tcase_add_test (t, refuses_truncated);
+  tcase_add_loop_test (t, survives_damage, 0, 10);
+  tcase_add_test (t, bounds_problems);
   suite_add_tcase (s, t);
-  SRunner *r = srunner_create (s);
-  srunner_run_all (r, CK_ENV);
-  int failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite (s);
 }
--- a/tests/documents_test.c
+++ b/tests/documents_test.c
@@ -1,7 +1,6 @@
 #include "config/config.h"
-#include <check.h>
+#include "tests/suite.h"
 #include <netinet/in.h>
-#include <stdlib.h>
 #include <string.h>
 
 /* Which parser a case is for.  */
@@ -221,9 +220,5 @@
   tcase_add_test (t, refuses_large_document);
   tcase_add_loop_test (t, examples_hold, 0, G_N_ELEMENTS (examples));
   suite_add_tcase (s, t);
-  SRunner *r = srunner_create (s);
-  srunner_run_all (r, CK_ENV);
-  int failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite (s);
 }
--- a/tests/timeline_test.c
+++ b/tests/timeline_test.c
@@ -1,12 +1,11 @@
+#include "tests/suite.h"
 #include <arpa/inet.h>
-#include <check.h>
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <glib.h>
 #include <glib/gstdio.h>
 #include <json-c/json.h>
-#include <stdlib.h>
 #include <string.h>
 
 static char *program;
@@ -219,36 +218,46 @@
   EVENTS = 200 /* per VM */
 };
 
-/* Guards against an order within a process that depends on its clock: clocks
-   that jump both ways, sources cut in two that overlap.  */
-START_TEST (seq_order_holds)
+/* Writes two sources that overlap: events 1 to 2/3, and 1/3 to the end.  */
+static void
+write_sources (char *const paths[2], GRand *random)
 {
-  GRand *random = g_rand_new_with_seed ((guint32)_i);
   GString *parts[2] = { g_string_new (""), g_string_new ("") };
-  g_autofree char *directory = g_dir_make_tmp ("timeline-XXXXXX", NULL);
-  char *paths[2];
-  char *out = NULL;
-  int last[VMS] = { 0 };
 
-  for (int vm = 0; vm < VMS; vm++)
-    for (int seq = 1; seq <= EVENTS; seq++)
-      {
-        int time = g_rand_int_range (random, 1, 100000000);
-        for (int p = 0; p < 2; p++)
-          if (p ? seq > EVENTS / 3 : seq < EVENTS * 2 / 3)
-            g_string_append_printf (
-                parts[p],
-                "{\"time_us\":%d,\"mono_us\":%d,\"vm\":\"%d\",\"event\":"
-                "\"%s\",\"peer\":\"%d\",\"seq\":%d}\n",
-                time, seq, vm, seq % 7 ? "peer_leaving" : "leaving",
-                (vm + seq) % VMS, seq);
-      }
+  for (int i = 0; i < VMS * EVENTS; i++)
+    {
+      int vm = i / EVENTS;
+      int seq = i % EVENTS + 1;
+      int time = g_rand_int_range (random, 1, 100000000);
+      for (int p = 0; p < 2; p++)
+        if (p ? seq > EVENTS / 3 : seq < EVENTS * 2 / 3)
+          g_string_append_printf (
+              parts[p],
+              "{\"time_us\":%d,\"mono_us\":%d,\"vm\":\"%d\",\"event\":"
+              "\"%s\",\"peer\":\"%d\",\"seq\":%d}\n",
+              time, seq, vm, seq % 7 ? "peer_leaving" : "leaving",
+              (vm + seq) % VMS, seq);
+    }
   for (int p = 0; p < 2; p++)
     {
-      paths[p] = g_strdup_printf ("%s/%d.log", directory, p);
       ck_assert (g_file_set_contents (paths[p], parts[p]->str, -1, NULL));
       g_string_free (parts[p], TRUE);
     }
+}
+
+/* Guards against an order within a process that depends on its clock, which
+   jumps both ways here, and against events lost or doubled where two sources
+   overlap.  */
+START_TEST (seq_order_holds)
+{
+  GRand *random = g_rand_new_with_seed ((guint32)_i);
+  g_autofree char *directory = g_dir_make_tmp ("timeline-XXXXXX", NULL);
+  char *paths[2] = { g_build_filename (directory, "0.log", NULL),
+                     g_build_filename (directory, "1.log", NULL) };
+  char *out = NULL;
+  int last[VMS] = { 0 };
+
+  write_sources (paths, random);
   g_autofree char *arguments
       = g_strdup_printf ("timeline --json %s %s", paths[0], paths[1]);
   ck_assert_int_eq (run (arguments, &out), 0);
@@ -263,12 +272,11 @@
     }
   for (int vm = 0; vm < VMS; vm++)
     ck_assert_int_eq (last[vm], EVENTS);
-  for (int p = 0; p < 2; p++)
-    {
-      g_unlink (paths[p]);
-      g_free (paths[p]);
-    }
+  g_unlink (paths[0]);
+  g_unlink (paths[1]);
   g_rmdir (directory);
+  g_free (paths[0]);
+  g_free (paths[1]);
   g_free (out);
   g_rand_free (random);
 }
@@ -288,10 +296,7 @@
   tcase_add_loop_test (t, timeline_orders, 0, G_N_ELEMENTS (orders));
   tcase_add_loop_test (t, seq_order_holds, 0, 20);
   suite_add_tcase (s, t);
-  SRunner *r = srunner_create (s);
-  srunner_run_all (r, CK_ENV);
-  int failed = srunner_ntests_failed (r);
-  srunner_free (r);
+  int status = run_suite (s);
   g_free (program);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return status;
 }
