Compare balancers of one data centre with each other; shorten the screen

Only the first balancer was compared, so versions that differ within another data centre stayed unseen. Servers that are well are counted, not listed, where there are more than fit on a screen. The picture has room for the last label and is checked to be well formed.

--- a/bbctl/status_judge.c
+++ b/bbctl/status_judge.c
@@ -49,29 +49,36 @@
          json_object_get_string (json_object_array_get_idx (own, i)));
 }
 
-/* Compares A with B of the same data centre.  */
+static bool
+same_data_centre (json_object *a, json_object *b)
+{
+  return !strcmp (bb_ctl_text (a, "data_centre"),
+                  bb_ctl_text (b, "data_centre"));
+}
+
+/* Compares A with B; overlays and base sets differ between data centres.  */
 static void
 judge_pair (struct bb_ctl_status *s, json_object *a, json_object *b)
 {
-  static const char *const names[3] = { "base", "overlay", "VM list" };
+  static const char *const names[3] = { "base", "VM list", "overlay" };
+  static const size_t places[3] = { 0, 2, 1 };
   int64_t x[3];
   int64_t y[3];
   int64_t age = MIN (bb_ctl_number (a, "version_age_us"),
                      bb_ctl_number (b, "version_age_us"));
+  bool near = same_data_centre (a, b);
 
-  if (strcmp (bb_ctl_text (a, "data_centre"), bb_ctl_text (b, "data_centre"))
-      != 0)
-    return;
   bb_ctl_status_versions (bb_ctl_member (a, "versions"), x);
   bb_ctl_status_versions (bb_ctl_member (b, "versions"), y);
-  for (size_t i = 0; i < 3; i++)
-    if (x[i] != y[i] && age > VERSION_SPREAD_US)
+  for (size_t i = 0; i < (near ? 3 : 2); i++)
+    if (x[places[i]] != y[places[i]] && age > VERSION_SPREAD_US)
       add (s,
            "%s has %s version %" G_GINT64_FORMAT
            " and %s has %" G_GINT64_FORMAT ", for %.0f s",
-           bb_ctl_text (a, "vm"), names[i], x[i], bb_ctl_text (b, "vm"), y[i],
-           (double)age / 1e6);
-  if (bb_ctl_number (a, "generation") != bb_ctl_number (b, "generation")
+           bb_ctl_text (a, "vm"), names[i], x[places[i]],
+           bb_ctl_text (b, "vm"), y[places[i]], (double)age / 1e6);
+  if (near
+      && bb_ctl_number (a, "generation") != bb_ctl_number (b, "generation")
       && !strcmp (bb_ctl_text (a, "phase"), bb_ctl_text (b, "phase")))
     add (s, "%s and %s have different generations of the base set",
          bb_ctl_text (a, "vm"), bb_ctl_text (b, "vm"));
@@ -98,6 +105,24 @@
     }
 }
 
+/* The first balancer to compare number I with: of its data centre, or else
+   any.  */
+static const struct bb_ctl_balancer *
+find_other (const struct bb_ctl_status *s, size_t i)
+{
+  const struct bb_ctl_balancer *any = NULL;
+
+  for (size_t j = 0; j < i; j++)
+    {
+      const struct bb_ctl_balancer *b = &s->balancers[j];
+      if (b->status && same_data_centre (b->status, s->balancers[i].status))
+        return b;
+      if (b->status && !any)
+        any = b;
+    }
+  return any;
+}
+
 void
 bb_ctl_status_judge (struct bb_ctl_status *s)
 {
@@ -106,7 +131,6 @@
   GHashTableIter iter;
   gpointer name;
   gpointer marks;
-  const struct bb_ctl_balancer *first = NULL;
 
   for (size_t i = 0; i < s->count; i++)
     {
@@ -118,10 +142,9 @@
         }
       judge_balancer (s, b);
       collect_servers (b->status, seen);
-      if (first)
-        judge_pair (s, first->status, b->status);
-      else
-        first = b;
+      const struct bb_ctl_balancer *other = find_other (s, i);
+      if (other)
+        judge_pair (s, other->status, b->status);
     }
   g_hash_table_iter_init (&iter, seen);
   while (g_hash_table_iter_next (&iter, &name, &marks))
--- a/bbctl/status_show.c
+++ b/bbctl/status_show.c
@@ -2,6 +2,9 @@
 #include <stdio.h>
 #include <string.h>
 
+/* More than this many servers do not fit on one screen with 9 balancers.  */
+#define SERVERS_SHOWN 24
+
 #define RED "\033[31m"
 #define YELLOW "\033[33m"
 #define GREEN "\033[32m"
@@ -77,18 +80,37 @@
   return words[i].word;
 }
 
-static void
-show_server (json_object *v)
+/* Returns whether the server was left out, which those that are well are if
+   BRIEF.  */
+static bool
+show_server (json_object *v, bool brief)
 {
   const char *colour = "";
   const char *word = server_word (v, &colour);
 
+  if (brief && !strcmp (word, "ok"))
+    return true;
   printf ("%-20.20s %-20.20s %s%-9s" RESET " %-4s %9" G_GINT64_FORMAT
           " %5.1f %% %8.1f s\n",
           bb_ctl_text (v, "service"), bb_ctl_text (v, "server"), colour, word,
           bb_ctl_flag (v, "in_base") ? "yes" : "no",
           bb_ctl_number (v, "flows"), (double)bb_ctl_number (v, "load") / 10,
           (double)bb_ctl_number (v, "report_age_us") / 1e6);
+  return false;
+}
+
+static void
+show_servers (json_object *servers)
+{
+  bool brief = length_of (servers) > SERVERS_SHOWN;
+  int left_out = 0;
+
+  printf (BOLD "\n%-20s %-20s %-9s %-4s %9s %7s %10s" RESET "\n", "SERVICE",
+          "SERVER", "STATE", "BASE", "FLOWS", "LOAD", "REPORT");
+  for (size_t i = 0; i < length_of (servers); i++)
+    left_out += show_server (json_object_array_get_idx (servers, i), brief);
+  if (left_out)
+    printf ("%d more servers are " GREEN "ok" RESET "\n", left_out);
 }
 
 /* Servers as the first balancer that is ready sees them; what the others see
@@ -118,10 +140,7 @@
           "PHASE", "FLOWS", "PEERS");
   for (size_t i = 0; i < s->count; i++)
     show_balancer (&s->balancers[i]);
-  printf (BOLD "\n%-20s %-20s %-9s %-4s %9s %7s %10s" RESET "\n", "SERVICE",
-          "SERVER", "STATE", "BASE", "FLOWS", "LOAD", "REPORT");
-  for (size_t i = 0; i < length_of (servers); i++)
-    show_server (json_object_array_get_idx (servers, i));
+  show_servers (servers);
   printf (BOLD "\nATTENTION" RESET "\n");
   for (guint i = 0; i < s->attention->len; i++)
     printf (YELLOW "! " RESET "%s\n", (char *)s->attention->pdata[i]);
--- a/bbctl/svg.c
+++ b/bbctl/svg.c
@@ -7,7 +7,7 @@
 {
   WIDTH = 1200,
   LEFT = 140,
-  RIGHT = 20,
+  RIGHT = 110,
   TOP = 40,
   LANE = 48,
   MARK = 5,
--- a/tests/timeline_test.c
+++ b/tests/timeline_test.c
@@ -282,6 +282,52 @@
 }
 END_TEST
 
+static void
+count_mark (GMarkupParseContext *context, const char *name,
+            const char **attributes, const char **values, gpointer data,
+            GError **error)
+{
+  (void)context;
+  (void)attributes;
+  (void)values;
+  (void)error;
+  *(int *)data += !strcmp (name, "circle");
+}
+
+/* Guards against a picture that browsers refuse because a name of an event
+   was not escaped, and against events that it lacks.  */
+START_TEST (picture_is_well_formed)
+{
+  static const GMarkupParser parser = { .start_element = count_mark };
+  g_autofree char *directory = g_dir_make_tmp ("timeline-XXXXXX", NULL);
+  g_autofree char *log = g_build_filename (directory, "a.log", NULL);
+  g_autofree char *svg = g_build_filename (directory, "a.svg", NULL);
+  g_autofree char *text = NULL;
+  char *out = NULL;
+  int marks = 0;
+  gsize length = 0;
+
+  ck_assert (g_file_set_contents (log,
+                                  EVENT ("<e&1>", "1", "1000000", "a<b", "")
+                                      EVENT ("e2", "1", "1", "c", ""),
+                                  -1, NULL));
+  g_autofree char *arguments
+      = g_strdup_printf ("timeline %s --svg %s", log, svg);
+  ck_assert_int_eq (run (arguments, &out), 0);
+  ck_assert (g_file_get_contents (svg, &text, &length, NULL));
+  GMarkupParseContext *c
+      = g_markup_parse_context_new (&parser, 0, &marks, NULL);
+  ck_assert (g_markup_parse_context_parse (c, text, (gssize)length, NULL));
+  ck_assert (g_markup_parse_context_end_parse (c, NULL));
+  ck_assert_int_eq (marks, 2);
+  g_markup_parse_context_free (c);
+  g_unlink (log);
+  g_unlink (svg);
+  g_rmdir (directory);
+  g_free (out);
+}
+END_TEST
+
 int
 main (int argc, char **argv)
 {
@@ -294,6 +340,7 @@
   tcase_add_test (t, status_compares);
   tcase_add_test (t, status_refuses_garbage);
   tcase_add_loop_test (t, timeline_orders, 0, G_N_ELEMENTS (orders));
+  tcase_add_test (t, picture_is_well_formed);
   tcase_add_loop_test (t, seq_order_holds, 0, 20);
   suite_add_tcase (s, t);
   int status = run_suite (s);
