Name the example overlays as a platform directory expects them

The directory platform reads overlay-DATA_CENTRE.json, so each example directory can now be served as it is. A server without a report shows none instead of an age of -0.0 s.

--- a/bbctl/status_show.c
+++ b/bbctl/status_show.c
@@ -90,12 +90,16 @@
 
   if (brief && !strcmp (word, "ok"))
     return true;
+  int64_t age = bb_ctl_number (v, "report_age_us");
+  g_autofree char *report
+      = age < 0 ? g_strdup ("none")
+                : g_strdup_printf ("%.1f s", (double)age / 1e6);
   printf ("%-20.20s %-20.20s %s%-9s" RESET " %-4s %9" G_GINT64_FORMAT
-          " %5.1f %% %8.1f s\n",
+          " %5.1f %% %10s\n",
           bb_ctl_text (v, "service"), bb_ctl_text (v, "server"), colour, word,
           bb_ctl_flag (v, "in_base") ? "yes" : "no",
           bb_ctl_number (v, "flows"), (double)bb_ctl_number (v, "load") / 10,
-          (double)bb_ctl_number (v, "report_age_us") / 1e6);
+          report);
   return false;
 }
 
--- a/tests/bbctl_test.c
+++ b/tests/bbctl_test.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #define BASE "examples/umunyu/base.json"
-#define KIGALI "examples/umunyu/overlay/kigali.json"
+#define KIGALI "examples/umunyu/overlay-kigali.json"
 #define VMS "examples/umunyu/vms.json"
 
 static char *program;
--- a/tests/documents_test.c
+++ b/tests/documents_test.c
@@ -185,7 +185,7 @@
   const struct example *e = &examples[_i];
   GPtrArray *problems = bb_problems_new ();
   char *base = g_strdup_printf ("examples/%s/base.json", e->directory);
-  char *overlay = g_strdup_printf ("examples/%s/overlay/%s.json", e->directory,
+  char *overlay = g_strdup_printf ("examples/%s/overlay-%s.json", e->directory,
                                    e->data_centre);
   struct bb_config_document *b = parse_file (base, problems);
   struct bb_config_document *o = parse_file (overlay, problems);
