--- a/tests/documents_test.c
+++ b/tests/documents_test.c
@@ -210,6 +210,46 @@
 }
 END_TEST
 
+static const char *const directories[] = { "restrepo", "umunyu" };
+
+/* Guards against lists and settings in the examples that do not fit their
+   base.  */
+START_TEST (example_vms_fit)
+{
+  GPtrArray *problems = bb_problems_new ();
+  const char *const names[] = { "base.json", "vms.json", "settings.json" };
+  char *texts[3];
+  gsize lengths[3];
+
+  for (int i = 0; i < 3; i++)
+    {
+      g_autofree char *path
+          = g_build_filename ("examples", directories[_i], names[i], NULL);
+      ck_assert (g_file_get_contents (path, &texts[i], &lengths[i], NULL));
+    }
+  struct bb_config_document *base = bb_config_parse (
+      "base", (const uint8_t *)texts[0], lengths[0], problems);
+  struct bb_vm_list *vms = bb_config_parse_vms (
+      "vms", (const uint8_t *)texts[1], lengths[1], problems);
+  struct bb_settings *s = bb_settings_parse (
+      "settings", (const uint8_t *)texts[2], lengths[2], problems);
+  ck_assert_ptr_nonnull (vms);
+  ck_assert_ptr_nonnull (s);
+  bb_config_check_vms (base, vms, problems);
+  ck_assert_uint_eq (problems->len, 0);
+  ck_assert_uint_ge (vms->vm_count, 6);
+  ck_assert_uint_le (vms->vm_count, 9);
+  ck_assert_uint_eq (vms->vms[0].id, s->self.id);
+  ck_assert_uint_eq (vms->vms[0].data.address, s->self.data.address);
+  bb_config_document_free (base);
+  bb_vm_list_free (vms);
+  bb_settings_free (s);
+  for (int i = 0; i < 3; i++)
+    g_free (texts[i]);
+  g_ptr_array_unref (problems);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -219,6 +259,7 @@
   tcase_add_test (t, reads_settings);
   tcase_add_test (t, refuses_large_document);
   tcase_add_loop_test (t, examples_hold, 0, G_N_ELEMENTS (examples));
+  tcase_add_loop_test (t, example_vms_fit, 0, G_N_ELEMENTS (directories));
   suite_add_tcase (s, t);
   return run_suite (s);
 }
