--- a/bbctl/diff.c
+++ b/bbctl/diff.c
@@ -165,28 +165,49 @@
          && !memcmp (x, y, m);
 }
 
+/* Balancers ignore a lower version, and refuse the same one with other
+   content.  */
 static void
-check_versions (struct bb_ctl_documents d[2], char **paths,
-                GPtrArray *problems)
+check_version (const struct bb_config_document *before, const char *old_path,
+               const struct bb_config_document *after, const char *new_path,
+               GPtrArray *problems)
 {
-  uint64_t old = bb_config_document_version (d[0].base);
-  uint64_t new = bb_config_document_version (d[1].base);
+  uint64_t was = bb_config_document_version (before);
+  uint64_t is = bb_config_document_version (after);
   struct bb_problem *p;
 
-  if (new > old || (new == old &&same_bytes (paths[0], paths[1])))
+  if (is > was || (is == was && same_bytes (old_path, new_path)))
     return;
   p = g_new0 (struct bb_problem, 1);
-  p->kind = new < old ? BB_ERROR_STALE_VERSION : BB_ERROR_VERSION_CONFLICT;
-  p->file = g_strdup (paths[1]);
+  p->kind = is < was ? BB_ERROR_STALE_VERSION : BB_ERROR_VERSION_CONFLICT;
+  p->file = g_strdup (new_path);
   p->path = g_strdup ("/version");
-  p->line = bb_config_document_line (d[1].base, "/version");
+  p->line = bb_config_document_line (after, "/version");
   p->text = g_strdup_printf ("%" G_GUINT64_FORMAT
                              "; expected at least %" G_GUINT64_FORMAT
                              ", or balancers %s it",
-                             new, old + 1, new < old ? "ignore" : "refuse");
+                             is, was + 1, is < was ? "ignore" : "refuse");
   g_ptr_array_add (problems, p);
 }
 
+static void
+check_versions (struct bb_ctl_documents d[2], char **paths,
+                GPtrArray *problems)
+{
+  check_version (d[0].base, paths[0], d[1].base, paths[1], problems);
+  if (!old_overlays || !overlays)
+    return;
+  for (guint i = 0; i < d[0].overlays->len; i++)
+    for (guint j = 0; j < d[1].overlays->len; j++)
+      {
+        const struct bb_config_document *a = d[0].overlays->pdata[i];
+        const struct bb_config_document *b = d[1].overlays->pdata[j];
+        if (!g_strcmp0 (bb_config_document_data_centre (a),
+                        bb_config_document_data_centre (b)))
+          check_version (a, old_overlays[i], b, overlays[j], problems);
+      }
+}
+
 static void
 compare_bases (struct bb_ctl_documents d[2], char **paths, GPtrArray *problems)
 {
--- a/tests/bbctl_test.c
+++ b/tests/bbctl_test.c
@@ -133,6 +133,8 @@
     "ledger/ledger-05: removed" },
   { "diff " BASE " @/drain.json --overlay @/o.json --old-overlay " KIGALI, 0,
     "ledger/ledger-15: added at 10.30.200.80:6080" },
+  { "diff " BASE " " BASE " --overlay " KIGALI " --old-overlay @/o.json", 3,
+    "overlay-kigali.json:4: error: /version: 1; expected at least 3" },
   { "place 10.0.0.1:1 10.30.255.1:7101 " BASE " -d kigali", 0, "bucket" },
   { "place 10.0.0.1:1 10.30.255.1:7109 " BASE " -d kigali", 7, "no service" },
   { "place 10.0.0.1:1 10.30.255.1:7101 " BASE " -d kigali -p udp", 7, "udp" },
