--- a/runtime/log.c
+++ b/runtime/log.c
@@ -2,11 +2,17 @@
 #include "runtime/util.h"
 #include <inttypes.h>
 #include <json-c/json.h>
+#include <limits.h>
 #include <log4c.h>
 #include <poll.h>
 #include <string.h>
 #include <unistd.h>
 
+enum
+{
+  TEXT_MAX = 1024 /* bytes; keeps a line below PIPE_BUF */
+};
+
 struct bb_log
 {
   const struct bb_vm *vm;
@@ -59,7 +65,7 @@
   struct bb_log *log = log4c_appender_get_udata (appender);
   struct pollfd pfd = { .fd = STDERR_FILENO, .events = POLLOUT };
   size_t length = strlen (event->evt_rendered_msg);
-  if (poll (&pfd, 1, 0) != 1 || !(pfd.revents & POLLOUT)
+  if (length > PIPE_BUF || poll (&pfd, 1, 0) != 1 || !(pfd.revents & POLLOUT)
       || write (STDERR_FILENO, event->evt_rendered_msg, length) < 0)
     log->lost++;
   return 0;
@@ -219,7 +225,9 @@
 {
   struct json_object *line
       = new_line (log, bb_clock_wall (), bb_clock_boot (), level, event);
-  add_string (line, "text", text);
+  char *cut = g_utf8_make_valid (text, (gssize)strnlen (text, TEXT_MAX));
+  add_string (line, "text", cut);
+  g_free (cut);
   char *out = to_text (line);
   write_line (log, level, out);
   g_free (out);
--- a/runtime/metrics.c
+++ b/runtime/metrics.c
@@ -103,6 +103,8 @@
     PEERS, OF (bb_peers_counters, refused_sources) },
   { "control_undecodable_messages", "", "Messages that were not understood.",
     false, PEERS, OF (bb_peers_counters, undecodable) },
+  { "control_paused_drops", "", "Messages discarded after a pause.", false,
+    PEERS, OF (bb_peers_counters, discarded) },
   { "platform_reads", "", "Reads of the platform.", false, PLATFORM,
     OF (bb_platform_status, reads) },
   { "platform_failures", "", "Reads of the platform that failed.", false,
--- a/runtime/peers.c
+++ b/runtime/peers.c
@@ -8,7 +8,7 @@
 
 enum
 {
-  HIGH_WATER = 256,        /* messages queued to or from one peer */
+  HIGH_WATER = 64,         /* messages queued to or from one peer */
   LINKS_MAX = 256,         /* connections; the engine has BB_PEER_MAX peers */
   RECEIVE_MAX = 256,       /* messages before packets get a turn */
   RECONNECT_MS = 100,      /* doubles up to the maximum */
@@ -18,11 +18,15 @@
      being suspected.  */
   PING_INTERVAL_MS = 500,
   PING_TIMEOUT_MS = 600,
-  FRAME_SHORT = 2, /* ZMTP header of a frame below 256 bytes */
+  PING_TTL_MS = 5000, /* without pings the other side gives up after that */
+  FRAME_SHORT = 2,    /* ZMTP header of a frame below 256 bytes */
   FRAME_LONG = 9,
 };
 
 #define LINK_IDLE (30 * BB_SEC)
+/* Messages that are read so soon after a pause were sent before its end.  They
+   must not count as news of a peer.  */
+#define STALE_WINDOW (100 * BB_MSEC)
 
 struct link
 {
@@ -37,6 +41,7 @@
   void *router;
   struct event *readable;
   GHashTable *links; /* endpoint as a number to struct link */
+  bb_usec stale_until;
   struct bb_peers_counters counters;
 };
 
@@ -72,6 +77,11 @@
       peers->counters.refused_sources++;
       return;
     }
+  if (now < peers->stale_until)
+    {
+      peers->counters.discarded++;
+      return;
+    }
   struct bb_decoded decoded;
   if (!bb_wire_decode (zmq_msg_data (message), length, &decoded, NULL))
     {
@@ -138,16 +148,23 @@
   set_option (socket, ZMQ_LINGER, 0);
   set_option (socket, ZMQ_SNDHWM, HIGH_WATER);
   set_option (socket, ZMQ_RCVHWM, HIGH_WATER);
+  int64_t max = BB_WIRE_MESSAGE_MAX;
+  zmq_setsockopt (socket, ZMQ_MAXMSGSIZE, &max, sizeof max);
+}
+
+static void
+set_dealer_options (void *socket)
+{
+  set_options (socket);
   set_option (socket, ZMQ_HEARTBEAT_IVL, PING_INTERVAL_MS);
   set_option (socket, ZMQ_HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS);
+  set_option (socket, ZMQ_HEARTBEAT_TTL, PING_TTL_MS);
   set_option (socket, ZMQ_CONNECT_TIMEOUT, RECONNECT_MAX_MS);
   set_option (socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
   set_option (socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
   /* Nothing is queued for a peer that is not connected: a state that is sent
      late is worse than none, and the next heartbeat is due soon.  */
   set_option (socket, ZMQ_IMMEDIATE, 1);
-  int64_t max = BB_WIRE_MESSAGE_MAX;
-  zmq_setsockopt (socket, ZMQ_MAXMSGSIZE, &max, sizeof max);
 }
 
 static void
@@ -176,7 +193,7 @@
   void *socket = zmq_socket (peers->context, ZMQ_DEALER);
   if (!socket)
     return NULL;
-  set_options (socket);
+  set_dealer_options (socket);
   if (zmq_connect (socket, url) != 0)
     {
       zmq_close (socket);
@@ -228,6 +245,13 @@
   g_byte_array_unref (bytes);
 }
 
+void
+bb_peers_discard (struct bb_peers *peers, bb_usec now)
+{
+  peers->stale_until = now + STALE_WINDOW;
+  receive_all (peers);
+}
+
 static gboolean
 is_idle (gpointer key, gpointer value, gpointer now)
 {
--- a/runtime/peers.h
+++ b/runtime/peers.h
@@ -19,6 +19,7 @@
   uint64_t send_drops;      /* no connection, or the queue was full */
   uint64_t refused_sources; /* not the address of a balancer of ours */
   uint64_t undecodable;
+  uint64_t discarded; /* buffered during a pause of the process */
 };
 
 /* Binds the control endpoint of the settings.  */
@@ -33,6 +34,9 @@
 void bb_peers_send (struct bb_peers *peers, const struct bb_vm *to,
                     const struct bb_message *message);
 
+/* Drops and counts what was sent during a pause that ended at NOW.  */
+void bb_peers_discard (struct bb_peers *peers, bb_usec now);
+
 /* Handles what has arrived, and closes connections that have not been used
    for a while.  To be called about once a second.  */
 void bb_peers_sweep (struct bb_peers *peers, bb_usec now);
--- a/runtime/process.c
+++ b/runtime/process.c
@@ -146,7 +146,10 @@
   p->ticked = now;
   bool paused = bb_engine_tick (p->engine, now);
   if (paused)
-    bb_data_discard (p->data);
+    {
+      bb_data_discard (p->data);
+      bb_peers_discard (p->peers, now);
+    }
   watch_phase (p, now);
   if (now - p->swept >= SWEEP_INTERVAL)
     {
--- a/tests/message_test.c
+++ b/tests/message_test.c
@@ -1,6 +1,5 @@
+#include "tests/suite.h"
 #include "wire/wire.h"
-#include <check.h>
-#include <stdlib.h>
 #include <string.h>
 
 static const uint32_t bits[] = { 1, 0xffffffff, 77 };
@@ -212,9 +211,5 @@
   tcase_add_loop_test (t, raw_bytes_are_judged, 0, G_N_ELEMENTS (raw));
   tcase_add_test (t, oversized_message_is_refused);
   suite_add_tcase (s, t);
-  SRunner *r = srunner_create (s);
-  srunner_run_all (r, CK_ENV);
-  int failed = srunner_ntests_failed (r);
-  srunner_free (r);
-  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+  return run_suite (s);
 }
--- /dev/null
+++ b/tests/platform_test.c
@@ -0,0 +1,399 @@
+#include "runtime/platform.h"
+#include "runtime/util.h"
+#include "tests/suite.h"
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <string.h>
+#include <unistd.h>
+
+/* The platform under test, what it reported, and the service it reads.  */
+static struct
+{
+  struct event_base *loop;
+  struct evhttp *server;
+  GRand *random;
+  struct bb_platform *platform;
+  char location[BB_ENDPOINT_TEXT];
+  GString *calls;      /* one word for each call of the sink */
+  const char *awaited; /* ends the loop once CALLS has it */
+  uint64_t versions[BB_DOCUMENT_KINDS];
+  unsigned absent;   /* bits of the kinds reported as absent */
+  GString *requests; /* values of "after", for the base document */
+  int step;          /* answers given for the base document */
+  int under_way;     /* requests for it that were not answered */
+  const struct answer *script;
+} t;
+
+/* One answer of the service for the base document.  Status 0 holds the
+   request for good, -1 cuts the connection within the body.  */
+struct answer
+{
+  int status;
+  const char *version; /* NULL: no header */
+  const char *body;
+};
+
+static void call (const char *format, ...) G_GNUC_PRINTF (1, 2);
+
+static void
+call (const char *format, ...)
+{
+  va_list arguments;
+  va_start (arguments, format);
+  g_string_append_vprintf (t.calls, format, arguments);
+  va_end (arguments);
+  if (t.awaited && strstr (t.calls->str, t.awaited))
+    event_base_loopbreak (t.loop);
+}
+
+/* Accepts what ends with a brace; "{bad}" is refused and "{old}" is older. */
+static enum bb_offer
+take_document (void *context, enum bb_document_kind kind, uint64_t version,
+               const uint8_t *bytes, size_t length)
+{
+  (void)context;
+  char *text = g_strndup ((const char *)bytes, length);
+  enum bb_offer offer = BB_OFFER_ACCEPTED;
+  if (!g_str_has_suffix (text, "}") || strcmp (text, "{bad}") == 0)
+    offer = BB_OFFER_REFUSED;
+  else if (strcmp (text, "{old}") == 0)
+    offer = BB_OFFER_OLDER;
+  else
+    t.versions[kind] = version;
+  call ("%d:%d:%s ", kind, offer, text);
+  g_free (text);
+  return offer;
+}
+
+static void
+take_absence (void *context, enum bb_document_kind kind)
+{
+  (void)context;
+  t.absent |= 1U << kind;
+}
+
+static uint64_t
+get_version (void *context, enum bb_document_kind kind)
+{
+  (void)context;
+  return t.versions[kind];
+}
+
+static const struct bb_platform_sink sink
+    = { take_document, take_absence, get_version };
+
+static void
+note_request (struct evhttp_request *request)
+{
+  struct evkeyvalq query;
+  const char *text
+      = evhttp_uri_get_query (evhttp_request_get_evhttp_uri (request));
+  ck_assert_int_eq (evhttp_parse_query_str (text, &query), 0);
+  ck_assert_ptr_nonnull (evhttp_find_header (&query, "wait_s"));
+  g_string_append_printf (t.requests, "%s ",
+                          evhttp_find_header (&query, "after"));
+  evhttp_clear_headers (&query);
+}
+
+static void
+on_base (struct evhttp_request *request, void *context)
+{
+  (void)context;
+  const struct answer *answer = &t.script[t.step];
+  note_request (request);
+  ck_assert_int_eq (t.under_way, 0);
+  if (answer->status == 0)
+    {
+      t.under_way++;
+      call ("held ");
+      return;
+    }
+  t.step++;
+  struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+  struct evbuffer *body = evbuffer_new ();
+  if (answer->version)
+    evhttp_add_header (headers, "Config-Version", answer->version);
+  if (answer->body)
+    evbuffer_add_printf (body, "%s", answer->body);
+  if (answer->status == -1)
+    evhttp_add_header (headers, "Content-Length", "1000");
+  evhttp_add_header (headers, "Connection", "close");
+  evhttp_send_reply (request, answer->status == -1 ? 200 : answer->status,
+                     NULL, body);
+  evbuffer_free (body);
+}
+
+/* Other documents do not exist.  */
+static void
+on_other (struct evhttp_request *request, void *context)
+{
+  (void)context;
+  evhttp_send_error (request, HTTP_NOTFOUND, NULL);
+}
+
+static void
+set_up (void)
+{
+  memset (&t, 0, sizeof t);
+  t.loop = event_base_new ();
+  t.random = g_rand_new_with_seed (1);
+  t.calls = g_string_new (NULL);
+  t.requests = g_string_new (NULL);
+  t.server = evhttp_new (t.loop);
+  struct evhttp_bound_socket *bound
+      = evhttp_bind_socket_with_handle (t.server, "127.0.0.1", 0);
+  struct sockaddr_in address;
+  socklen_t size = sizeof address;
+  getsockname (evhttp_bound_socket_get_fd (bound), (struct sockaddr *)&address,
+               &size);
+  struct bb_endpoint endpoint = { 0x7f000001, ntohs (address.sin_port) };
+  bb_endpoint_text (t.location, &endpoint);
+  evhttp_set_cb (t.server, "/v1/base", on_base, NULL);
+  evhttp_set_gencb (t.server, on_other, NULL);
+}
+
+static void
+tear_down (void)
+{
+  bb_platform_free (t.platform);
+  if (t.server)
+    evhttp_free (t.server);
+  event_base_free (t.loop);
+  g_rand_free (t.random);
+  g_string_free (t.calls, TRUE);
+  g_string_free (t.requests, TRUE);
+}
+
+static void
+start (enum bb_platform_kind kind, const char *location)
+{
+  t.platform = bb_platform_new (kind, t.loop, location, "north", t.random,
+                                &sink, NULL, NULL);
+  ck_assert_ptr_nonnull (t.platform);
+}
+
+static void
+run_until (const char *awaited)
+{
+  t.awaited = awaited;
+  if (!strstr (t.calls->str, awaited))
+    event_base_dispatch (t.loop);
+}
+
+static const struct
+{
+  const char *guard;
+  struct answer script[5];
+  const char *calls;    /* of the sink */
+  const char *requests; /* values of "after" */
+  uint64_t failures;
+} scripts[] = {
+  { "a document that is not handed over, or asked for again",
+    { { 200, "3", "{a}" } },
+    "0:0:{a} held ",
+    "0 3 ",
+    0 },
+  { "a newer version that is not asked for after the first",
+    { { 200, "3", "{a}" }, { 200, "4", "{b}" } },
+    "0:0:{a} 0:0:{b} held ",
+    "0 3 4 ",
+    0 },
+  { "an answer without change that is taken for a document",
+    { { 304, "3", NULL } },
+    "held ",
+    "0 0 ",
+    0 },
+  { "an error of the service that ends the watch",
+    { { 503, NULL, "busy" }, { 500, NULL, NULL }, { 200, "3", "{a}" } },
+    "0:0:{a} held ",
+    "0 0 0 3 ",
+    2 },
+  { "a document that was cut off and is handed over",
+    { { -1, "3", "{\"a\": " }, { 200, "3", "{a}" } },
+    "0:0:{a} held ",
+    "0 0 3 ",
+    1 },
+  { "a refused document that is asked for again at once, or that hides a "
+    "corrected one with a lower version",
+    { { 200, "9", "{bad}" }, { 304, "9", NULL }, { 200, "3", "{a}" } },
+    "0:4:{bad} 0:0:{a} held ",
+    "0 9 0 3 ",
+    0 },
+};
+
+/* Guards against the failure that each row names.  */
+START_TEST (service_is_followed)
+{
+  t.script = scripts[_i].script;
+  start (BB_PLATFORM_HTTP, t.location);
+  run_until ("held");
+  ck_assert_msg (strcmp (t.calls->str, scripts[_i].calls) == 0, "%s: %s",
+                 scripts[_i].guard, t.calls->str);
+  ck_assert_str_eq (t.requests->str, scripts[_i].requests);
+  ck_assert_uint_eq (t.platform->status.failures, scripts[_i].failures);
+  ck_assert_int_eq (t.platform->status.failed_since, 0);
+}
+END_TEST
+
+static void
+on_time (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  (void)context;
+  event_base_loopbreak (t.loop);
+}
+
+/* Guards against a burst of requests while the service is down or answers
+   each request at once.  The bound is the budget for the time that passed,
+   however long that was.  */
+START_TEST (requests_stay_within_the_budget)
+{
+  static const struct answer failing[100] = { [0 ... 99] = { 503, NULL, "" } };
+  static const struct answer same[100] = { [0 ... 99] = { 304, NULL, NULL } };
+  struct timeval tv = { .tv_sec = 2 };
+  bb_usec began = bb_clock_boot ();
+  t.script = _i ? failing : same;
+  start (BB_PLATFORM_HTTP, t.location);
+  event_base_once (t.loop, -1, EV_TIMEOUT, on_time, NULL, &tv);
+  event_base_dispatch (t.loop);
+  double passed = (double)(bb_clock_boot () - began) / BB_SEC;
+  ck_assert_uint_ge (t.platform->status.reads, 3);
+  ck_assert_double_le ((double)t.platform->status.reads, 6 + 2 * passed);
+}
+END_TEST
+
+/* Guards against an outage that goes unnoticed and against a watch that ends
+   when nothing listens.  */
+START_TEST (refused_connection_is_a_failure)
+{
+  evhttp_free (t.server);
+  t.server = NULL;
+  start (BB_PLATFORM_HTTP, t.location);
+  while (t.platform->status.failures < 4)
+    event_base_loop (t.loop, EVLOOP_ONCE);
+  ck_assert (t.platform->status.failed_since != 0);
+  ck_assert_str_eq (t.calls->str, "");
+}
+END_TEST
+
+/* The directory.  */
+
+static char *
+path_of (const char *directory, const char *name)
+{
+  return g_build_filename (directory, name, NULL);
+}
+
+static void
+append (const char *path, const char *text)
+{
+  int fd = open (path, O_WRONLY | O_CREAT | O_APPEND, 0600);
+  ck_assert_int_eq (write (fd, text, strlen (text)), (int)strlen (text));
+  close (fd);
+}
+
+static void
+remove_all (char *directory)
+{
+  static const char *const names[]
+      = { "base.json", "overlay-north.json", "vms.json" };
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      char *path = path_of (directory, names[i]);
+      g_unlink (path);
+      g_free (path);
+    }
+  g_rmdir (directory);
+  g_free (directory);
+}
+
+/* Guards against a file that is read while it is written and then never
+   again, even if the second half comes within one step of the file system's
+   clock.  */
+START_TEST (half_written_file_is_read_again)
+{
+  char *directory = g_dir_make_tmp ("bb-XXXXXX", NULL);
+  char *path = path_of (directory, "base.json");
+  append (path, "{\"half\": ");
+  start (BB_PLATFORM_DIRECTORY, directory);
+  run_until ("0:4:{\"half\": ");
+  append (path, "1}");
+  run_until ("0:0:{\"half\": 1}");
+  ck_assert_uint_eq (t.absent, 1U << BB_DOCUMENT_OVERLAY);
+  ck_assert (t.platform->status.failed_since != 0); /* no vms.json */
+  g_free (path);
+  remove_all (directory);
+}
+END_TEST
+
+/* Guards against a change that is missed: a file that is replaced, rewritten
+   with the same size, or appears later.  */
+START_TEST (changed_file_is_read)
+{
+  char *directory = g_dir_make_tmp ("bb-XXXXXX", NULL);
+  char *path = path_of (directory, "base.json");
+  char *other = path_of (directory, "overlay-north.json");
+  append (path, "{a}");
+  start (BB_PLATFORM_DIRECTORY, directory);
+  run_until ("0:0:{a}");
+  append (other, "{o}");
+  run_until ("1:0:{o}");
+  g_unlink (path);
+  append (path, "{b}");
+  run_until ("0:0:{b}");
+  g_file_set_contents (path, "{c}", -1, NULL);
+  run_until ("0:0:{c}");
+  g_free (path);
+  g_free (other);
+  remove_all (directory);
+}
+END_TEST
+
+static const struct
+{
+  enum bb_platform_kind kind;
+  const char *location;
+} unusable[] = {
+  { BB_PLATFORM_HTTP, "localhost:80" },
+  { BB_PLATFORM_HTTP, "127.0.0.1" },
+  { BB_PLATFORM_HTTP, "127.0.0.1:0" },
+  { BB_PLATFORM_HTTP, "127.0.0.1:99999" },
+  { BB_PLATFORM_DIRECTORY, "/nowhere" },
+  { BB_PLATFORM_DIRECTORY, "/dev/null" },
+};
+
+/* Guards against a process that starts with a location that can never
+   work.  */
+START_TEST (unusable_location_is_an_error)
+{
+  GError *error = NULL;
+  t.platform
+      = bb_platform_new (unusable[_i].kind, t.loop, unusable[_i].location,
+                         "north", t.random, &sink, NULL, &error);
+  ck_assert_ptr_null (t.platform);
+  ck_assert (g_error_matches (error, BB_ERROR, BB_ERROR_IO));
+  g_error_free (error);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("platform");
+  TCase *c = tcase_create ("sources");
+  tcase_add_checked_fixture (c, set_up, tear_down);
+  tcase_add_loop_test (c, service_is_followed, 0, G_N_ELEMENTS (scripts));
+  tcase_add_loop_test (c, requests_stay_within_the_budget, 0, 2);
+  tcase_add_test (c, refused_connection_is_a_failure);
+  tcase_add_test (c, half_written_file_is_read_again);
+  tcase_add_test (c, changed_file_is_read);
+  tcase_add_loop_test (c, unusable_location_is_an_error, 0,
+                       G_N_ELEMENTS (unusable));
+  suite_add_tcase (s, c);
+  return run_suite (s);
+}
