--- a/runtime/documents.c
+++ b/runtime/documents.c
@@ -372,9 +372,11 @@
   if (d->no_overlay || d->current[BB_DOCUMENT_OVERLAY].version != 0)
     return;
   d->no_overlay = true;
+  const struct held *base = &d->candidate[BB_DOCUMENT_BASE];
   GPtrArray *problems = bb_problems_new ();
-  if (!advance (d, &problems))
-    g_free (report_problems (d, problems));
+  if (!advance (d, &problems) && base->parsed)
+    refuse (d, BB_DOCUMENT_BASE, base->version, base->bytes,
+            report_problems (d, problems));
   g_ptr_array_unref (problems);
 }
 
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -1,5 +1,6 @@
 #include "runtime/platform.h"
 #include "runtime/util.h"
+#include "tests/sockets.h"
 #include "tests/suite.h"
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -7,8 +8,6 @@
 #include <event2/keyvalq_struct.h>
 #include <fcntl.h>
 #include <glib/gstdio.h>
-#include <string.h>
-#include <unistd.h>
 
 /* The platform under test, what it reported, and the service it reads.  */
 static struct
@@ -146,11 +145,8 @@
   t.server = evhttp_new (t.loop);
   struct evhttp_bound_socket *bound
       = evhttp_bind_socket_with_handle (t.server, "127.0.0.1", 0);
-  struct sockaddr_in address;
-  socklen_t size = sizeof address;
-  getsockname (evhttp_bound_socket_get_fd (bound), (struct sockaddr *)&address,
-               &size);
-  struct bb_endpoint endpoint = { 0x7f000001, ntohs (address.sin_port) };
+  struct bb_endpoint endpoint
+      = socket_endpoint (evhttp_bound_socket_get_fd (bound));
   bb_endpoint_text (t.location, &endpoint);
   evhttp_set_cb (t.server, "/v1/base", on_base, NULL);
   evhttp_set_gencb (t.server, on_other, NULL);
