--- a/tests/process_test.c
+++ b/tests/process_test.c
@@ -336,7 +336,7 @@
                             "version_age_us generation phase flows "
                             "flow_capacity peers servers counters attention",
                             " ", -1);
-  struct json_object *status, *value;
+  struct json_object *status, *value = NULL;
   write_document ("base.json", "{\"version\": 5");
   while (!bb_events_next (t.p->events, 0)
          || t.p->platform->status.received_bytes == 0 || get ("/status") != 200
