core: do not count packets that a split's doubt dropped as silence

Cause: an owner that waits for the other half of a split drops the first packets of a flow without an entry; their repetitions looked like a silent server, and the flow was reset. Conclusion: the doubt restarts the flow's count. Random faults are a scenario of the driver now.

--- a/core/silence.c
+++ b/core/silence.c
@@ -175,6 +175,12 @@
   return true;
 }
 
+void
+bb_silence_restart (struct bb_silence *s, uint64_t hash)
+{
+  find_tally (s, hash)->sightings = 0;
+}
+
 void
 bb_silence_progress (struct bb_silence *s, uint32_t service, bb_usec now)
 {
--- a/core/silence.h
+++ b/core/silence.h
@@ -28,6 +28,10 @@
 bool bb_silence_count (struct bb_silence *s, uint64_t hash, uint32_t sequence,
                        bb_usec limit, bb_usec now);
 
+/* Starts the count of the flow HASH anew, because a balancer and not the
+   server left the last packet unanswered.  */
+void bb_silence_restart (struct bb_silence *s, uint64_t hash);
+
 /* Whether flows of SERVICE have progressed within the last LIMIT; a whole
    service that is silent is no reason to reset single flows.  */
 void bb_silence_progress (struct bb_silence *s, uint32_t service, bb_usec now);
--- a/core/steer.c
+++ b/core/steer.c
@@ -214,6 +214,7 @@
     }
   if (c->e->missing_peer && doubtful (c))
     {
+      bb_silence_restart (c->e->silence, c->hash);
       drop (c, BB_DROP_UNCERTAIN);
       return;
     }
--- a/driver/driver.h
+++ b/driver/driver.h
@@ -121,11 +121,11 @@
   uint64_t stuck;       /* flows given up after many tries; also broken */
   uint64_t resets;      /* of silent flows */
   uint64_t resets_wrong;
-  uint64_t lost;           /* packets */
-  uint64_t versions_back;  /* a node's version went down */
-  uint64_t hops_max;       /* of one packet */
-  uint64_t first_broken;   /* flow number + 1 */
-  bb_usec first_broken_at; /* time */
+  uint64_t lost;          /* packets */
+  uint64_t versions_back; /* a node's version went down */
+  uint64_t hops_max;      /* of one packet */
+  uint64_t first_broken;  /* flow number + 1, or wrongly reset */
+  bb_usec first_broken_at;
 };
 
 struct bb_driver;
--- /dev/null
+++ b/driver/scenarios.c
@@ -0,0 +1,202 @@
+#include "driver/scenarios.h"
+#include "driver/private.h"
+
+#define REPAIR_TIME (12 * BB_SEC)
+
+struct bb_driver_options
+bb_scenario_options (uint64_t seed)
+{
+  return (struct bb_driver_options){
+    .seed = seed,
+    .balancers = 6,
+    .servers = 14,
+    .flow_capacity = 20000,
+    .push_bytes = 4096,
+    .policy = BB_POLICY_EVEN,
+    .spill = 100,
+    .idle_s = 86400,
+    .silent_ms = 8000,
+    .latency = 500,
+    .rate = 100,
+    .gap = 3 * BB_SEC,
+    .life = 40 * BB_SEC,
+  };
+}
+
+char *
+bb_scenario_faults (const struct bb_driver *d)
+{
+  const struct bb_driver_result *r = bb_driver_result (d);
+  if (!r->misrouted && !r->duplicated && !r->refused_run && !r->resets_wrong
+      && !r->versions_back && !r->broken && r->opened)
+    return NULL;
+  return g_strdup_printf (
+      "seed %lu: %lu opened, %lu broken (%lu stuck), first %lu at %.3f s, "
+      "%lu misrouted, %lu duplicated, %lu refused though run, %lu reset "
+      "wrongly, %lu versions went back",
+      d->o.seed, r->opened, r->broken, r->stuck, r->first_broken,
+      (double)r->first_broken_at / 1e6, r->misrouted, r->duplicated,
+      r->refused_run, r->resets_wrong, r->versions_back);
+}
+
+void
+bb_scenario_set_drain (struct bb_driver *d, int index, bool drain,
+                       bb_usec spread)
+{
+  struct bb_fleet *f = bb_driver_fleet (d);
+  struct bb_service *s = &f->services[0];
+  for (size_t i = 0; i < s->server_count; i++)
+    if (s->servers[i].key == d->servers[index].key)
+      s->servers[i].drain = drain;
+  d->servers[index].drained = drain;
+  bb_driver_publish (d, f, spread);
+}
+
+void
+bb_scenario_remove (struct bb_driver *d, int index, bb_usec spread)
+{
+  struct bb_fleet *f = bb_driver_fleet (d);
+  struct bb_service *s = &f->services[0];
+  size_t n = 0;
+  for (size_t i = 0; i < s->server_count; i++)
+    if (s->servers[i].key != d->servers[index].key)
+      s->servers[n++] = s->servers[i];
+  s->server_count = n;
+  d->servers[index].drained = true;
+  bb_driver_publish (d, f, spread);
+}
+
+/* Only balancer 0 is told at first, so that the others depend on its bit.  */
+void
+bb_scenario_one_sided (struct bb_driver *d)
+{
+  struct bb_report draining
+      = { .ok = true, .draining = true, .uptime_ms = UINT32_MAX };
+  uint32_t key = d->servers[3].key;
+  for (int i = 0; i < 200; i++)
+    {
+      bb_engine_report (d->nodes[0].engine, key, &draining, d->now);
+      bb_driver_run (d, 50 * BB_MSEC);
+    }
+}
+
+static void
+replace (struct bb_driver *d, int old)
+{
+  int new = (int)d->o.balancers;
+  while (new < BB_DRIVER_NODES - 1 && d->nodes[new].engine)
+    new ++;
+  bb_driver_join (d, new);
+  bb_driver_leave (d, old);
+}
+
+void
+bb_scenario_roll (struct bb_driver *d, int count, bb_usec step)
+{
+  for (int i = 0; i < count; i++)
+    {
+      replace (d, i);
+      bb_driver_run (d, step);
+    }
+}
+
+void
+bb_scenario_roll_drain (struct bb_driver *d, int count, bb_usec step)
+{
+  for (int i = 0; i < count; i++)
+    {
+      bb_scenario_set_drain (d, i % 14, true, 2 * BB_SEC);
+      replace (d, i);
+      bb_driver_run (d, step / 2);
+      bb_scenario_set_drain (d, i % 14, false, 2 * BB_SEC);
+      bb_driver_run (d, step - step / 2);
+    }
+}
+
+static int
+pick (struct bb_driver *d, bool running)
+{
+  for (int tries = 0; tries < 100; tries++)
+    {
+      int i = (int)bb_driver_random (d, BB_DRIVER_NODES);
+      if ((d->nodes[i].engine != NULL) == running
+          && (running || !d->nodes[i].in_fabric))
+        return i;
+    }
+  return -1;
+}
+
+static uint32_t
+running (const struct bb_driver *d)
+{
+  uint32_t n = 0;
+  for (int i = 0; i < BB_DRIVER_NODES; i++)
+    n += d->nodes[i].engine != NULL;
+  return n;
+}
+
+static void
+crash (struct bb_driver *d, bb_usec *repaired)
+{
+  int n = 1 + (int)bb_driver_random (d, 2);
+  if (d->now < *repaired || running (d) < 6)
+    return;
+  *repaired = d->now + REPAIR_TIME;
+  while (n--)
+    {
+      int i = pick (d, true);
+      if (i >= 0)
+        bb_driver_kill (d, i);
+    }
+}
+
+static void
+change_server (struct bb_driver *d)
+{
+  int s = (int)bb_driver_random (d, d->o.servers);
+  bool drain = !d->servers[s].drained && bb_driver_random (d, 2);
+  if (d->fleet_count < BB_DRIVER_VERSIONS - 2)
+    bb_scenario_set_drain (d, s, drain, 2 * BB_SEC);
+}
+
+static void
+random_step (struct bb_driver *d, bb_usec *repaired)
+{
+  int i = pick (d, true);
+  switch (bb_driver_random (d, 6))
+    {
+    case 0:
+      crash (d, repaired);
+      break;
+    case 1:
+      if (running (d) > 4 && d->now > *repaired)
+        bb_driver_leave (d, i);
+      break;
+    case 2:
+      if (d->now > *repaired && running (d) > 4)
+        {
+          bb_usec time = bb_driver_random (d, 10000) * BB_MSEC;
+          bb_driver_pause (d, i, time);
+          *repaired = d->now + time + REPAIR_TIME;
+        }
+      break;
+    case 3:
+      if (running (d) < 9)
+        bb_driver_join (d, pick (d, false));
+      break;
+    default:
+      change_server (d);
+      break;
+    }
+}
+
+void
+bb_scenario_random (struct bb_driver *d, int steps)
+{
+  bb_usec repaired = 0;
+  while (steps--)
+    {
+      random_step (d, &repaired);
+      bb_driver_run (d, bb_driver_random (d, 4000) * BB_MSEC);
+    }
+}
--- a/driver/traffic.c
+++ b/driver/traffic.c
@@ -141,15 +141,21 @@
   f->state = state;
 }
 
+static void
+note_first (struct bb_driver *d, uint32_t i)
+{
+  if (d->result.first_broken)
+    return;
+  d->result.first_broken = i + 1;
+  d->result.first_broken_at = d->now;
+}
+
 void
 bb_driver_break (struct bb_driver *d, uint32_t i)
 {
   bb_driver_close (d, bb_driver_flow (d, i), BB_DRIVER_BROKEN);
-  if (!d->result.broken++)
-    {
-      d->result.first_broken = i + 1;
-      d->result.first_broken_at = d->now;
-    }
+  d->result.broken++;
+  note_first (d, i);
 }
 
 void
@@ -237,7 +243,11 @@
   if (kind == BB_VERDICT_RESET)
     {
       d->result.resets++;
-      d->result.resets_wrong += !f->hung;
+      if (!f->hung)
+        {
+          d->result.resets_wrong++;
+          note_first (d, ev->flow);
+        }
       bb_driver_close (d, f, BB_DRIVER_CLOSED);
     }
   else if (f->server < 0)
