core: a joining balancer waits for pushes made after it is ready

Cause: a balancer became active on push reports that its peers had made before they counted it in, so it owned flows whose entries it did not hold. Misses were also final 3 s after a change although pushes still ran. Conclusion: readiness raises the sequence number that peers acknowledge before the join ends, and misses are passed on while anything is pushed.

--- a/core/engine.c
+++ b/core/engine.c
@@ -210,10 +210,28 @@
   return true;
 }
 
+/* Whether all live peers know this balancer.  A peer that does not would act
+   on its impairment bits without waiting for it.  */
+static bool
+known_to_all (const struct bb_engine *e)
+{
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    {
+      const struct bb_peer *p = &e->peers[i];
+      if (bb_peer_local (e, p) && bb_peer_live (e, p)
+          && p->acknowledged < e->join_sequence)
+        return false;
+    }
+  return true;
+}
+
+/* From now on the peers count this balancer in and push entries.  What they
+   said of their pushes before is void, hence the new sequence number.  */
 static void
 become_ready (struct bb_engine *e, bb_usec now)
 {
   e->ready = true;
+  e->join_sequence = ++e->bits_sequence;
   e->heartbeat_soon = true;
   bb_engine_event (e, BB_EVENT_READY, 0, 0, (uint64_t)(now - e->started));
 }
@@ -232,7 +250,7 @@
       return;
     }
   bool waited = e->first_active && now - e->first_active >= HEAR_GRACE;
-  if (heard_all (e) || waited)
+  if (known_to_all (e) && (heard_all (e) || waited))
     become_ready (e, now);
 }
 
--- a/core/members.c
+++ b/core/members.c
@@ -191,14 +191,14 @@
   bb_push_restart (e);
 }
 
-/* Misses are not final while views may differ or entries are elsewhere.  */
+/* Misses are not final while views may differ, or while entries are still
+   pushed: a balancer that was to push some may have died, so that a new owner
+   lacks them until another one has pushed.  */
 bool
 bb_view_unsettled (const struct bb_engine *e, bb_usec now)
 {
   if (now - e->view_changed < BB_SETTLE_TIME)
     return true;
-  if (!e->view_regained)
-    return false;
   if (!e->push_done)
     return true;
   for (uint32_t i = 0; i < e->peer_count; i++)
