core: push by the view that each entry was replicated under

Cause: entries were pushed to the difference between the present view and the last one for which this balancer had itself pushed. When the balancer that was to push had died before, nobody pushed. Conclusion: the epoch of an entry gives the view under which its replicas were told, or a later one for which all peers had pushed.

--- a/core/members.c
+++ b/core/members.c
@@ -188,6 +188,7 @@
     return;
   e->view_changed = now;
   e->epoch++;
+  e->views[e->epoch % BB_VIEWS] = v;
   bb_push_restart (e);
 }
 
--- a/core/private.h
+++ b/core/private.h
@@ -15,6 +15,7 @@
   BB_MISSING_SLOT = 0x7fff,
   BB_SERVICE_MAX = 1024,
   BB_SHARE_FULL = 1000, /* permille */
+  BB_VIEWS = 32, /* that entries may have been replicated under */
   BB_DOUBT_SIZE = 4096,
   BB_DOUBT_SIGHTINGS = 3, /* of a flow that the other half may know */
 };
@@ -236,8 +237,9 @@
   struct bb_peer peers[BB_PEER_MAX];
   uint32_t peer_count;
   struct bb_view view;   /* in force */
-  struct bb_view synced; /* the entries were pushed for this view */
+  struct bb_view views[BB_VIEWS]; /* the last ones, by epoch */
   uint8_t epoch;
+  uint8_t synced; /* last epoch for which all peers had pushed */
   bb_usec view_changed;
   bb_usec view_regained; /* a lost peer came back, entries may be elsewhere */
   bb_usec first_active;  /* an active peer was heard */
--- a/core/push.c
+++ b/core/push.c
@@ -5,6 +5,7 @@
 
 #define ENTRY_BYTES 20 /* of one entry in a message */
 #define RESEND_AFTER (1000 * BB_MSEC)
+#define SYNC_TIME (BB_SUSPECT_AFTER + BB_HEARTBEAT_INTERVAL)
 #define SCAN_PLACES 20000 /* of the table in one tick */
 
 void
@@ -23,16 +24,32 @@
   return false;
 }
 
+/* The replicas that were last told of F: under the view in which they were, or
+   under a later one for which all entries were pushed.  None when that is too
+   long ago.  Returns the view that ORDER is of.  */
+static const struct bb_view *
+told_replicas (const struct bb_engine *e, const struct bb_flow *f,
+               struct bb_order *order)
+{
+  uint8_t age
+      = MIN ((uint8_t)(e->epoch - f->epoch), (uint8_t)(e->epoch - e->synced));
+  const struct bb_view *v = &e->views[(uint8_t)(e->epoch - age) % BB_VIEWS];
+  order->count = 0;
+  if (age < BB_VIEWS)
+    bb_order_replicas (v, f->hash, order);
+  return v;
+}
+
 /* Whether this balancer is the one that pushes: the first of the new replicas
    that was a replica before, or any holder when there is none.  */
 static bool
 responsible (const struct bb_engine *e, const struct bb_order *new,
-             const struct bb_order *old)
+             const struct bb_order *old, const struct bb_view *old_view)
 {
   for (uint32_t i = 0; i < new->count; i++)
     {
       uint32_t id = e->view.ids[new->members[i]];
-      if (holds (old, &e->synced, id))
+      if (holds (old, old_view, id))
         return id == e->options.self.id;
     }
   return true;
@@ -80,15 +97,15 @@
 {
   struct bb_order new, old;
   bb_order_replicas (&e->view, f->hash, &new);
-  bb_order_replicas (&e->synced, f->hash, &old);
-  if (!responsible (e, &new, &old))
+  const struct bb_view *old_view = told_replicas (e, f, &old);
+  if (!responsible (e, &new, &old, old_view))
     return true;
   struct bb_peer *to[BB_HOPS_MAX];
   uint32_t n = 0;
   for (uint32_t i = 0; i < new.count; i++)
     {
       uint32_t id = e->view.ids[new.members[i]];
-      if (id == e->options.self.id || holds (&old, &e->synced, id))
+      if (id == e->options.self.id || holds (&old, old_view, id))
         continue;
       struct bb_peer *p = bb_peer_find (e, id);
       if (!p)
@@ -141,6 +158,21 @@
     }
 }
 
+/* Whether all live peers have pushed what the present view needs.  What a
+   peer reported before it knew the view is overtaken within SYNC_TIME, and one
+   that dies before its push is done is suspected by then.  */
+static bool
+all_pushed (const struct bb_engine *e, bb_usec now)
+{
+  if (now - e->view_changed < SYNC_TIME)
+    return false;
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    if (bb_peer_local (e, &e->peers[i]) && bb_peer_live (e, &e->peers[i])
+        && !e->peers[i].pushed)
+      return false;
+  return true;
+}
+
 void
 bb_push_tick (struct bb_engine *e, bb_usec now, bb_usec elapsed)
 {
@@ -148,13 +180,16 @@
   e->push_credit += rate * elapsed / BB_SEC;
   e->push_credit = MIN (e->push_credit, rate);
   if (e->push_done)
-    return;
+    {
+      if (e->synced != e->epoch && all_pushed (e, now))
+        e->synced = e->epoch;
+      return;
+    }
   scan (e);
   flush (e, now);
   if (e->push_hand < e->flows.size || !boxes_empty (e))
     return;
   e->push_done = true;
-  e->synced = e->view;
   e->heartbeat_soon = true;
   bb_engine_event (e, BB_EVENT_PUSH_DONE, 0, 0, e->flows.used);
 }
