core: forget what a restarted balancer was told

Cause: a balancer that restarts under its VM id before it is suspected counted as a holder of entries that its earlier process had. Conclusion: a new incarnation is taken out of the views kept for the push.

--- a/core/heartbeat.c
+++ b/core/heartbeat.c
@@ -149,10 +149,13 @@
 
 /* A restarted peer has forgotten all that was said to it.  */
 static void
-note_incarnation (struct bb_peer *p, uint64_t incarnation)
+note_incarnation (struct bb_engine *e, struct bb_peer *p, uint64_t incarnation,
+                  bb_usec now)
 {
   if (p->incarnation == incarnation)
     return;
+  if (p->incarnation)
+    bb_view_forget (e, p->vm.id, now);
   p->incarnation = incarnation;
   p->bits_sequence = 0;
   p->acknowledged = 0;
@@ -223,7 +226,7 @@
 {
   if (h->incarnation < p->incarnation)
     return; /* a delayed message of an earlier process */
-  note_incarnation (p, h->incarnation);
+  note_incarnation (e, p, h->incarnation, now);
   if (h->bits_sequence < p->bits_sequence)
     return; /* overtaken by a later heartbeat */
   p->heard_at = now;
--- a/core/members.c
+++ b/core/members.c
@@ -192,6 +192,29 @@
   bb_push_restart (e);
 }
 
+static void
+view_remove (struct bb_view *v, uint32_t id)
+{
+  int i = view_index (v, id);
+  if (i < 0)
+    return;
+  v->count--;
+  v->ids[i] = v->ids[v->count];
+  v->joining[i] = v->joining[v->count];
+  v->peers[i] = v->peers[v->count];
+}
+
+/* The process ID was restarted and holds none of the entries that it was
+   told before.  */
+void
+bb_view_forget (struct bb_engine *e, uint32_t id, bb_usec now)
+{
+  for (int i = 0; i < BB_VIEWS; i++)
+    view_remove (&e->views[i], id);
+  view_remove (&e->view, id);
+  bb_view_rebuild (e, now);
+}
+
 /* Misses are not final while views may differ, or while entries are still
    pushed: a balancer that was to push some may have died, so that a new owner
    lacks them until another one has pushed.  */
--- a/core/private.h
+++ b/core/private.h
@@ -327,6 +327,7 @@
 bool bb_peer_live (const struct bb_engine *e, const struct bb_peer *p);
 void bb_members_tick (struct bb_engine *e, bb_usec now);
 void bb_view_rebuild (struct bb_engine *e, bb_usec now);
+void bb_view_forget (struct bb_engine *e, uint32_t id, bb_usec now);
 uint32_t bb_members_digest (const struct bb_engine *e);
 bool bb_view_unsettled (const struct bb_engine *e, bb_usec now);
 
