--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
   $(filter-out standins/common.c, $(wildcard standins/*.c)))
 TESTS = $(patsubst tests/%.c, $(BUILD)/tests/%, $(wildcard tests/*_test.c))
 BENCHES = $(patsubst bench/%.c, $(BUILD)/bench/%, \
-  $(filter-out bench/common.c, $(wildcard bench/*.c)))
+  $(filter-out bench/common%, $(wildcard bench/*.c)))
 ALL_C = $(shell git ls-files --cached --others --exclude-standard '*.c' '*.h')
 
 .PHONY: all deps demo check check-format check-lint check-tests check-sanitize \
@@ -63,7 +63,7 @@
 	@mkdir -p $(@D)
 	$(link)
 
-BENCH_COMMON = $(call objects, $(wildcard bench/common.c))
+BENCH_COMMON = $(call objects, $(wildcard bench/common*.c))
 $(BUILD)/bench/%: $(BUILD)/bench/%.o $(BENCH_COMMON) $(LIBS)
 	@mkdir -p $(@D)
 	$(link)
--- /dev/null
+++ b/bench/common.h
@@ -0,0 +1,50 @@
+/* What the measuring programs share: result lines, packets, clocks.  */
+
+#ifndef BB_BENCH_COMMON_H
+#define BB_BENCH_COMMON_H
+
+#include "core/engine.h"
+
+struct bench_target
+{
+  const char *name;
+  const char *unit;
+  const char *op; /* ">=" or "<=" */
+  double bound;
+};
+
+/* Prints "measure NAME VALUE UNIT target OP BOUND pass|fail" and returns
+   whether VALUE met the bound.  */
+bool bench_print_measure (const struct bench_target *target, double value);
+
+/* Seconds of the monotonic clock, and of the thread's processor time.  */
+double bench_clock_wall (void);
+double bench_clock_thread (void);
+
+/* Sorts VALUES.  COUNT is at least 1.  */
+double bench_find_median (double *values, size_t count);
+
+enum
+{
+  BENCH_PACKET_MAX = 128,
+};
+
+/* Writes a GUE packet with an IPv4/TCP packet of flow number FLOW to SERVICE
+   with PAYLOAD bytes and returns its length.  DATA has room for
+   BENCH_PACKET_MAX bytes.  */
+size_t bench_write_packet (uint8_t *data, uint32_t flow,
+                           const struct bb_endpoint *service,
+                           uint8_t tcp_flags, uint16_t payload);
+
+/* A fleet of SERVICES services with SERVERS backend servers each, without
+   health checks.  Freed with bb_fleet_free.  */
+struct bb_fleet *bench_make_fleet (size_t services, size_t servers,
+                                   enum bb_policy_kind policy);
+
+/* Least prime that the design allows as the number of buckets for COUNT
+   servers.  */
+uint32_t bench_find_buckets (size_t count);
+
+/* A sink for an engine whose actions are not looked at.  */
+extern const struct bb_sink bench_sink;
+#endif
--- /dev/null
+++ b/bench/common_traffic.h
@@ -0,0 +1,51 @@
+/* Loopback traffic for bench/forward.c: a load generator, a counting sink and
+   the plain relay that the data path is compared with.  Each runs in a thread
+   of its own until its STOP is set.  */
+
+#ifndef BB_BENCH_COMMON_TRAFFIC_H
+#define BB_BENCH_COMMON_TRAFFIC_H
+
+#include "core/core.h"
+#include <netinet/in.h>
+
+enum
+{
+  TRAFFIC_BATCH = 64, /* datagrams of one call */
+  TRAFFIC_FLOWS = 1024,
+  TRAFFIC_PAYLOAD = 16,  /* bytes of TCP payload */
+  TRAFFIC_WAIT_MS = 100, /* longest wait of a receiver for a datagram */
+};
+
+/* Returns a UDP socket on a free port of the loopback interface, whose address
+   is written to ADDRESS.  Exits on failure.  */
+int traffic_open_socket (struct sockaddr_in *address);
+
+struct traffic_generator
+{
+  int fd;
+  struct bb_endpoint service;
+  /* May be changed while IDLE is true.  */
+  struct sockaddr_in to;
+  _Atomic bool running;
+  _Atomic bool idle;
+  _Atomic bool stop;
+};
+void *traffic_run_generator (void *generator);
+
+struct traffic_sink
+{
+  int fd;
+  _Atomic uint64_t packets;
+  _Atomic bool stop;
+};
+void *traffic_run_sink (void *sink);
+
+/* Forwards each datagram unchanged from FD to TO.  */
+struct traffic_relay
+{
+  int fd;
+  struct sockaddr_in to;
+  _Atomic bool stop;
+};
+void *traffic_run_relay (void *relay);
+#endif
