--- a/core/packet.c
+++ b/core/packet.c
@@ -63,12 +63,11 @@
 enum bb_drop
 bb_packet_parse (const uint8_t *data, size_t length, struct bb_packet *packet)
 {
-  if (length < 1)
-    return BB_DROP_TRUNCATED;
+  if (length < IPV4_HEADER_MIN)
+    return length > 0 && data[0] >> 4 != 4 ? BB_DROP_NOT_IPV4
+                                           : BB_DROP_TRUNCATED;
   if (data[0] >> 4 != 4)
     return BB_DROP_NOT_IPV4;
-  if (length < IPV4_HEADER_MIN)
-    return BB_DROP_TRUNCATED;
   size_t header = (size_t)(data[0] & 15) * 4;
   size_t total = load16 (data + 2);
   if (header < IPV4_HEADER_MIN || header > total || total > length)
--- a/core/private.h
+++ b/core/private.h
@@ -96,6 +96,9 @@
   bb_usec head_since; /* head last changed */
   bb_usec skipped;    /* an older flow could not be recorded; 0: never */
   bool limited; /* some server is near its limit: record all placements */
+  /* When a caller last sent anything new.  While a whole service is silent, a
+     reset would help no caller.  */
+  bb_usec progressed;
   const struct bb_policy *policy;
 };
 
--- a/core/silence.c
+++ b/core/silence.c
@@ -3,7 +3,6 @@
 enum
 {
   WAYS = 4,
-  SERVICE_SETS = 256, /* 1024 services; one that is evicted is not reset */
 };
 
 /* Copies of a packet that the fabric duplicated or reordered are not
@@ -37,20 +36,12 @@
   bb_usec last;
 };
 
-struct progress
-{
-  uint32_t service;
-  bool used;
-  bb_usec at;
-};
-
 struct bb_silence
 {
   uint32_t set_mask;
   uint32_t tally_mask;
   struct sighting (*sightings)[WAYS];
   struct tally (*tallies)[WAYS];
-  struct progress services[SERVICE_SETS][WAYS];
 };
 
 static uint32_t
@@ -174,32 +165,3 @@
   t->sightings = 0;
   return true;
 }
-
-void
-bb_silence_progress (struct bb_silence *s, uint32_t service, bb_usec now)
-{
-  struct progress *set = s->services[service % SERVICE_SETS];
-  struct progress *place = &set[0];
-  for (int i = 0; i < WAYS; i++)
-    {
-      if (set[i].used && set[i].service == service)
-        {
-          set[i].at = now;
-          return;
-        }
-      if (place->used && (!set[i].used || set[i].at < place->at))
-        place = &set[i];
-    }
-  *place = (struct progress){ service, true, now };
-}
-
-bool
-bb_silence_progressed (const struct bb_silence *s, uint32_t service,
-                       bb_usec limit, bb_usec now)
-{
-  const struct progress *set = s->services[service % SERVICE_SETS];
-  for (int i = 0; i < WAYS; i++)
-    if (set[i].used && set[i].service == service)
-      return now - set[i].at <= limit;
-  return false;
-}
--- a/core/silence.h
+++ b/core/silence.h
@@ -27,10 +27,4 @@
    count anew.  LIMIT 0: never.  */
 bool bb_silence_count (struct bb_silence *s, uint64_t hash, uint32_t sequence,
                        bb_usec limit, bb_usec now);
-
-/* Whether flows of SERVICE have progressed within the last LIMIT; a whole
-   service that is silent is no reason to reset single flows.  */
-void bb_silence_progress (struct bb_silence *s, uint32_t service, bb_usec now);
-bool bb_silence_progressed (const struct bb_silence *s, uint32_t service,
-                            bb_usec limit, bb_usec now);
 #endif
--- a/core/slots.c
+++ b/core/slots.c
@@ -89,9 +89,11 @@
 static struct bb_service_address *
 address_place (struct bb_engine *e, uint64_t key)
 {
-  uint32_t i = (uint32_t)(XXH3_64bits (&key, sizeof key)
-                          % G_N_ELEMENTS (e->addresses));
-  while (e->addresses[i].used && e->addresses[i].key != key)
+  /* Multiplicative hashing: operators choose the addresses, callers do not,
+     and this runs for each packet.  */
+  uint32_t i = (uint32_t)((key * 0x9e3779b97f4a7c15U) >> 32);
+  i %= (uint32_t)G_N_ELEMENTS (e->addresses);
+  while (e->addresses[i].key != key && e->addresses[i].used)
     i = (i + 1) % (uint32_t)G_N_ELEMENTS (e->addresses);
   return &e->addresses[i];
 }
--- a/core/steer.c
+++ b/core/steer.c
@@ -405,7 +405,7 @@
       return true;
     }
   if (!bb_silence_count (e->silence, c->hash, c->p->sequence, limit, c->now)
-      || !bb_silence_progressed (e->silence, c->s->conf.key, limit, c->now))
+      || c->now - c->s->progressed > limit)
     return false;
   struct bb_flow *f = bb_flows_find (&e->flows, c->hash);
   uint16_t slot = f ? f->slot : base_of (c);
@@ -430,7 +430,7 @@
     return false;
   if (bb_silence_sight (e->silence, c->hash, c->p->sequence, c->now))
     return true;
-  bb_silence_progress (e->silence, c->s->conf.key, c->now);
+  c->s->progressed = c->now;
   return false;
 }
 
--- a/wire/gue.c
+++ b/wire/gue.c
@@ -81,6 +81,12 @@
   *handed = false;
   if (length < BB_GUE_HEADER)
     return BB_DROP_TRUNCATED;
+  if (get32 (data) == BB_GUE_PROTO_IPV4 << 16)
+    {
+      /* As the fabric sends it: no private data, no flags.  */
+      *header = BB_GUE_HEADER;
+      return BB_DROP_NONE;
+    }
   if (data[0] >> GUE_VERSION_SHIFT != 0)
     return BB_DROP_GUE_VERSION;
   if (data[0] & GUE_CONTROL || get16 (data + 2) != 0)
