--- a/core/private.h
+++ b/core/private.h
@@ -15,7 +15,7 @@
   BB_MISSING_SLOT = 0x7fff,
   BB_SERVICE_MAX = 1024,
   BB_SHARE_FULL = 1000, /* permille */
-  BB_VIEWS = 32, /* that entries may have been replicated under */
+  BB_VIEWS = 32,        /* that entries may have been replicated under */
   BB_DOUBT_SIZE = 4096,
   BB_DOUBT_SIGHTINGS = 3, /* of a flow that the other half may know */
 };
@@ -97,6 +97,9 @@
   bb_usec head_since; /* head last changed */
   bb_usec skipped;    /* an older flow could not be recorded; 0: never */
   bool limited; /* some server is near its limit: record all placements */
+  /* When a caller last sent anything new.  While a whole service is silent, a
+     reset would help no caller.  */
+  bb_usec progressed;
   const struct bb_policy *policy;
 };
 
@@ -158,6 +161,20 @@
   struct bb_outbox outbox;
 };
 
+enum
+{
+  BB_PARTITIONS = 4096, /* of the flows, by 12 bits of the hash */
+  BB_NO_OWNER = 0xff,
+};
+
+/* First members of the rendezvous order of one partition.  */
+struct bb_order
+{
+  uint8_t owner; /* the first active member, or BB_NO_OWNER */
+  uint8_t count;
+  uint8_t members[BB_HOPS_MAX]; /* indices into the view */
+};
+
 /* Members that hold entries, in no order.  */
 struct bb_view
 {
@@ -165,13 +182,7 @@
   bool joining[BB_PEER_MAX];
   uint8_t peers[BB_PEER_MAX]; /* index of the peer; BB_PEER_MAX: self */
   uint32_t count;
-};
-
-/* An ordered set of replicas of one flow.  */
-struct bb_order
-{
-  uint8_t members[BB_PEER_MAX]; /* indices into the view */
-  uint32_t count;
+  struct bb_order orders[BB_PARTITIONS];
 };
 
 struct bb_fetch
@@ -236,7 +247,7 @@
 
   struct bb_peer peers[BB_PEER_MAX];
   uint32_t peer_count;
-  struct bb_view view;   /* in force */
+  struct bb_view view;            /* in force */
   struct bb_view views[BB_VIEWS]; /* the last ones, by epoch */
   uint8_t epoch;
   uint8_t synced; /* last epoch for which all peers had pushed */
@@ -336,11 +347,12 @@
 {
   BB_SELF = BB_PEER_MAX
 };
-/* First active members of VIEW for HASH: the members that hold its entry,
-   joining ones included; at most BB_REPLICAS active ones and
-   BB_HOPS_MAX in all.  */
-void bb_order_replicas (const struct bb_view *view, uint64_t hash,
-                        struct bb_order *order);
+/* Computes the orders of VIEW from its other fields.  */
+void bb_order_fill (struct bb_view *view);
+/* First members of VIEW for HASH: the members that hold its entry, joining
+   ones included; at most BB_REPLICAS active ones and BB_HOPS_MAX in all.  */
+const struct bb_order *bb_order_replicas (const struct bb_view *view,
+                                          uint64_t hash);
 /* Index into the view of the owner of HASH, or -1.  */
 int bb_order_owner (const struct bb_view *view, uint64_t hash);
 
--- a/core/push.c
+++ b/core/push.c
@@ -29,14 +29,13 @@
    long ago.  Returns the view that ORDER is of.  */
 static const struct bb_view *
 told_replicas (const struct bb_engine *e, const struct bb_flow *f,
-               struct bb_order *order)
+               const struct bb_order **order)
 {
+  static const struct bb_order none;
   uint8_t age
       = MIN ((uint8_t)(e->epoch - f->epoch), (uint8_t)(e->epoch - e->synced));
   const struct bb_view *v = &e->views[(uint8_t)(e->epoch - age) % BB_VIEWS];
-  order->count = 0;
-  if (age < BB_VIEWS)
-    bb_order_replicas (v, f->hash, order);
+  *order = age < BB_VIEWS ? bb_order_replicas (v, f->hash) : &none;
   return v;
 }
 
@@ -95,17 +94,17 @@
 static bool
 push_entry (struct bb_engine *e, const struct bb_flow *f)
 {
-  struct bb_order new, old;
-  bb_order_replicas (&e->view, f->hash, &new);
+  const struct bb_order *new = bb_order_replicas (&e->view, f->hash);
+  const struct bb_order *old;
   const struct bb_view *old_view = told_replicas (e, f, &old);
-  if (!responsible (e, &new, &old, old_view))
+  if (!responsible (e, new, old, old_view))
     return true;
   struct bb_peer *to[BB_HOPS_MAX];
   uint32_t n = 0;
-  for (uint32_t i = 0; i < new.count; i++)
+  for (uint32_t i = 0; i < new->count; i++)
     {
-      uint32_t id = e->view.ids[new.members[i]];
-      if (id == e->options.self.id || holds (&old, old_view, id))
+      uint32_t id = e->view.ids[new->members[i]];
+      if (id == e->options.self.id || holds (old, old_view, id))
         continue;
       struct bb_peer *p = bb_peer_find (e, id);
       if (!p)
