runtime: connect to peers from the VM's own address

Peers admit messages by their source address. Without a bound source the system chose another local one, so a balancer that joined without the platform refused all 136 messages of its peers and never got a configuration, and peers disagreed about who was live: 8 of 480 flows broke within 5 s of start.

--- a/runtime/peers.c
+++ b/runtime/peers.c
@@ -175,6 +175,20 @@
   g_free (link);
 }
 
+/* Connections come from the VM's own address: peers admit messages by their
+   source, and the system may choose another one.  */
+static void
+format_link (const struct bb_peers *peers, const struct bb_endpoint *control,
+             char *url, size_t size)
+{
+  struct bb_endpoint source = {
+    .address = peers->process->settings->self.control.address,
+  };
+  char from[BB_ENDPOINT_TEXT], to[BB_ENDPOINT_TEXT];
+  g_snprintf (url, size, "tcp://%s;%s", bb_endpoint_text (from, &source),
+              bb_endpoint_text (to, control));
+}
+
 static struct link *
 get_link (struct bb_peers *peers, const struct bb_endpoint *control,
           bb_usec now)
@@ -188,8 +202,8 @@
     }
   if (g_hash_table_size (peers->links) >= LINKS_MAX)
     return NULL;
-  char text[BB_ENDPOINT_TEXT], url[BB_ENDPOINT_TEXT + 8];
-  g_snprintf (url, sizeof url, "tcp://%s", bb_endpoint_text (text, control));
+  char url[2 * BB_ENDPOINT_TEXT + 8];
+  format_link (peers, control, url, sizeof url);
   void *socket = zmq_socket (peers->context, ZMQ_DEALER);
   if (!socket)
     return NULL;
