--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -124,3 +124,12 @@
 choose_net
 choose_port gue_port
 choose_port health_port
+
+# Prints the status line and the body of an answer, without white space.
+http_get () # ADDRESS PORT PATH
+{
+  exec 3<>"/dev/tcp/$1/$2" || return 1
+  printf 'GET %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n' "$3" >&3
+  tr -d ' \r\n' <&3
+  exec 3>&-
+}
