Keep established flows through changes of seed, buckets, weights and services

Cause: the base table was made from the weights, bucket count and hash seed of the configuration in force, so a change of any of them moved flows that have no entry; a fresh balancer took the new bucket count while the others kept the old one; a service added later had no base set at all, so its untracked flows followed every change of its servers. Now seed, bucket counts, base weights and the version with which a service's base set began are fixed when it is formed and travel with it; of two base sets of a service the one of the lower version wins.

--- a/bench/instructions.c
+++ b/bench/instructions.c
@@ -95,7 +95,7 @@
 static bool
 is_tracked (struct bench_engine *b, const uint8_t *data, size_t length)
 {
-  struct bb_packet packet;
+  struct bb_packet packet = { .source = 0 };
   struct bb_handover handover;
   struct bb_explanation x;
   size_t header;
--- a/core/baseset.c
+++ b/core/baseset.c
@@ -15,8 +15,9 @@
   for (uint32_t i = 0; i < e->slot_count; i++)
     {
       const struct bb_slot *t = &e->slots[i];
-      if (target ? t->in_target : t->in_base)
-        d ^= (uint32_t)bb_hash_score (t->key, t->weight);
+      uint16_t weight = target ? t->target_weight : t->base_weight;
+      if (weight)
+        d ^= (uint32_t)bb_hash_score (t->key, weight);
     }
   return d;
 }
@@ -40,14 +41,37 @@
                    (uint64_t)e->generation * 4 + e->phase);
 }
 
+/* Forms the base set of each listed service that has none from its listed
+   servers.  Balancers may form it with different versions; the lowest one
+   wins when they meet.  */
 void
-bb_base_bootstrap (struct bb_engine *e, bb_usec now)
+bb_base_form (struct bb_engine *e)
 {
+  bool *new = g_new0 (bool, e->service_count + 1);
+  for (uint32_t i = 0; i < e->service_count; i++)
+    {
+      struct bb_service_state *s = &e->services[i];
+      new[i] = s->listed && !s->formed;
+      if (new[i])
+        s->formed = e->fleet->base_version + e->fleet->overlay_version;
+    }
   for (uint32_t i = 0; i < e->slot_count; i++)
-    e->slots[i].in_base = e->slots[i].listed;
+    {
+      struct bb_slot *t = &e->slots[i];
+      if (new[t->service])
+        t->base_weight = t->listed ? t->weight : 0;
+    }
+  g_free (new);
+  e->base_digest = digest (e, false);
+}
+
+void
+bb_base_bootstrap (struct bb_engine *e, bb_usec now)
+{
   e->origin = e->options.incarnation;
   e->generation = 1;
   e->phase = BB_PHASE_SETTLED;
+  bb_base_form (e);
   changed (e, now);
 }
 
@@ -64,17 +88,20 @@
       const struct bb_slot *t = &e->slots[i];
       if (!t->gue.address)
         continue;
+      const struct bb_service_state *s = &e->services[t->service];
       m[n++] = (struct bb_set_member){ .service = t->service_key,
                                        .server = t->key,
                                        .gue = t->gue,
-                                       .weight = t->weight,
-                                       .in_base = t->in_base,
-                                       .in_target = t->in_target };
+                                       .base_weight = t->base_weight,
+                                       .target_weight = t->target_weight,
+                                       .buckets = s->buckets,
+                                       .formed = s->formed };
     }
   struct bb_message message
       = { .kind = BB_MESSAGE_BASE_SET,
           .from = e->options.self.id,
           .u.base_set = { .origin = e->origin,
+                          .hash_seed = e->hash_seed,
                           .generation = e->generation,
                           .phase = e->phase,
                           .digest = bb_base_visible_digest (e),
@@ -89,34 +116,52 @@
 learn_server (struct bb_engine *e, const struct bb_set_member *m, bb_usec now)
 {
   struct bb_slot *t = bb_slot_get (e, m->service, m->server, now);
-  if (!t || t->listed)
-    return;
-  t->gue = m->gue;
-  if (m->in_base || m->in_target)
-    t->weight = MAX (m->weight, 1);
+  if (t && !t->listed)
+    t->gue = m->gue;
 }
 
 static void
-take_sets (struct bb_engine *e, const struct bb_base_set *b, bool base,
-           bool target)
+take_target (struct bb_engine *e, const struct bb_base_set *b)
 {
   for (uint32_t i = 0; i < e->slot_count; i++)
+    e->slots[i].target_weight = 0;
+  for (size_t i = 0; i < b->member_count; i++)
     {
-      if (base)
-        e->slots[i].in_base = false;
-      if (target)
-        e->slots[i].in_target = false;
+      struct bb_slot *t = bb_slot_find (e, b->members[i].server);
+      if (t)
+        t->target_weight = b->members[i].target_weight;
     }
+}
+
+/* Takes the base sets of the services that B formed with a lower version, or
+   all that it has.  Returns whether there was one.  */
+static bool
+take_base (struct bb_engine *e, const struct bb_base_set *b, bool all)
+{
+  bool *taken = g_new0 (bool, BB_SERVICE_MAX);
+  bool any = false;
   for (size_t i = 0; i < b->member_count; i++)
     {
-      struct bb_slot *t = bb_slot_find (e, b->members[i].server);
-      if (!t)
+      const struct bb_set_member *m = &b->members[i];
+      struct bb_service_state *s = bb_service_find (e, m->service);
+      if (!s || !m->formed || !m->buckets)
+        continue;
+      uint32_t index = (uint32_t)(s - e->services);
+      if (!taken[index] && !all && s->formed && m->formed >= s->formed)
         continue;
-      if (base)
-        t->in_base = b->members[i].in_base;
-      if (target)
-        t->in_target = b->members[i].in_target;
+      if (!taken[index])
+        for (uint32_t k = 0; k < e->slot_count; k++)
+          if (e->slots[k].service == index)
+            e->slots[k].base_weight = 0;
+      taken[index] = any = true;
+      s->formed = m->formed;
+      s->buckets = m->buckets;
+      struct bb_slot *t = bb_slot_find (e, m->server);
+      if (t)
+        t->base_weight = m->base_weight;
     }
+  g_free (taken);
+  return any;
 }
 
 /* Takes over a whole state: after a start, or when an older origin shows that
@@ -126,8 +171,12 @@
 {
   if (e->generation)
     bb_engine_event (e, BB_EVENT_BASE_CONFLICT, 0, 0, b->origin);
-  take_sets (e, b, true, true);
+  take_base (e, b, true);
+  take_target (e, b);
+  if (e->fleet)
+    bb_base_form (e);
   e->origin = b->origin;
+  e->hash_seed = b->hash_seed;
   e->generation = b->generation;
   e->phase = b->phase;
   changed (e, now);
@@ -138,8 +187,8 @@
 {
   for (uint32_t i = 0; i < e->slot_count; i++)
     {
-      e->slots[i].in_base = e->slots[i].in_target;
-      e->slots[i].in_target = false;
+      e->slots[i].base_weight = e->slots[i].target_weight;
+      e->slots[i].target_weight = 0;
     }
   e->generation++;
   e->phase = BB_PHASE_SETTLED;
@@ -182,11 +231,16 @@
       adopt (e, b, now);
       return;
     }
+  if (same && theirs == mine && take_base (e, b, false))
+    {
+      changed (e, now);
+      return;
+    }
   if (!same || theirs != mine + 1)
     return;
   if (e->phase == BB_PHASE_SETTLED && !skipped_any (e, now))
     {
-      take_sets (e, b, false, true);
+      take_target (e, b);
       e->phase = BB_PHASE_PREPARE;
       changed (e, now);
     }
@@ -242,8 +296,8 @@
     {
       struct bb_slot *t = &e->slots[i];
       bool follow = may_follow (&e->services[t->service], now);
-      t->in_target = follow ? t->listed : t->in_base;
-      differs |= t->in_target != t->in_base;
+      t->target_weight = follow ? (t->listed ? t->weight : 0) : t->base_weight;
+      differs |= t->target_weight != t->base_weight;
     }
   if (!differs)
     return;
--- a/core/core.h
+++ b/core/core.h
@@ -22,6 +22,7 @@
   BB_REPLICAS = 3,  /* balancers that hold an entry of a tracked flow */
   BB_HOPS_MAX = 4,  /* hand-overs of one packet between balancers */
   BB_BUCKETS_DEFAULT = 4093,
+  BB_BUCKETS_MAX = 1048573,
   BB_ENTRIES_PER_MESSAGE = 50,
   BB_DOCUMENT_MAX = 1 << 20, /* bytes of one configuration document */
   BB_CHUNK_MAX = 16384,      /* bytes of a document in one message */
@@ -375,15 +376,17 @@
   uint32_t service; /* key */
   uint32_t server;  /* key */
   struct bb_endpoint gue;
-  uint16_t weight;
-  bool in_base;   /* of the base set in force */
-  bool in_target; /* of the base set being prepared */
+  uint16_t base_weight;   /* in the base set in force, 0: not in it */
+  uint16_t target_weight; /* in the one being prepared, 0: not in it */
+  uint32_t buckets;       /* of the service */
+  uint64_t formed;        /* version with which its base set began */
 };
 
 struct bb_base_set
 {
   uint64_t origin; /* wall clock of the first generation, microseconds; of
                       two different base sets the older origin wins */
+  uint64_t hash_seed;
   uint32_t generation;
   enum bb_phase phase;
   uint32_t digest;
--- a/core/private.h
+++ b/core/private.h
@@ -36,11 +36,11 @@
   struct bb_endpoint gue;
   struct bb_endpoint health_endpoint;
   uint32_t connection_limit;
-  bool listed;  /* in the configuration in force */
-  bool drain;   /* by configuration */
-  bool leaving; /* by the VM list */
-  bool in_base;
-  bool in_target;
+  bool listed;            /* in the configuration in force */
+  bool drain;             /* by configuration */
+  bool leaving;           /* by the VM list */
+  uint16_t base_weight;   /* in the base set, 0: not in it */
+  uint16_t target_weight; /* in the base set being prepared */
   bb_usec listed_since;
   bb_usec unlisted_since;
   struct bb_health health;
@@ -82,7 +82,8 @@
 {
   struct bb_service conf; /* without servers */
   bool listed;
-  uint32_t buckets;
+  uint32_t buckets;   /* fixed once the base set was formed */
+  uint32_t allocated; /* places of the tables */
   uint32_t spill_buckets;
   uint16_t *base;   /* slot of each bucket */
   uint16_t *target; /* of the base set being prepared, or NULL */
@@ -95,6 +96,7 @@
   bool uniform; /* all weights are equal */
   bool panic;
   bb_usec head_since; /* head last changed */
+  uint64_t formed;    /* version with which its base set began, 0: none */
   bb_usec skipped;    /* an older flow could not be recorded; 0: never */
   bool limited; /* some server is near its limit: record all placements */
   /* When a caller last sent anything new.  While a whole service is silent, a
@@ -286,6 +288,7 @@
 
   /* base set */
   uint64_t origin;
+  uint64_t hash_seed; /* as of the origin */
   uint32_t generation;
   enum bb_phase phase;
   uint32_t base_digest;
@@ -373,6 +376,7 @@
 void bb_documents_clear (struct bb_engine *e);
 
 /* baseset.c */
+void bb_base_form (struct bb_engine *e);
 void bb_base_bootstrap (struct bb_engine *e, bb_usec now);
 void bb_base_send (struct bb_engine *e, struct bb_peer *p, bb_usec now);
 void bb_base_receive (struct bb_engine *e, struct bb_peer *p,
--- a/core/status.c
+++ b/core/status.c
@@ -38,7 +38,7 @@
     .server = t->key,
     .gue = t->gue,
     .listed = t->listed,
-    .in_base = t->in_base,
+    .in_base = t->base_weight != 0,
     .healthy = t->health.up,
     .draining = t->drain || t->leaving || t->health.draining,
     .bit = t->bit,
@@ -93,7 +93,7 @@
       = bb_service_of ((struct bb_engine *)e, packet);
   if (!s || !s->base)
     return false;
-  uint64_t hash = bb_flow_hash (packet, e->fleet->hash_seed);
+  uint64_t hash = bb_flow_hash (packet, e->hash_seed);
   uint32_t b = bb_hash_bucket (hash, s->buckets);
   *x = (struct bb_explanation){
     .service = s->conf.key,
--- a/core/steer.c
+++ b/core/steer.c
@@ -468,7 +468,7 @@
       return;
     }
   v->service = c.s->conf.key;
-  c.hash = bb_flow_hash (p, e->fleet->hash_seed);
+  c.hash = bb_flow_hash (p, e->hash_seed);
   c.bucket = bb_hash_bucket (c.hash, c.s->buckets);
   if (repeated (&c) && silent (&c))
     return;
--- a/core/tables.c
+++ b/core/tables.c
@@ -13,10 +13,10 @@
   return s->target && s->target[b] != s->base[b];
 }
 
-/* Fills TABLE over the slots of service INDEX that USED picks.  */
+/* Fills TABLE over the slots of service INDEX that have a weight.  */
 static void
 fill (struct bb_engine *e, uint16_t index, uint16_t *table,
-      bool (*used) (const struct bb_slot *))
+      uint16_t (*weight) (const struct bb_slot *))
 {
   struct bb_service_state *s = &e->services[index];
   struct bb_maglev_member *m
@@ -26,9 +26,9 @@
   for (uint32_t i = 0; i < e->slot_count; i++)
     {
       const struct bb_slot *t = &e->slots[i];
-      if (t->service != index || !used (t))
+      if (t->service != index || !weight (t))
         continue;
-      m[n] = (struct bb_maglev_member){ .key = t->key, .weight = t->weight };
+      m[n] = (struct bb_maglev_member){ .key = t->key, .weight = weight (t) };
       slots[n++] = (uint16_t)i;
     }
   bb_maglev_fill (table, s->buckets, m, n);
@@ -38,22 +38,22 @@
   g_free (slots);
 }
 
-static bool
-is_listed (const struct bb_slot *s)
+static uint16_t
+head_weight (const struct bb_slot *s)
 {
-  return s->listed;
+  return s->listed ? s->weight : 0;
 }
 
-static bool
-is_base (const struct bb_slot *s)
+static uint16_t
+base_weight (const struct bb_slot *s)
 {
-  return s->in_base;
+  return s->base_weight;
 }
 
-static bool
-is_target (const struct bb_slot *s)
+static uint16_t
+target_weight (const struct bb_slot *s)
 {
-  return s->in_target;
+  return s->target_weight;
 }
 
 static void
@@ -91,9 +91,13 @@
 static void
 allocate (struct bb_service_state *s)
 {
-  if (s->base)
+  if (s->base && s->allocated == s->buckets)
     return;
-  s->buckets = s->conf.buckets ? s->conf.buckets : BB_BUCKETS_DEFAULT;
+  g_free (s->base);
+  g_free (s->head);
+  g_free (s->route);
+  g_clear_pointer (&s->sticky, g_free);
+  s->allocated = s->buckets;
   s->base = g_new0 (uint16_t, s->buckets);
   s->head = g_new0 (uint16_t, s->buckets);
   s->route = g_new0 (uint16_t, s->buckets);
@@ -105,7 +109,7 @@
   struct bb_service_state *s = &e->services[index];
   size_t bytes = s->buckets * sizeof *s->head;
   uint16_t *before = g_memdup2 (s->head, bytes);
-  fill (e, index, s->head, is_listed);
+  fill (e, index, s->head, head_weight);
   if (memcmp (before, s->head, bytes) != 0)
     s->head_since = now;
   g_free (before);
@@ -120,15 +124,15 @@
   list_slots (e, index);
   s->policy = bb_policy_find (s->conf.policy);
   s->spill_buckets = s->policy->spills ? s->buckets * s->conf.spill / 1000 : 0;
-  fill (e, index, s->base, is_base);
+  fill (e, index, s->base, base_weight);
   rebuild_head (e, index, now);
   g_clear_pointer (&s->target, g_free);
   if (e->phase != BB_PHASE_SETTLED)
     {
       s->target = g_new0 (uint16_t, s->buckets);
-      fill (e, index, s->target, is_target);
+      fill (e, index, s->target, target_weight);
     }
-  /* Before a base set is known, the listed servers stand in for it.  */
+  /* Until the base set is known, the listed servers stand in for it.  */
   for (uint32_t b = 0; b < s->buckets; b++)
     if (s->base[b] == BB_MISSING_SLOT)
       s->base[b] = s->head[b];
--- a/core/version.c
+++ b/core/version.c
@@ -40,6 +40,8 @@
   s->conf = *service;
   s->conf.servers = NULL;
   s->conf.server_count = 0;
+  if (!s->formed)
+    s->buckets = service->buckets ? service->buckets : BB_BUCKETS_DEFAULT;
   for (size_t i = 0; i < service->server_count; i++)
     set_server (e, service, &service->servers[i], now);
 }
@@ -103,6 +105,10 @@
   e->version_since = now;
   e->version_acted = false;
   e->heartbeat_soon = true;
+  if (e->generation)
+    bb_base_form (e);
+  else
+    e->hash_seed = fleet->hash_seed;
   bb_tables_rebuild (e, now);
   bb_bits_merge (e, now);
   bb_place_prepare (e, now);
--- a/tests/message_test.c
+++ b/tests/message_test.c
@@ -18,8 +18,8 @@
   { .hash = 0, .server = UINT32_MAX, .state = 0 },
 };
 static const struct bb_set_member members[] = {
-  { 1, 2, { 0x0a000001, 6080 }, 1000, true, false },
-  { 1, 3, { 0x0a000002, 6080 }, 1, false, true },
+  { 1, 2, { 0x0a000001, 6080 }, 1000, 0, 4093, 7 },
+  { 1, 3, { 0x0a000002, 6080 }, 0, 1, 4093, UINT64_MAX },
 };
 
 static const struct bb_message messages[] = {
--- a/wire/message.c
+++ b/wire/message.c
@@ -108,6 +108,7 @@
 put_base_set (msgpack_packer *pk, const struct bb_base_set *set)
 {
   put (pk, set->origin);
+  put (pk, set->hash_seed);
   put (pk, set->generation);
   put (pk, set->phase);
   put (pk, set->digest);
@@ -119,8 +120,10 @@
       put (pk, m->service);
       put (pk, m->server);
       put_endpoint (pk, &m->gue);
-      put (pk, m->weight);
-      put (pk, (m->in_base ? 1U : 0U) | (m->in_target ? 2U : 0U));
+      put (pk, m->base_weight);
+      put (pk, m->target_weight);
+      put (pk, m->buckets);
+      put (pk, m->formed);
     }
 }
 
@@ -128,7 +131,7 @@
   [BB_MESSAGE_HEARTBEAT] = 15, [BB_MESSAGE_MEMBERS] = 1,
   [BB_MESSAGE_WANT] = 3,       [BB_MESSAGE_DOCUMENT] = 5,
   [BB_MESSAGE_ENTRIES] = 2,    [BB_MESSAGE_TAKEN] = 1,
-  [BB_MESSAGE_BASE_SET] = 5,
+  [BB_MESSAGE_BASE_SET] = 6,
 };
 
 GByteArray *
--- a/wire/message.h
+++ b/wire/message.h
@@ -11,7 +11,7 @@
 {
   BB_WIRE_VM_FIELDS = 7,
   BB_WIRE_ENTRY_FIELDS = 3,
-  BB_WIRE_MEMBER_FIELDS = 6,
+  BB_WIRE_MEMBER_FIELDS = 8,
 };
 
 /* Whether DATA is one msgpack item whose announced sizes fit into LENGTH
--- a/wire/message_decode.c
+++ b/wire/message_decode.c
@@ -238,10 +238,10 @@
   m->service = take_u32 (&fields);
   m->server = take_u32 (&fields);
   take_endpoint (&fields, &m->gue);
-  m->weight = (uint16_t)take_uint (&fields, UINT16_MAX);
-  uint64_t sets = take_uint (&fields, UINT8_MAX);
-  m->in_base = sets & 1;
-  m->in_target = sets & 2;
+  m->base_weight = (uint16_t)take_uint (&fields, UINT16_MAX);
+  m->target_weight = (uint16_t)take_uint (&fields, UINT16_MAX);
+  m->buckets = (uint32_t)take_uint (&fields, BB_BUCKETS_MAX);
+  m->formed = take_uint (&fields, UINT64_MAX);
   r->bad |= fields.bad;
 }
 
@@ -249,6 +249,7 @@
 take_base_set (struct reader *r, struct bb_base_set *set)
 {
   set->origin = take_uint (r, UINT64_MAX);
+  set->hash_seed = take_uint (r, UINT64_MAX);
   set->generation = take_u32 (r);
   set->phase = (enum bb_phase)take_uint (r, BB_PHASE_RESOLVE);
   set->digest = take_u32 (r);
