Read documents without waiting at the start; tell a stale platform apart

A service that holds a request for a document that does not exist answered after 25 s, for which a base waited for its overlay: three balancers were ready after 25 s.

The version last read from the platform was taken for the one it serves now, so that documents that came from peers made it look stale. Only an answer below the version in force at that time counts.

--- a/runtime/attention.c
+++ b/runtime/attention.c
@@ -34,13 +34,12 @@
   for (int i = 0; i < BB_DOCUMENT_KINDS; i++)
     {
       enum bb_document_kind kind = (enum bb_document_kind)i;
-      uint64_t version = bb_documents_version (p->documents, kind);
       const char *refusal = bb_documents_refusal (p->documents, kind);
-      if (status->served[i] != 0 && status->served[i] < version)
+      if (status->older[i])
         note (list,
-              "platform serves %s version %" PRIu64 ", older than %" PRIu64
-              " in force",
-              bb_document_name (kind), status->served[i], version);
+              "platform serves a %s older than version %" PRIu64 " in force",
+              bb_document_name (kind),
+              bb_documents_version (p->documents, kind));
       if (refusal)
         note (list, "document refused: %s", refusal);
     }
--- a/runtime/peers.c
+++ b/runtime/peers.c
@@ -160,6 +160,7 @@
   set_option (socket, ZMQ_HEARTBEAT_TIMEOUT, PING_TIMEOUT_MS);
   set_option (socket, ZMQ_HEARTBEAT_TTL, PING_TTL_MS);
   set_option (socket, ZMQ_CONNECT_TIMEOUT, RECONNECT_MAX_MS);
+  set_option (socket, ZMQ_HANDSHAKE_IVL, RECONNECT_MAX_MS);
   set_option (socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
   set_option (socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
   /* Nothing is queued for a peer that is not connected: a state that is sent
--- a/runtime/platform.c
+++ b/runtime/platform.c
@@ -58,8 +58,8 @@
                    uint64_t version, const uint8_t *bytes, size_t length)
 {
   platform->status.received_bytes += length;
-  if (version != 0)
-    platform->status.served[kind] = version;
-  return platform->sink->document (platform->context, kind, version, bytes,
-                                   length);
+  enum bb_offer offer = platform->sink->document (platform->context, kind,
+                                                  version, bytes, length);
+  platform->status.older[kind] = offer == BB_OFFER_OLDER;
+  return offer;
 }
--- a/runtime/platform.h
+++ b/runtime/platform.h
@@ -37,7 +37,7 @@
   uint64_t reads;
   uint64_t failures;
   uint64_t received_bytes;
-  uint64_t served[BB_DOCUMENT_KINDS]; /* version last seen there, 0: none */
+  bool older[BB_DOCUMENT_KINDS]; /* serves less than the version in force */
 };
 
 /* What an implementation works with; owned by platform.c.  */
@@ -78,7 +78,7 @@
 /* For implementations: note that the platform answered, or did not.  */
 void bb_platform_note (struct bb_platform *platform, bool answered);
 
-/* For implementations: hands over a document, with its size limit checked.  */
+/* For implementations: hands over a document.  */
 enum bb_offer bb_platform_offer (struct bb_platform *platform,
                                  enum bb_document_kind kind, uint64_t version,
                                  const uint8_t *bytes, size_t length);
--- a/runtime/platform_http.c
+++ b/runtime/platform_http.c
@@ -21,8 +21,6 @@
 /* A service that has nothing newer, or nothing at all, and answers at once
    does not support long polls; it is asked at this interval.  */
 #define POLL_INTERVAL (2 * BB_SEC)
-/* For a document that was refused, or is older than the one in force.  */
-#define REFUSED_INTERVAL (5 * BB_SEC)
 
 struct http;
 
@@ -33,6 +31,8 @@
   struct bb_fetch *fetch; /* NULL: none under way */
   struct event *timer;    /* the next request */
   bb_usec retry;          /* last delay after a failure, 0: it worked */
+  int wait_s;             /* of the long poll; the first read does not wait,
+                             so that an absent overlay delays no start */
   bb_usec asked;
   /* Version of a refused document.  It is named in one long poll, so that the
      document is not sent again and again, and is then forgotten: a corrected
@@ -79,9 +79,10 @@
                            answer->body, answer->length);
   if (offer == BB_OFFER_ACCEPTED)
     return 0;
+  w->skip = 0;
   if (offer != BB_OFFER_SAME && offer != BB_OFFER_OLDER)
     w->skip = answer->version;
-  return offer == BB_OFFER_OLDER ? REFUSED_INTERVAL : POLL_INTERVAL;
+  return w->skip ? 0 : POLL_INTERVAL;
 }
 
 static bb_usec
@@ -106,14 +107,13 @@
     return after_document (w, answer);
   w->skip = 0;
   if (answer->status == 404)
-    {
-      platform->sink->absent (platform->context, w->kind);
-      return POLL_INTERVAL;
-    }
+    platform->sink->absent (platform->context, w->kind);
   if (answer->version != 0)
-    platform->status.served[w->kind] = answer->version;
+    platform->status.older[w->kind]
+        = answer->version
+          < platform->sink->version (platform->context, w->kind);
   bb_usec waited = bb_clock_boot () - w->asked;
-  return waited < POLL_INTERVAL ? POLL_INTERVAL : 0;
+  return waited < POLL_INTERVAL && w->wait_s != 0 ? POLL_INTERVAL : 0;
 }
 
 static void
@@ -121,6 +121,8 @@
 {
   struct watch *w = context;
   schedule (w, judge (w, answer));
+  if (w->retry == 0)
+    w->wait_s = WAIT_S;
   bb_fetch_free (w->fetch);
   w->fetch = NULL;
 }
@@ -138,7 +140,7 @@
   g_snprintf (path, size, "/v1/%s%s?after=%" G_GUINT64_FORMAT "&wait_s=%d",
               names[w->kind],
               w->kind == BB_DOCUMENT_OVERLAY ? platform->data_centre : "",
-              MAX (version, w->skip), WAIT_S);
+              MAX (version, w->skip), w->wait_s);
 }
 
 static void
