--- a/runtime/documents.c
+++ b/runtime/documents.c
@@ -89,33 +89,6 @@
                  bb_clock_wall ());
 }
 
-static char *
-problem_text (const struct bb_problem *problem)
-{
-  return g_strdup_printf ("%s:%d: %s: %s", problem->file ? problem->file : "",
-                          problem->line, problem->path ? problem->path : "",
-                          problem->text);
-}
-
-/* Logs PROBLEMS.  Returns the text of the first fatal one, or NULL.  */
-static char *
-report_problems (struct bb_documents *d, const GPtrArray *problems)
-{
-  char *first = NULL;
-  for (guint i = 0; i < problems->len; i++)
-    {
-      const struct bb_problem *problem = g_ptr_array_index (problems, i);
-      char *text = problem_text (problem);
-      bb_log_text (d->process->log,
-                   problem->warning ? BB_LOG_WARN : BB_LOG_ERROR,
-                   bb_error_answer (problem->kind)->name, text);
-      if (!first && !problem->warning)
-        first = g_steal_pointer (&text);
-      g_free (text);
-    }
-  return first;
-}
-
 /* Takes ownership of TEXT.  The engine adds the event for a document that
    came from a peer.  */
 static enum bb_offer
@@ -201,7 +174,7 @@
         promote (d, BB_DOCUMENT_BASE);
       if (pairs[i].new_overlay)
         promote (d, BB_DOCUMENT_OVERLAY);
-      g_free (report_problems (d, *problems));
+      g_free (bb_log_problems (d->process->log, *problems));
       put_in_force (d, fleet);
       bb_fleet_free (fleet);
       return true;
@@ -286,7 +259,7 @@
       if (new.parsed)
         bb_config_document_free (new.parsed);
       return refuse (d, kind, announced, bytes,
-                     report_problems (d, *problems));
+                     bb_log_problems (d->process->log, *problems));
     }
   new.version = bb_config_document_version (new.parsed);
   if (announced != 0 && announced != new.version)
@@ -303,7 +276,7 @@
       if (alone (d, kind))
         return BB_OFFER_WAITING;
       return refuse (d, kind, new.version, bytes,
-                     report_problems (d, *problems));
+                     bb_log_problems (d->process->log, *problems));
     }
   bb_config_document_free (new.parsed);
   return offer;
@@ -321,13 +294,14 @@
   struct bb_vm_list *list
       = bb_config_parse_vms (names[kind], data, size, problems);
   if (!list || bb_problems_fatal (problems))
-    offer = refuse (d, kind, announced, bytes, report_problems (d, problems));
+    offer = refuse (d, kind, announced, bytes,
+                    bb_log_problems (d->process->log, problems));
   else if (announced != 0 && announced != list->version)
     offer = refuse (d, kind, announced, bytes,
                     mismatch_text (kind, announced, list->version));
   else if (is_newer (d, kind, list->version, bytes, &offer))
     {
-      g_free (report_problems (d, problems));
+      g_free (bb_log_problems (d->process->log, problems));
       d->candidate[kind]
           = (struct held){ list->version, g_bytes_ref (bytes), NULL };
       promote (d, kind);
@@ -376,7 +350,7 @@
   GPtrArray *problems = bb_problems_new ();
   if (!advance (d, &problems) && base->parsed)
     refuse (d, BB_DOCUMENT_BASE, base->version, base->bytes,
-            report_problems (d, problems));
+            bb_log_problems (d->process->log, problems));
   g_ptr_array_unref (problems);
 }
 
--- a/runtime/fetch.c
+++ b/runtime/fetch.c
@@ -1,13 +1,30 @@
 #include "runtime/fetch.h"
 #include "runtime/util.h"
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+/* A path that drops packets must not hold a request until its time-out: a new
+   connection may work.  */
+#define CONNECT_TIMEOUT BB_SEC
+
+enum
+{
+  KEEPALIVE_IDLE_S = 2,
+  KEEPALIVE_INTERVAL_S = 1,
+  KEEPALIVE_COUNT = 3
+};
 
 struct bb_fetch
 {
   struct evhttp_connection *connection;
   struct event *timer; /* time-out; raised by hand when an answer is there */
+  bb_usec left;        /* time-out that follows the one of the connection */
+  bool ended;          /* an answer, or a failure, is there */
   struct evbuffer *body;
   struct bb_fetch_answer answer;
   bb_fetch_done done;
@@ -33,15 +50,45 @@
       fetch->answer.status = evhttp_request_get_response_code (request);
       fetch->answer.version = number;
     }
+  fetch->ended = true;
   event_active (fetch->timer, EV_TIMEOUT, 0);
 }
 
+/* Returns whether the connection stands; it is then watched by keepalives. */
+static bool
+keep_alive (const struct bb_fetch *fetch)
+{
+  static const int options[][3] = {
+    { SOL_SOCKET, SO_KEEPALIVE, 1 },
+    { IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S },
+    { IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S },
+    { IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_COUNT },
+  };
+  struct sockaddr_in peer;
+  socklen_t size = sizeof peer;
+  int fd = bufferevent_getfd (
+      evhttp_connection_get_bufferevent (fetch->connection));
+  if (fd < 0 || getpeername (fd, (struct sockaddr *)&peer, &size) != 0)
+    return false;
+  for (size_t i = 0; i < G_N_ELEMENTS (options); i++)
+    setsockopt (fd, options[i][0], options[i][1], &options[i][2],
+                sizeof options[i][2]);
+  return true;
+}
+
 static void
 on_timer (evutil_socket_t fd, short what, void *context)
 {
   (void)fd;
   (void)what;
   struct bb_fetch *fetch = context;
+  if (!fetch->ended && fetch->left > 0 && keep_alive (fetch))
+    {
+      struct timeval tv = bb_clock_timeval (fetch->left);
+      fetch->left = 0;
+      event_add (fetch->timer, &tv);
+      return;
+    }
   fetch->answer.length = evbuffer_get_length (fetch->body);
   fetch->answer.body = evbuffer_pullup (fetch->body, -1);
   evhttp_connection_free (fetch->connection);
@@ -67,12 +114,14 @@
 {
   char address[BB_ENDPOINT_TEXT], host[BB_ENDPOINT_TEXT];
   struct timeval tv = bb_clock_timeval (timeout);
+  struct timeval first = bb_clock_timeval (MIN (timeout, CONNECT_TIMEOUT));
   struct bb_fetch *fetch = g_new0 (struct bb_fetch, 1);
   fetch->done = done;
   fetch->context = context;
+  fetch->left = timeout - MIN (timeout, CONNECT_TIMEOUT);
   fetch->body = evbuffer_new ();
   fetch->timer = event_new (loop, -1, 0, on_timer, fetch);
-  event_add (fetch->timer, &tv);
+  event_add (fetch->timer, &first);
   bb_address_text (address, endpoint->address);
   fetch->connection
       = evhttp_connection_base_new (loop, NULL, address, endpoint->port);
@@ -80,7 +129,7 @@
   evhttp_connection_set_max_headers_size (fetch->connection, 8192);
   evhttp_connection_set_max_body_size (fetch->connection, (ev_ssize_t)limit);
   if (!send_request (fetch, bb_endpoint_text (host, endpoint), path))
-    event_active (fetch->timer, EV_TIMEOUT, 0);
+    on_answer (NULL, fetch);
   return fetch;
 }
 
--- a/runtime/log.c
+++ b/runtime/log.c
@@ -1,4 +1,5 @@
 #include "runtime/log.h"
+#include "config/config.h"
 #include "runtime/util.h"
 #include <inttypes.h>
 #include <json-c/json.h>
@@ -10,7 +11,8 @@
 
 enum
 {
-  TEXT_MAX = 1024 /* bytes; keeps a line below PIPE_BUF */
+  PROBLEMS_MAX = 20, /* of one document; "bbctl check" shows all */
+  TEXT_MAX = 1024    /* bytes; keeps a line below PIPE_BUF */
 };
 
 struct bb_log
@@ -233,6 +235,25 @@
   g_free (out);
 }
 
+char *
+bb_log_problems (struct bb_log *log, const GPtrArray *problems)
+{
+  char *first = NULL;
+  for (guint i = 0; i < problems->len && (i < PROBLEMS_MAX || !first); i++)
+    {
+      const struct bb_problem *p = g_ptr_array_index (problems, i);
+      char *text = g_strdup_printf ("%s:%d: %s: %s", p->file ? p->file : "",
+                                    p->line, p->path ? p->path : "", p->text);
+      if (i < PROBLEMS_MAX)
+        bb_log_text (log, p->warning ? BB_LOG_WARN : BB_LOG_ERROR,
+                     "document_problem", text);
+      if (!first && !p->warning)
+        first = g_steal_pointer (&text);
+      g_free (text);
+    }
+  return first;
+}
+
 uint64_t
 bb_log_lost (const struct bb_log *log)
 {
--- a/runtime/log.h
+++ b/runtime/log.h
@@ -30,6 +30,10 @@
 void bb_log_text (struct bb_log *log, enum bb_log_level level,
                   const char *event, const char *text);
 
+/* Writes the first of PROBLEMS, a list of struct bb_problem.  Returns the text
+   of the first fatal one, freed with g_free, or NULL.  */
+char *bb_log_problems (struct bb_log *log, const GPtrArray *problems);
+
 /* The line of RECORD, without the newline; freed with g_free.  */
 char *bb_log_format (const struct bb_log *log,
                      const struct bb_event_record *record);
