--- a/tests/process_test.c
+++ b/tests/process_test.c
@@ -144,7 +144,7 @@
 {
   const struct bb_probe_counters *counters
       = bb_probes_get_counters (t.p->probes);
-  struct bb_server_status server;
+  struct bb_server_status server = { 0 };
   do
     {
       run_once ();
