Let the platform serve an older version in the demo and end-to-end test

config_reverts=0 says little while nobody offers an older version. Every balancer now sees one, reports it as stale and keeps what is in force. The lag of the VM list after a crash is a variable, so that the test can shorten it.

--- a/demo/fleet.sh
+++ b/demo/fleet.sh
@@ -11,6 +11,7 @@
 declare -A targets=() # whether the fabric sends to it, by balancer
 declare -A server_octets=()
 base_version=0 vms_version=0
+list_lag=1.5 # seconds until the list of VMs no longer names a dead balancer
 drained=
 documents=$dir/documents
 choose_port control_port
@@ -36,8 +37,11 @@
   printf '"connection_limit":2000,"slots":2,"servers":{%s}}' "$(write_servers "$1")"
 }
 
+# The documents before are kept for serve_older.
 publish_base ()
 {
+  mkdir -p "$documents/older"
+  cp "$documents"/*.json "$documents/older"
   base_version=$((base_version + 1))
   replace "$documents/base.json" <<END
 {"version":$base_version,"hash_seed":20417,
@@ -224,7 +228,7 @@
   await_end "$1"
   sleep 0.5 # the fabric's list lags
   remove_target "$1"
-  sleep 1.5 # the list of VMs lags more
+  sleep "$list_lag" # the list of VMs lags more
   unset "listed[$1]"
   publish_vms
 }
@@ -237,6 +241,26 @@
   await 100 in_force_everywhere
 }
 
+saw_older_everywhere ()
+{
+  local name
+  for name in "${!targets[@]}"; do
+    has_event "$dir/$name.log" version_stale || return 1
+  done
+}
+
+# Lets the platform serve the configuration before the one in force.
+serve_older ()
+{
+  local status
+  record_step step "serve an older configuration"
+  echo older >"$documents/mode"
+  await 100 saw_older_everywhere && in_force_everywhere
+  status=$?
+  rm "$documents/mode"
+  return $status
+}
+
 join_without_platform () # DATA-CENTRE NUMBER
 {
   record_step step "stop the platform and start $1-$2"
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -44,6 +44,8 @@
 sleep 3
 change "publish a configuration with a new server orders-7" publish_server orders 7
 sleep 2
+change "let the platform serve the configuration before it" serve_older
+sleep 1
 change "stop the platform and start balancer south-4 without it" \
   join_without_platform south 4
 sleep 3
--- a/tests/e2e_test.sh
+++ b/tests/e2e_test.sh
@@ -7,6 +7,7 @@
 . demo/lib.sh
 . demo/fleet.sh
 seed=20417
+list_lag=0.2
 
 report () # CASE LINE PASSED TEXT
 {
@@ -57,6 +58,7 @@
 kill_balancer south-1
 planned service_after_a_crash $LINENO more_answers 500
 planned new_server_in_force $LINENO publish_server orders 4
+planned older_version_ignored $LINENO serve_older
 planned join_without_platform $LINENO join_without_platform south 4
 planned service_without_platform $LINENO more_answers 300
 planned callers_finish $LINENO stop_callers
