--- a/bench/instructions.c
+++ b/bench/instructions.c
@@ -100,8 +100,9 @@
   struct bb_explanation x;
   size_t header;
   bool handed;
-  bb_gue_decode (data, length, &header, &handed, &handover);
-  bb_packet_parse (data + header, length - header, &packet);
+  if (bb_gue_decode (data, length, &header, &handed, &handover)
+      || bb_packet_parse (data + header, length - header, &packet))
+    return false;
   return bb_engine_explain (b->e, &packet, &x) && x.tracked;
 }
 
