--- a/bench/instructions.c
+++ b/bench/instructions.c
@@ -100,8 +100,9 @@
   struct bb_explanation x;
   size_t header;
   bool handed;
-  bb_gue_decode (data, length, &header, &handed, &handover);
-  bb_packet_parse (data + header, length - header, &packet);
+  if (bb_gue_decode (data, length, &header, &handed, &handover)
+      || bb_packet_parse (data + header, length - header, &packet))
+    return false;
   return bb_engine_explain (b->e, &packet, &x) && x.tracked;
 }
 
@@ -109,7 +110,8 @@
 static void
 find_flows (struct run *r)
 {
-  struct bench_engine *b = bench_start_engine (r->fleet, PEERS, CAPACITY);
+  struct bench_engine *b
+      = bench_start_engine (r->fleet, PEERS, CAPACITY, BENCH_START);
   uint32_t found = 0;
   for (uint32_t flow = 0; found < FLOWS; flow++)
     {
@@ -197,7 +199,8 @@
     return list_kinds ();
   struct run *r
       = make_run (&kinds[strtoul (argv[1], NULL, 10) % G_N_ELEMENTS (kinds)]);
-  struct bench_engine *b = bench_start_engine (r->fleet, PEERS, CAPACITY);
+  struct bench_engine *b
+      = bench_start_engine (r->fleet, PEERS, CAPACITY, BENCH_START);
   enum bb_verdict_kind want = r->kind->syn;
   if (!r->kind->new_flow)
     want = establish (r, b);
