core: push an entry although a packet has told its replicas

Cause: a packet that refreshes the replicas may be lost on the way (the fault here: dropped by a balancer that wakes), but the entry counted as told. Conclusion: until the push is done an entry keeps the epoch it had.

--- a/core/record.c
+++ b/core/record.c
@@ -37,13 +37,15 @@
       if (!f)
         return NULL;
       bb_held_count (e, hash, slot, 1);
+      f->epoch = e->epoch;
     }
   else if (f->state != state)
     bb_flows_set_state (&e->flows, f, state);
   f->slot = slot;
   f->seen = e->seconds;
   f->refreshed = e->seconds;
-  f->epoch = e->epoch;
+  if (e->push_done)
+    f->epoch = e->epoch; /* else it is pushed as well, see untold */
   return f;
 }
 
--- a/core/steer.c
+++ b/core/steer.c
@@ -132,6 +132,17 @@
   return before == BB_FLOW_SYN ? BB_FLOW_OPEN : before;
 }
 
+/* Whether the replicas under the present view have not been told of F.  The
+   packet that tells them may be lost, so that until the push is done the entry
+   keeps its epoch and is pushed as well.  */
+static bool
+untold (const struct bb_engine *e, const struct bb_flow *f)
+{
+  return f->epoch != e->epoch
+         && (e->push_done
+             || (bb_usec)f->refreshed * BB_SEC < e->view_changed);
+}
+
 static void
 found (struct steering *c, struct bb_flow *f)
 {
@@ -139,7 +150,7 @@
   enum bb_flow_state after = state_after (c->p, f->state);
   e->counters.found++;
   f->seen = e->seconds;
-  bool tell = f->state != after || f->epoch != e->epoch
+  bool tell = f->state != after || untold (e, f)
               || e->seconds - f->refreshed >= REFRESH_SECONDS
               || (is_syn (c->p) && f->state == BB_FLOW_SYN);
   if (after == BB_FLOW_CLOSING && f->state != BB_FLOW_CLOSING)
@@ -151,7 +162,8 @@
       forward (c, f->slot);
       return;
     }
-  f->epoch = e->epoch;
+  if (e->push_done)
+    f->epoch = e->epoch;
   f->refreshed = e->seconds;
   replicate (c, f->slot);
 }
