--- a/core/counts.c
+++ b/core/counts.c
@@ -56,8 +56,8 @@
   t->open = MAX (t->open, 0);
 }
 
-/* A report far below the others may be false and would draw a herd, so it
-   counts as half of the mean at least.  */
+/* A report far below the others may be false and would draw a herd.  When the
+   balancers themselves count more open flows, their count is used.  */
 static void
 raise_low (struct bb_engine *e, struct bb_service_state *s)
 {
@@ -70,7 +70,7 @@
       struct bb_slot *t = &e->slots[s->slots[i]];
       int64_t counted = t->own_open + t->peers_open;
       if (t->open < least && counted > t->open)
-        t->open = MIN (least, counted);
+        t->open = counted;
     }
 }
 
--- a/core/engine.c
+++ b/core/engine.c
@@ -144,6 +144,7 @@
       e->peers[i].pushed = false;
       e->peers[i].heard_at = now;
     }
+  bb_forget_embryonic (e);
   if (e->state == BB_PEER_LEAVING)
     return;
   set_state (e, BB_PEER_JOINING, now);
--- a/core/heartbeat.c
+++ b/core/heartbeat.c
@@ -136,6 +136,9 @@
   bool back = p->heard && p->suspected;
   if (p->heard && !back && p->state == state)
     return;
+  /* It was paused and has dropped entries that may be out of date.  */
+  if (p->heard && p->state == BB_PEER_ACTIVE && state == BB_PEER_JOINING)
+    bb_view_forget (e, p->vm.id, now);
   p->heard = true;
   p->suspected = false;
   p->state = state;
--- a/core/place.c
+++ b/core/place.c
@@ -161,7 +161,9 @@
   uint16_t base = s->base[bucket], head = s->head[bucket];
   bool version_known
       = e->version_acted && (head != base || bucket < s->spill_buckets);
-  if (version_known && bucket < s->spill_buckets)
+  /* While a peer is missing, it may serve the other half of a split, which
+     cannot be told of placements.  */
+  if (version_known && bucket < s->spill_buckets && !e->missing_peer)
     {
       int slot = s->policy->spill (e, s, hash);
       if (slot >= 0)
--- a/core/private.h
+++ b/core/private.h
@@ -379,6 +379,7 @@
 struct bb_flow *bb_record (struct bb_engine *e, uint64_t hash, uint16_t slot,
                            enum bb_flow_state state);
 void bb_forget (struct bb_engine *e, struct bb_flow *f);
+void bb_forget_embryonic (struct bb_engine *e);
 void bb_expire_tick (struct bb_engine *e);
 
 /* counts.c */
--- a/core/record.c
+++ b/core/record.c
@@ -70,6 +70,21 @@
   bb_flows_remove (&e->flows, f);
 }
 
+/* Drops the entries that have seen only a SYN.  The SYN may have been lost on
+   its way and its repetition placed by another balancer.  */
+void
+bb_forget_embryonic (struct bb_engine *e)
+{
+  for (uint32_t i = 0; i < e->flows.size;)
+    {
+      struct bb_flow *f = &e->flows.flows[i];
+      if (f->hash && f->state == BB_FLOW_SYN)
+        bb_forget (e, f);
+      else
+        i++;
+    }
+}
+
 static uint32_t
 lifetime (const struct bb_engine *e, const struct bb_flow *f)
 {
--- a/core/steer.c
+++ b/core/steer.c
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 
 #define REFRESH_SECONDS 60 /* replicas are told of a live flow this often */
+#define REFRESH_SECONDS_UDP 10 /* shorter than the life of an idle entry */
 
 struct steering
 {
@@ -139,8 +140,13 @@
 untold (const struct bb_engine *e, const struct bb_flow *f)
 {
   return f->epoch != e->epoch
-         && (e->push_done
-             || (bb_usec)f->refreshed * BB_SEC < e->view_changed);
+         && (e->push_done || (bb_usec)f->refreshed * BB_SEC < e->view_changed);
+}
+
+static uint32_t
+refresh_time (const struct bb_packet *p)
+{
+  return p->protocol == IPPROTO_UDP ? REFRESH_SECONDS_UDP : REFRESH_SECONDS;
 }
 
 static void
@@ -151,7 +157,7 @@
   e->counters.found++;
   f->seen = e->seconds;
   bool tell = f->state != after || untold (e, f)
-              || e->seconds - f->refreshed >= REFRESH_SECONDS
+              || e->seconds - f->refreshed >= refresh_time (c->p)
               || (is_syn (c->p) && f->state == BB_FLOW_SYN);
   if (after == BB_FLOW_CLOSING && f->state != BB_FLOW_CLOSING)
     e->slots[f->slot].own_open--;
@@ -264,8 +270,9 @@
       return;
     }
   bool tcp = is_syn (c->p);
-  /* During a rebase the balancers may miss differently.  */
-  if (slot != base_of (c) || c->s->limited || c->s->target)
+  /* During a rebase the balancers may miss differently.  A datagram flow has no
+     first packet, so that the next one would be placed again.  */
+  if (slot != base_of (c) || c->s->limited || c->s->target || !tcp)
     {
       if (!bb_record (e, c->hash, (uint16_t)slot,
                       tcp ? BB_FLOW_SYN : BB_FLOW_OPEN))
@@ -300,14 +307,14 @@
   struct bb_engine *e = c->e;
   bool final = c->h && (c->h->flags & BB_HAND_FINAL);
   bool spent = c->h && c->h->hops >= BB_HOPS_MAX;
-  if (final || spent)
+  int owner = bb_order_owner (&e->view, c->hash);
+  bool own = owner < 0 || e->view.peers[owner] == BB_SELF;
+  if (final || (spent && own))
     {
       decide (c);
       return;
     }
-  bool unsettled = bb_view_unsettled (e, c->now);
-  int owner = bb_order_owner (&e->view, c->hash);
-  bool own = owner < 0 || e->view.peers[owner] == BB_SELF;
+  bool unsettled = !spent && bb_view_unsettled (e, c->now);
   int next = unsettled ? next_replica (c) : -1;
   if (next >= 0)
     hand (c, (uint32_t)next, 0, 0);
@@ -473,7 +480,7 @@
   c.s = bb_service_of (e, p);
   if (!why && !c.s)
     why = BB_DROP_NO_SERVICE;
-  if (!why && h && h->hops > BB_HOPS_MAX)
+  if (!why && h && h->hops > BB_HOPS_MAX + 1) /* one for BB_HAND_FINAL */
     why = BB_DROP_HOPS;
   if (why)
     {
--- a/driver/scenarios.c
+++ b/driver/scenarios.c
@@ -66,18 +66,25 @@
   bb_driver_publish (d, f, spread);
 }
 
-/* Only balancer 0 is told at first, so that the others depend on its bit.  */
+static void
+tell_all_but_last (struct bb_driver *d, uint32_t key, bool draining)
+{
+  struct bb_report r
+      = { .ok = true, .draining = draining, .uptime_ms = UINT32_MAX };
+  for (uint32_t i = 0; i + 1 < d->o.balancers; i++)
+    bb_engine_report (d->nodes[i].engine, key, &r, d->now);
+}
+
+/* The last balancer depends on the bits of the others.  */
 void
 bb_scenario_one_sided (struct bb_driver *d)
 {
-  struct bb_report draining
-      = { .ok = true, .draining = true, .uptime_ms = UINT32_MAX };
-  uint32_t key = d->servers[3].key;
-  for (int i = 0; i < 200; i++)
-    {
-      bb_engine_report (d->nodes[0].engine, key, &draining, d->now);
-      bb_driver_run (d, 50 * BB_MSEC);
-    }
+  for (int server = 0; server < 10; server++)
+    for (int i = 0; i < 60; i++)
+      {
+        tell_all_but_last (d, d->servers[server].key, true);
+        bb_driver_run (d, 50 * BB_MSEC);
+      }
 }
 
 static void
--- a/driver/scenarios.h
+++ b/driver/scenarios.h
@@ -11,7 +11,8 @@
 /* What went wrong that must never go wrong, or NULL; freed by the caller.  */
 char *bb_scenario_faults (const struct bb_driver *d);
 
-/* A server says to one balancer after the other that it drains.  */
+/* Ten servers, one after the other, tell all balancers but the last that they
+   drain.  */
 void bb_scenario_one_sided (struct bb_driver *d);
 /* Replaces balancers 0 to COUNT-1, one after the other, in order.  */
 void bb_scenario_roll (struct bb_driver *d, int count, bb_usec step);
--- a/driver/servers.c
+++ b/driver/servers.c
@@ -34,6 +34,12 @@
     return;
   if (f->server < 0 && ev->sequence == 1)
     open_at_server (d, f, ev->server);
+  /* The caller has not seen the first server's answer.  */
+  if (f->server != ev->server && ev->sequence == 1 && !f->acked)
+    {
+      bb_driver_close (d, f, BB_DRIVER_OPENING);
+      open_at_server (d, f, ev->server);
+    }
   if (f->server != ev->server)
     {
       /* A second server drops a SYN that its caller does not follow up, and
@@ -44,7 +50,7 @@
         bb_driver_break (d, ev->flow);
       return;
     }
-  if (f->hung || ev->sequence != f->sent)
+  if (f->hung || ev->sequence != f->sent || bb_driver_chance (d, d->o.loss))
     return;
   f->acked = f->sent;
   if (ev->flags & BB_TCP_FIN)
--- a/tests/driver_test.c
+++ b/tests/driver_test.c
@@ -1,119 +1,400 @@
 /* One case for each failure that the balancers must survive.  */
 
-#include "driver/driver.h"
-#include "tests/driver_cases.h"
+#include "driver/scenarios.h"
 
 #include <check.h>
 #include <stdlib.h>
+#include <string.h>
 
-static const struct bb_driver_options standard = {
-  .seed = 11,
-  .balancers = 6,
-  .servers = 14,
-  .flow_capacity = 20000,
-  .push_bytes = 4096,
-  .policy = BB_POLICY_EVEN,
-  .spill = 100,
-  .idle_s = 86400,
-  .silent_ms = 8000,
-  .latency = 500,
-  .rate = 100,
-  .gap = 3 * BB_SEC,
-  .life = 40 * BB_SEC,
+/* Options that differ from those of bb_scenario_options.  */
+struct changes
+{
+  uint32_t connection_limit;
+  uint32_t flow_capacity;
+  uint32_t loss;
+  uint32_t idle_s;
+  bool table; /* policy */
+  bool datagrams;
 };
 
-struct bb_driver_options
-driver_standard (uint64_t seed)
+static struct bb_driver_options
+options (const struct changes *c)
 {
-  struct bb_driver_options o = standard;
-  o.seed = seed;
+  struct bb_driver_options o = bb_scenario_options (11);
+  o.connection_limit = c->connection_limit;
+  o.loss = o.duplicates = c->loss;
+  o.flow_capacity = c->flow_capacity ? c->flow_capacity : o.flow_capacity;
+  o.idle_s = c->idle_s ? c->idle_s : o.idle_s;
+  o.policy = c->table ? BB_POLICY_TABLE : BB_POLICY_EVEN;
+  o.datagrams = c->datagrams;
   return o;
 }
 
-/* What holds whatever happens.  */
-void
-driver_check (struct bb_driver *d, const char *name, uint64_t seed)
+static struct bb_engine_status
+status (struct bb_driver *d, int node)
 {
-  const struct bb_driver_result *r = bb_driver_result (d);
-  ck_assert_msg (!r->misrouted && !r->duplicated && !r->refused_run
-                     && !r->resets_wrong && !r->versions_back,
-                 "%s seed %lu: %lu misrouted, %lu duplicated, %lu refused "
-                 "though run, %lu reset wrongly, %lu versions went back",
-                 name, seed, r->misrouted, r->duplicated, r->refused_run,
-                 r->resets_wrong, r->versions_back);
-  ck_assert_msg (!r->broken, "%s seed %lu: %lu broken, first %lu at %.3f s",
-                 name, seed, r->broken, r->first_broken,
-                 (double)r->first_broken_at / 1e6);
-  ck_assert_msg (r->opened, "%s seed %lu: no flow opened", name, seed);
+  struct bb_engine_status s;
+  bb_engine_status (bb_driver_node (d, node)->engine, bb_driver_now (d), &s);
+  return s;
 }
 
-START_TEST (driver_case)
+static void
+sprayed (struct bb_driver *d)
 {
-  const struct driver_case *c = &driver_cases[_i];
-  struct bb_driver_options o = standard;
-  if (c->adjust)
-    c->adjust (&o);
-  struct bb_driver *d = bb_driver_new (&o);
+  bb_driver_run (d, 20 * BB_SEC);
+  for (int i = 0; i < 6; i++)
+    {
+      struct bb_driver_node *n = bb_driver_node (d, i);
+      const struct bb_counters *c = bb_engine_counters (n->engine);
+      ck_assert_uint_gt (c->handed_in, 0);
+      ck_assert_uint_gt (c->placed_off_base, 0);
+    }
+}
+
+static void
+mixed_versions (struct bb_driver *d)
+{
+  bb_driver_node (d, 2)->config = false;
+  for (int i = 0; i < 4; i++)
+    {
+      bb_scenario_set_drain (d, i, true, 8 * BB_SEC);
+      bb_driver_run (d, 3 * BB_SEC);
+    }
+  bb_scenario_remove (d, 7, 8 * BB_SEC);
+}
+
+static void
+drain_and_churn (struct bb_driver *d)
+{
+  bb_scenario_roll_drain (d, 6, 5 * BB_SEC);
+}
+
+static void
+owner_and_table_move (struct bb_driver *d)
+{
+  for (int i = 0; i < 3; i++)
+    {
+      bb_scenario_remove (d, 2 * i, BB_SEC);
+      bb_driver_kill (d, i);
+      bb_driver_run (d, 10 * BB_SEC);
+      bb_driver_join (d, 8 + i);
+      bb_driver_run (d, 10 * BB_SEC);
+    }
+}
+
+static void
+one_dies (struct bb_driver *d)
+{
+  bb_scenario_set_drain (d, 1, true, BB_SEC);
   bb_driver_run (d, 5 * BB_SEC);
-  c->run (d);
+  bb_driver_kill (d, 3);
+}
+
+static void
+two_die_and_one_joins (struct bb_driver *d)
+{
+  bb_scenario_set_drain (d, 1, true, BB_SEC);
+  bb_driver_run (d, 5 * BB_SEC);
+  bb_driver_kill (d, 3);
+  bb_driver_kill (d, 0);
+  bb_driver_join (d, 9);
+}
+
+static void
+pause_in_drain (struct bb_driver *d)
+{
+  bb_driver_pause (d, 2, 10 * BB_SEC);
+  bb_driver_run (d, 100 * BB_MSEC);
+  bb_scenario_set_drain (d, 1, true, BB_SEC);
+  bb_driver_run (d, 12 * BB_SEC);
+}
+
+/* The list names a dead VM, then lacks two live ones, and some balancers have
+   an older list.  Hand-overs must not go round.  */
+static void
+wrong_list (struct bb_driver *d)
+{
+  bb_driver_kill (d, 0);
+  bb_driver_run (d, 5 * BB_SEC);
+  struct bb_vm_list *l = bb_driver_list (d);
+  l->vms[l->vm_count++] = bb_driver_node (d, 15)->vm;
+  bb_driver_publish_list (d, l, BB_SEC);
+  bb_driver_run (d, 5 * BB_SEC);
+  l = bb_driver_list (d);
+  l->vm_count = 3;
+  bb_driver_publish_list (d, l, 10 * BB_SEC);
   bb_driver_run (d, 15 * BB_SEC);
-  driver_check (d, c->name, o.seed);
-  bb_driver_free (d);
+  ck_assert_uint_le (bb_driver_result (d)->hops_max, BB_HOPS_MAX + 1);
+  ck_assert_uint_eq (status (d, 1).peers_live, 4);
 }
-END_TEST
 
-/* The faults that the checks must find.  */
+static void
+split_and_heal (struct bb_driver *d)
+{
+  uint64_t version = status (d, 4).versions[BB_DOCUMENT_BASE];
+  bb_driver_partition (d, 7);
+  bb_driver_run (d, 30 * BB_SEC);
+  ck_assert_uint_eq (status (d, 4).peers_live, 2);
+  bb_driver_partition (d, 0);
+  bb_driver_run (d, 10 * BB_SEC);
+  ck_assert_uint_eq (status (d, 4).peers_live, 5);
+  ck_assert_uint_ge (status (d, 4).versions[BB_DOCUMENT_BASE], version);
+}
 
-static uint64_t
-broken_with (const struct bb_driver_options *o, void (*run) (struct bb_driver *))
+static void
+config_down (struct bb_driver *d)
 {
-  struct bb_driver *d = bb_driver_new (o);
+  bb_scenario_set_drain (d, 1, true, BB_SEC);
   bb_driver_run (d, 5 * BB_SEC);
-  run (d);
+  for (int i = 0; i < BB_DRIVER_NODES; i++)
+    bb_driver_node (d, i)->config = false;
+  bb_driver_kill (d, 2);
+  bb_driver_join (d, 8);
+  bb_driver_run (d, 5 * BB_SEC);
+  ck_assert_uint_eq (status (d, 8).versions[BB_DOCUMENT_BASE], 2);
+  ck_assert (!bb_driver_offer (d, 8, 1));
+  ck_assert (!bb_driver_offer (d, 3, 1));
+}
+
+static void
+lie_all (struct bb_driver *d, enum bb_driver_lie lie)
+{
+  for (int i = 0; i < 14; i++)
+    bb_driver_server (d, i)->lie = lie;
+}
+
+static void
+all_look_dead (struct bb_driver *d)
+{
+  lie_all (d, BB_LIE_DEAD);
+  bb_driver_run (d, 10 * BB_SEC);
+  uint64_t before = bb_driver_result (d)->opened;
+  bb_driver_run (d, 5 * BB_SEC);
+  ck_assert_uint_gt (bb_driver_result (d)->opened, before + 300);
+}
+
+static void
+one_flaps (struct bb_driver *d)
+{
+  for (int i = 0; i < 8; i++)
+    {
+      bb_driver_server (d, 3)->lie = i % 2 ? BB_LIE_NONE : BB_LIE_DEAD;
+      bb_driver_run (d, 4 * BB_SEC);
+    }
+}
+
+static void
+check_share (struct bb_driver *d, int server, double limit)
+{
+  double sum = 0;
+  for (int i = 0; i < 14; i++)
+    sum += bb_driver_server (d, i)->flows;
+  ck_assert_double_le (bb_driver_server (d, server)->flows, limit * sum / 14);
+}
+
+static void
+one_reports_zero (struct bb_driver *d)
+{
+  bb_driver_server (d, 3)->lie = BB_LIE_ZERO;
+  bb_driver_run (d, 40 * BB_SEC);
+  check_share (d, 3, 1.3);
+}
+
+static void
+reports_too_old (struct bb_driver *d)
+{
+  lie_all (d, BB_LIE_STALE);
+  bb_driver_run (d, 40 * BB_SEC);
+  for (int i = 0; i < 14; i++)
+    check_share (d, i, 1.3);
+}
+
+static void
+cold_start (struct bb_driver *d)
+{
+  bb_driver_kill_server (d, 3);
+  bb_driver_run (d, 10 * BB_SEC);
+  struct bb_driver_server *s = bb_driver_server (d, 3);
+  s->up = true;
+  s->started = bb_driver_now (d);
+  bb_driver_run (d, 6 * BB_SEC);
+  ck_assert_int_lt (s->flows, 6 * 90 / 14 / 2);
+  bb_driver_run (d, 60 * BB_SEC);
+  ck_assert_int_gt (s->flows, 100);
+}
+
+static void
+all_full (struct bb_driver *d)
+{
+  bb_driver_set_rate (d, 400);
+  bb_driver_run (d, 50 * BB_SEC);
+  ck_assert_uint_gt (bb_driver_result (d)->refused, 100);
+}
+
+static void
+silent_flows (struct bb_driver *d)
+{
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      struct bb_driver_flow *f = bb_driver_flow (d, i);
+      f->ends = INT64_MAX;
+      f->hung = i < 5;
+      f->frozen = i >= 5;
+    }
+  bb_driver_run (d, 40 * BB_SEC);
+  ck_assert_uint_ge (bb_driver_result (d)->resets, 4);
+  for (uint32_t i = 5; i < 10; i++)
+    ck_assert_int_ne (bb_driver_flow (d, i)->state, BB_DRIVER_BROKEN);
+}
+
+static void
+reused_tuples (struct bb_driver *d)
+{
+  bb_driver_run (d, 60 * BB_SEC);
+  uint32_t reused = 0;
+  for (uint32_t i = 0; i < 400; i++)
+    {
+      struct bb_driver_flow *f = bb_driver_flow (d, i);
+      if (f->state != BB_DRIVER_CLOSED || f->packet.destination_port != 80
+          || (f->packet.destination & 0xff) != 1)
+        continue;
+      bb_driver_reopen (d, i);
+      bb_driver_repeat (d, i, 2);
+      reused++;
+    }
+  ck_assert_uint_gt (reused, 100);
+}
+
+static void
+floods (struct bb_driver *d)
+{
+  for (int i = 0; i < 20000; i++)
+    {
+      bb_driver_stray (d, BB_TCP_SYN);
+      bb_driver_stray (d, BB_TCP_ACK);
+      if (i % 20 == 0)
+        bb_driver_run (d, 5 * BB_MSEC);
+    }
+  for (int i = 0; i < 6; i++)
+    ck_assert_uint_lt (status (d, i).flows, status (d, i).flow_capacity / 2);
+}
+
+/* The base set follows the configuration while flows go on.  */
+static void
+rebase (struct bb_driver *d)
+{
+  bb_scenario_remove (d, 3, BB_SEC);
+  bb_driver_run (d, 120 * BB_SEC);
+  ck_assert_uint_gt (status (d, 0).generation, 1);
+}
+
+static const struct
+{
+  const char *name;
+  void (*run) (struct bb_driver *d);
+  struct changes changes;
+} cases[] = {
+  { "only one saw the SYN", sprayed, { 0 } },
+  { "different versions", mixed_versions, { 0 } },
+  { "drain while balancers come and go", drain_and_churn, { 0 } },
+  { "owner and table move", owner_and_table_move, { 0 } },
+  { "one dies", one_dies, { 0 } },
+  { "two die, one joins", two_die_and_one_joins, { 0 } },
+  { "two die, packets lost", two_die_and_one_joins, { .loss = 10000 } },
+  { "pause in a drain", pause_in_drain, { 0 } },
+  { "wrong VM list", wrong_list, { 0 } },
+  { "split and healed, table", split_and_heal, { .table = true } },
+  { "split and healed, even", split_and_heal, { 0 } },
+  { "configuration down or older", config_down, { 0 } },
+  { "all servers look dead", all_look_dead, { 0 } },
+  { "one server flaps", one_flaps, { 0 } },
+  { "one server reports no load", one_reports_zero, { 0 } },
+  { "reports too old", reports_too_old, { 0 } },
+  { "cold start", cold_start, { 0 } },
+  { "all servers full", all_full, { .connection_limit = 600, .loss = 20000 } },
+  { "silent and idle flows", silent_flows, { 0 } },
+  { "5-tuple used again", reused_tuples, { 0 } },
+  { "floods", floods, { .flow_capacity = 4000 } },
+  { "rebase", rebase, { .idle_s = 30 } },
+  { "datagrams", drain_and_churn, { .datagrams = true } },
+};
+
+START_TEST (driver_case)
+{
+  struct bb_driver_options o = options (&cases[_i].changes);
+  struct bb_driver *d = bb_driver_new (&o);
+  bb_driver_run (d, 5 * BB_SEC);
+  cases[_i].run (d);
   bb_driver_run (d, 15 * BB_SEC);
-  uint64_t broken = bb_driver_result (d)->broken;
+  char *faults = bb_scenario_faults (d);
+  ck_assert_msg (!faults, "%s: %s", cases[_i].name, faults);
   bb_driver_free (d);
-  return broken;
 }
+END_TEST
 
+/* Faults that the checks must find: without them nothing breaks.  */
 static void
-no_bits (struct bb_driver_options *o)
+hide_bits (struct bb_driver_options *o)
 {
   o->hide_bits = true;
 }
 
 static void
-no_entries (struct bb_driver_options *o)
+lose_entries (struct bb_driver_options *o)
 {
   o->lose_entries = true;
 }
 
 static void
-early_acks (struct bb_driver_options *o)
+false_acks (struct bb_driver_options *o)
 {
   o->false_acks = true;
-  o->rate = 2000;
-  o->latency = 20 * BB_MSEC;
+}
+
+static void
+roll (struct bb_driver *d)
+{
+  bb_scenario_roll (d, 6, 5 * BB_SEC);
 }
 
 static const struct
 {
   const char *name;
-  void (*adjust) (struct bb_driver_options *o);
+  void (*plant) (struct bb_driver_options *o);
   void (*run) (struct bb_driver *d);
+  double rate;
+  bb_usec gap;
+  bb_usec latency;
 } planted[] = {
-  { "impairment bits ignored", no_bits, driver_one_sided_opinion },
-  { "pushed entries lost", no_entries, driver_rolling_replacement },
-  { "acknowledgements false", early_acks, driver_one_sided_opinion },
+  { "impairment bits ignored", hide_bits, bb_scenario_one_sided, 40,
+    300 * BB_MSEC, 10 * BB_MSEC },
+  { "pushed entries lost", lose_entries, roll, 100, 10 * BB_SEC, BB_MSEC },
+  { "false acknowledgements", false_acks, bb_scenario_one_sided, 2000,
+    300 * BB_MSEC, 100 * BB_MSEC },
 };
 
+static uint64_t
+broken (const struct bb_driver_options *o, void (*run) (struct bb_driver *d))
+{
+  struct bb_driver *d = bb_driver_new (o);
+  bb_driver_run (d, 5 * BB_SEC);
+  run (d);
+  bb_driver_run (d, 15 * BB_SEC);
+  uint64_t n = bb_driver_result (d)->broken;
+  bb_driver_free (d);
+  return n;
+}
+
 START_TEST (planted_fault)
 {
-  struct bb_driver_options o = standard;
-  ck_assert_msg (!broken_with (&o, planted[_i].run), "%s: broken without it",
-                 planted[_i].name);
-  planted[_i].adjust (&o);
-  ck_assert_msg (broken_with (&o, planted[_i].run) > 0, "%s: not found",
+  struct bb_driver_options o = bb_scenario_options (11);
+  o.rate = planted[_i].rate;
+  o.gap = planted[_i].gap;
+  o.latency = planted[_i].latency;
+  o.life = o.rate > 1000 ? 2 * BB_SEC : 40 * BB_SEC;
+  ck_assert_uint_eq (broken (&o, planted[_i].run), 0);
+  planted[_i].plant (&o);
+  ck_assert_msg (broken (&o, planted[_i].run) > 0, "%s: not found",
                  planted[_i].name);
 }
 END_TEST
@@ -123,10 +404,9 @@
 {
   Suite *s = suite_create ("driver");
   TCase *t = tcase_create ("cases");
-  tcase_add_loop_test (t, driver_case, 0, (int)driver_case_count);
+  tcase_add_loop_test (t, driver_case, 0, (int)G_N_ELEMENTS (cases));
   tcase_add_loop_test (t, planted_fault, 0, (int)G_N_ELEMENTS (planted));
   suite_add_tcase (s, t);
-  suite_add_tcase (s, driver_random_cases ());
   SRunner *r = srunner_create (s);
   srunner_run_all (r, CK_ENV);
   int failed = srunner_ntests_failed (r);
--- /dev/null
+++ b/tests/random_test.c
@@ -0,0 +1,60 @@
+/* Random interleavings of faults over fixed seeds.  */
+
+#include "driver/scenarios.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+enum
+{
+  FIRST_SEED = 1,
+  SEEDS = 200,
+  STEPS = 20,
+};
+
+/* Seeds that failed once; the commits that mended them have the traces.  */
+static const uint64_t failed_once[]
+    = { 38,   42,   87,   166,  174,  176,  180,  261,  270,  288,  338,
+        345,  348,  364,  390,  393,  399,  404,  422,  504,  1020, 1024,
+        1032, 1046, 1062, 1082, 1119, 1128, 1152, 1181, 1190, 1194, 1249,
+        1281, 1294, 1404, 1410, 1528, 1557, 1622, 1650, 1842 };
+
+static void
+check_seed (uint64_t seed)
+{
+  struct bb_driver_options o = bb_scenario_options (seed);
+  o.policy = seed % 2 ? BB_POLICY_TABLE : BB_POLICY_EVEN;
+  if (seed % 3 == 0)
+    {
+      o.loss = o.duplicates = 10000;
+      o.message_faults = 20000;
+    }
+  struct bb_driver *d = bb_driver_new (&o);
+  bb_driver_run (d, 5 * BB_SEC);
+  bb_scenario_random (d, STEPS);
+  bb_driver_run (d, 15 * BB_SEC);
+  char *faults = bb_scenario_faults (d);
+  ck_assert_msg (!faults, "%s", faults);
+  bb_driver_free (d);
+}
+
+START_TEST (random_seed) { check_seed ((uint64_t)_i); }
+END_TEST
+
+START_TEST (kept_seed) { check_seed (failed_once[_i]); }
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("random");
+  TCase *t = tcase_create ("interleavings");
+  tcase_add_loop_test (t, random_seed, FIRST_SEED, FIRST_SEED + SEEDS);
+  tcase_add_loop_test (t, kept_seed, 0, (int)G_N_ELEMENTS (failed_once));
+  suite_add_tcase (s, t);
+  SRunner *r = srunner_create (s);
+  srunner_run_all (r, CK_ENV);
+  int failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
