core: an ingress that only hands over does not count as visited

Cause: a replica that was the ingress of a packet was passed over when the owner looked for the entry (model handover has the same rule).

--- a/core/steer.c
+++ b/core/steer.c
@@ -17,6 +17,7 @@
   struct bb_verdict *v;
   uint64_t hash;
   uint32_t bucket;
+  bool searched; /* an entry was looked for here */
   bb_usec now;
 };
 
@@ -80,7 +81,8 @@
   struct bb_engine *e = c->e;
   struct bb_handover *o = &c->v->handover;
   *o = c->h ? *c->h : (struct bb_handover){ .hops = 0 };
-  if (o->hops < BB_HOPS_MAX)
+  /* An ingress that only hands over may be a replica that is asked later.  */
+  if (o->hops < BB_HOPS_MAX && c->searched)
     o->visited[o->hops] = (uint16_t)e->options.self.id;
   o->hops++;
   o->flags = flags;
@@ -336,6 +338,7 @@
 static void
 look_up (struct steering *c)
 {
+  c->searched = true;
   struct bb_flow *f = bb_flows_find (&c->e->flows, c->hash);
   /* The hash alone must never lead to a server of another service.  */
   if (f && &c->e->services[c->e->slots[f->slot].service] != c->s)
@@ -355,6 +358,7 @@
 record_and_pass (struct steering *c)
 {
   struct bb_engine *e = c->e;
+  c->searched = true;
   struct bb_slot *t = bb_slot_find (e, c->h->server);
   if (!t || &e->services[t->service] != c->s)
     {
