--- a/driver/driver.c
+++ b/driver/driver.c
@@ -40,7 +40,8 @@
 static void
 deliver (struct bb_driver *d, int from, int to, GBytes *bytes)
 {
-  bb_usec at = d->now + d->o.latency + bb_driver_random (d, 500);
+  bb_usec at = d->now + d->o.latency + d->o.message_delay;
+  at += bb_driver_random (d, 500);
   at = MAX (at, d->last_message[from][to]);
   if (bb_driver_chance (d, d->o.message_faults))
     at += bb_driver_random (d, FAULT_DELAY);
--- a/driver/driver.h
+++ b/driver/driver.h
@@ -29,6 +29,7 @@
   uint32_t idle_s;
   uint32_t silent_ms;
   bb_usec latency;         /* one way */
+  bb_usec message_delay;   /* of messages, besides the latency */
   uint32_t loss;           /* of packets, parts per million */
   uint32_t duplicates;     /* of packets, parts per million */
   uint32_t message_faults; /* lost, repeated or overtaken, per million */
@@ -103,6 +104,7 @@
   uint32_t sent;  /* packets, the SYN included */
   uint32_t acked; /* packets that the server got */
   uint32_t tries; /* of the packet under way */
+  uint32_t timer; /* number of the last one set */
   float load;
   bb_usec ends;
   bool hung;   /* the server's answers are lost for good */
--- a/driver/private.h
+++ b/driver/private.h
@@ -84,6 +84,7 @@
 void bb_driver_handle_packet (struct bb_driver *d, struct bb_driver_event *ev);
 void bb_driver_close (struct bb_driver *d, struct bb_driver_flow *f,
                       enum bb_driver_flow_state state);
+void bb_driver_answer (struct bb_driver *d, uint32_t flow);
 void bb_driver_break (struct bb_driver *d, uint32_t flow);
 
 /* servers.c */
--- a/driver/servers.c
+++ b/driver/servers.c
@@ -52,7 +52,7 @@
     }
   if (f->hung || ev->sequence != f->sent || bb_driver_chance (d, d->o.loss))
     return;
-  f->acked = f->sent;
+  bb_driver_answer (d, ev->flow);
   if (ev->flags & BB_TCP_FIN)
     bb_driver_close (d, f, BB_DRIVER_CLOSED);
 }
--- a/driver/traffic.c
+++ b/driver/traffic.c
@@ -17,12 +17,26 @@
   return &g_array_index (d->flows, struct bb_driver_flow, i);
 }
 
+/* Replaces the timer of the flow.  */
 static void
-schedule_flow (struct bb_driver *d, uint32_t i, bb_usec delay, bool fresh)
+schedule_flow (struct bb_driver *d, uint32_t i, bb_usec delay)
 {
   struct bb_driver_event *ev = bb_driver_push (d, delay, BB_DRIVER_FLOW);
   ev->flow = i;
-  ev->handed = fresh;
+  ev->run = ++bb_driver_flow (d, i)->timer;
+}
+
+/* The answer to the packet under way has been sent.  The handshake ends at
+   once, other packets follow after a pause.  */
+void
+bb_driver_answer (struct bb_driver *d, uint32_t flow)
+{
+  struct bb_driver_flow *f = bb_driver_flow (d, flow);
+  bb_usec delay = d->o.latency;
+  f->acked = f->sent;
+  if (f->sent > 1)
+    delay += (bb_usec)bb_driver_exponential (d, (double)d->o.gap);
+  schedule_flow (d, flow, delay);
 }
 
 static uint32_t
@@ -52,8 +66,7 @@
 bb_driver_open (struct bb_driver *d, uint32_t count, int service)
 {
   while (count--)
-    schedule_flow (d, add_flow (d, service), bb_driver_random (d, 1000000),
-                   true);
+    schedule_flow (d, add_flow (d, service), bb_driver_random (d, 1000000));
 }
 
 uint32_t
@@ -62,7 +75,7 @@
   uint32_t i = add_flow (d, 0);
   struct bb_driver_flow *f = bb_driver_flow (d, i);
   f->packet = bb_driver_flow (d, flow)->packet;
-  schedule_flow (d, i, 0, true);
+  schedule_flow (d, i, 0);
   return i;
 }
 
@@ -72,7 +85,7 @@
   if (d->o.rate <= 0)
     return;
   int service = bb_driver_random (d, 10) == 0;
-  schedule_flow (d, add_flow (d, service), 0, true);
+  schedule_flow (d, add_flow (d, service), 0);
   bb_usec gap = (bb_usec)bb_driver_exponential (d, 1e6 / d->o.rate);
   bb_driver_push (d, gap, BB_DRIVER_START);
 }
@@ -162,14 +175,8 @@
 bb_driver_handle_flow (struct bb_driver *d, struct bb_driver_event *ev)
 {
   struct bb_driver_flow *f = bb_driver_flow (d, ev->flow);
-  if (f->state > BB_DRIVER_OPEN || f->frozen)
+  if (f->state > BB_DRIVER_OPEN || f->frozen || ev->run != f->timer)
     return;
-  if (f->acked == f->sent && !ev->handed)
-    {
-      double gap = bb_driver_exponential (d, (double)d->o.gap);
-      schedule_flow (d, ev->flow, (bb_usec)gap, true);
-      return;
-    }
   if (f->acked == f->sent)
     {
       f->sent++;
@@ -183,7 +190,7 @@
     }
   transmit (d, ev->flow, f->sent, flags_of (d, f, f->sent));
   bb_usec wait = f->sent == 1 ? SYN_TIMEOUT : DATA_TIMEOUT;
-  schedule_flow (d, ev->flow, wait << MIN (f->tries, DOUBLINGS_MAX), false);
+  schedule_flow (d, ev->flow, wait << MIN (f->tries, DOUBLINGS_MAX));
 }
 
 static int
