--- a/core/steer.c
+++ b/core/steer.c
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 
 #define REFRESH_SECONDS 60 /* replicas are told of a live flow this often */
+#define REFRESH_SECONDS_UDP 10 /* shorter than the life of an idle entry */
 
 struct steering
 {
@@ -16,6 +17,7 @@
   struct bb_verdict *v;
   uint64_t hash;
   uint32_t bucket;
+  bool searched; /* an entry was looked for here */
   bb_usec now;
 };
 
@@ -79,7 +81,8 @@
   struct bb_engine *e = c->e;
   struct bb_handover *o = &c->v->handover;
   *o = c->h ? *c->h : (struct bb_handover){ .hops = 0 };
-  if (o->hops < BB_HOPS_MAX)
+  /* An ingress that only hands over may be a replica that is asked later.  */
+  if (o->hops < BB_HOPS_MAX && c->searched)
     o->visited[o->hops] = (uint16_t)e->options.self.id;
   o->hops++;
   o->flags = flags;
@@ -131,6 +134,22 @@
   return before == BB_FLOW_SYN ? BB_FLOW_OPEN : before;
 }
 
+/* Whether the replicas under the present view have not been told of F.  The
+   packet that tells them may be lost, so that until the push is done the entry
+   keeps its epoch and is pushed as well.  */
+static bool
+untold (const struct bb_engine *e, const struct bb_flow *f)
+{
+  return f->epoch != e->epoch
+         && (e->push_done || (bb_usec)f->refreshed * BB_SEC < e->view_changed);
+}
+
+static uint32_t
+refresh_time (const struct bb_packet *p)
+{
+  return p->protocol == IPPROTO_UDP ? REFRESH_SECONDS_UDP : REFRESH_SECONDS;
+}
+
 static void
 found (struct steering *c, struct bb_flow *f)
 {
@@ -138,8 +157,8 @@
   enum bb_flow_state after = state_after (c->p, f->state);
   e->counters.found++;
   f->seen = e->seconds;
-  bool tell = f->state != after || f->epoch != e->epoch
-              || e->seconds - f->refreshed >= REFRESH_SECONDS
+  bool tell = f->state != after || untold (e, f)
+              || e->seconds - f->refreshed >= refresh_time (c->p)
               || (is_syn (c->p) && f->state == BB_FLOW_SYN);
   if (after == BB_FLOW_CLOSING && f->state != BB_FLOW_CLOSING)
     e->slots[f->slot].own_open--;
@@ -150,7 +169,8 @@
       forward (c, f->slot);
       return;
     }
-  f->epoch = e->epoch;
+  if (e->push_done)
+    f->epoch = e->epoch;
   f->refreshed = e->seconds;
   replicate (c, f->slot);
 }
@@ -251,8 +271,9 @@
       return;
     }
   bool tcp = is_syn (c->p);
-  /* During a rebase the balancers may miss differently.  */
-  if (slot != base_of (c) || c->s->limited || c->s->target)
+  /* During a rebase the balancers may miss differently.  A datagram flow has
+     no first packet, so that the next one would be placed again.  */
+  if (slot != base_of (c) || c->s->limited || c->s->target || !tcp)
     {
       if (!bb_record (e, c->hash, (uint16_t)slot,
                       tcp ? BB_FLOW_SYN : BB_FLOW_OPEN))
@@ -287,14 +308,14 @@
   struct bb_engine *e = c->e;
   bool final = c->h && (c->h->flags & BB_HAND_FINAL);
   bool spent = c->h && c->h->hops >= BB_HOPS_MAX;
-  if (final || spent)
+  int owner = bb_order_owner (&e->view, c->hash);
+  bool own = owner < 0 || e->view.peers[owner] == BB_SELF;
+  if (final || (spent && own))
     {
       decide (c);
       return;
     }
-  bool unsettled = bb_view_unsettled (e, c->now);
-  int owner = bb_order_owner (&e->view, c->hash);
-  bool own = owner < 0 || e->view.peers[owner] == BB_SELF;
+  bool unsettled = !spent && bb_view_unsettled (e, c->now);
   int next = unsettled ? next_replica (c) : -1;
   if (next >= 0)
     hand (c, (uint32_t)next, 0, 0);
@@ -316,6 +337,7 @@
 static void
 look_up (struct steering *c)
 {
+  c->searched = true;
   struct bb_flow *f = bb_flows_find (&c->e->flows, c->hash);
   /* The hash alone must never lead to a server of another service.  */
   if (f && &c->e->services[c->e->slots[f->slot].service] != c->s)
@@ -335,6 +357,7 @@
 record_and_pass (struct steering *c)
 {
   struct bb_engine *e = c->e;
+  c->searched = true;
   struct bb_slot *t = bb_slot_find (e, c->h->server);
   if (!t || &e->services[t->service] != c->s)
     {
@@ -460,7 +483,7 @@
   c.s = bb_service_of (e, p);
   if (!why && !c.s)
     why = BB_DROP_NO_SERVICE;
-  if (!why && h && h->hops > BB_HOPS_MAX)
+  if (!why && h && h->hops > BB_HOPS_MAX + 1) /* one for BB_HAND_FINAL */
     why = BB_DROP_HOPS;
   if (why)
     {
