Ask again at once after a document that a peer delivered first

Such an answer was taken for one of a service without long polls, so that the balancer did not watch the document for up to 2 s: of three balancers two were then late for a change that followed. The version asked about tells the two cases apart.

A seed that was never heard is reported as such, not with the uptime of the machine as the time of its last message.

--- a/runtime/attention.c
+++ b/runtime/attention.c
@@ -73,17 +73,27 @@
           servers[first].service_name, listed);
 }
 
+static void
+note_lost (struct json_object *list, const struct bb_peer_status *peer,
+           bb_usec uptime)
+{
+  if (peer->heard_age > uptime)
+    note (list, "peer %s not heard since the start", peer->vm.name);
+  else
+    note (list, "peer %s lost, last heard %" PRId64 " s ago", peer->vm.name,
+          peer->heard_age / BB_SEC);
+}
+
 /* Peers of other data centres are heard from by chance only.  */
 static void
-note_peers (struct json_object *list, const struct bb_process *p,
+note_peers (struct json_object *list, const struct bb_process *p, bb_usec now,
             const struct bb_peer_status *peers, size_t count)
 {
   for (size_t i = 0; i < count; i++)
     if (peers[i].suspected && peers[i].state != BB_PEER_LEAVING
         && strcmp (peers[i].vm.data_centre, p->settings->self.data_centre)
                == 0)
-      note (list, "peer %s lost, last heard %" PRId64 " s ago",
-            peers[i].vm.name, peers[i].heard_age / BB_SEC);
+      note_lost (list, &peers[i], now - p->started);
 }
 
 static void
@@ -116,7 +126,7 @@
   for (size_t i = 0; i < server_count; i++)
     if (servers[i].listed)
       note_service (list, servers, server_count, i);
-  note_peers (list, p, peers, peer_count);
+  note_peers (list, p, now, peers, peer_count);
   note_engine (list, p, now, status);
   return list;
 }
--- a/runtime/platform_http.c
+++ b/runtime/platform_http.c
@@ -34,6 +34,7 @@
   int wait_s;             /* of the long poll; the first read does not wait,
                              so that an absent overlay delays no start */
   bb_usec asked;
+  uint64_t after; /* version named in the last request */
   /* Version of a refused document.  It is named in one long poll, so that the
      document is not sent again and again, and is then forgotten: a corrected
      one may have a lower version.  */
@@ -77,7 +78,9 @@
   enum bb_offer offer
       = bb_platform_offer (w->http->platform, w->kind, answer->version,
                            answer->body, answer->length);
-  if (offer == BB_OFFER_ACCEPTED)
+  bool newer = answer->version > w->after; /* than the one asked about */
+  /* A peer may have been faster than the service.  */
+  if (offer == BB_OFFER_ACCEPTED || (offer == BB_OFFER_SAME && newer))
     return 0;
   w->skip = 0;
   if (offer != BB_OFFER_SAME && offer != BB_OFFER_OLDER)
@@ -128,7 +131,7 @@
 }
 
 static void
-format_path (char *path, size_t size, const struct watch *w)
+format_path (char *path, size_t size, struct watch *w)
 {
   static const char *const names[BB_DOCUMENT_KINDS] = {
     [BB_DOCUMENT_BASE] = "base",
@@ -137,10 +140,11 @@
   };
   const struct bb_platform *platform = w->http->platform;
   uint64_t version = platform->sink->version (platform->context, w->kind);
+  w->after = MAX (version, w->skip);
   g_snprintf (path, size, "/v1/%s%s?after=%" G_GUINT64_FORMAT "&wait_s=%d",
               names[w->kind],
               w->kind == BB_DOCUMENT_OVERLAY ? platform->data_centre : "",
-              MAX (version, w->skip), w->wait_s);
+              w->after, w->wait_s);
 }
 
 static void
