Keep old orders valid when a restarted peer is forgotten; settle once a tick

Two faults of the merge of cached orders with the history of views, both in the view of the members:

- bb_view_forget took a member out of the stored views but left their orders, whose indices then named another member or one past the end, so that the push could believe a balancer held entries that it was never told.
The orders now drop the member; nobody moves up in its place.
- Each miss looked at all peers to see whether views may differ.

--- a/core/members.c
+++ b/core/members.c
@@ -199,6 +199,7 @@
   if (!changed)
     return;
   e->view_changed = now;
+  e->unsettled = true;
   e->epoch++;
   e->views[e->epoch % BB_VIEWS] = v;
   bb_push_restart (e);
@@ -214,6 +215,7 @@
   v->ids[i] = v->ids[v->count];
   v->joining[i] = v->joining[v->count];
   v->peers[i] = v->peers[v->count];
+  bb_order_forget (v, (uint8_t)i, (uint8_t)v->count);
 }
 
 /* The process ID was restarted and holds none of the entries that it was
@@ -224,14 +226,15 @@
   for (int i = 0; i < BB_VIEWS; i++)
     view_remove (&e->views[i], id);
   view_remove (&e->view, id);
+  bb_order_fill (&e->view);
   bb_view_rebuild (e, now);
 }
 
 /* Misses are not final while views may differ, or while entries are still
    pushed: a balancer that was to push some may have died, so that a new owner
    lacks them until another one has pushed.  */
-bool
-bb_view_unsettled (const struct bb_engine *e, bb_usec now)
+static bool
+is_unsettled (const struct bb_engine *e, bb_usec now)
 {
   if (now - e->view_changed < BB_SETTLE_TIME)
     return true;
@@ -299,4 +302,5 @@
     }
   if (lost)
     bb_view_rebuild (e, now);
+  e->unsettled = is_unsettled (e, now);
 }
--- a/core/order.c
+++ b/core/order.c
@@ -77,3 +77,17 @@
   for (uint32_t p = 0; p < BB_PARTITIONS; p++)
     fill (v, p, &v->orders[p]);
 }
+
+void
+bb_order_forget (struct bb_view *v, uint8_t member, uint8_t last)
+{
+  for (uint32_t p = 0; p < BB_PARTITIONS; p++)
+    {
+      struct bb_order *o = &v->orders[p];
+      uint8_t kept = 0;
+      for (uint8_t i = 0; i < o->count; i++)
+        if (o->members[i] != member)
+          o->members[kept++] = o->members[i] == last ? member : o->members[i];
+      o->count = kept;
+    }
+}
--- a/core/private.h
+++ b/core/private.h
@@ -254,6 +254,9 @@
   uint8_t epoch;
   uint8_t synced; /* last epoch for which all peers had pushed */
   bb_usec view_changed;
+  /* Misses are not final, as of the last tick: looking at all peers took 100
+     instructions of a packet.  */
+  bool unsettled;
   bb_usec view_regained; /* a lost peer came back, entries may be elsewhere */
   bb_usec first_active;  /* an active peer was heard */
   bool missing_peer;     /* some active peer was lost not long ago */
@@ -343,7 +346,6 @@
 void bb_view_rebuild (struct bb_engine *e, bb_usec now);
 void bb_view_forget (struct bb_engine *e, uint32_t id, bb_usec now);
 uint32_t bb_members_digest (const struct bb_engine *e);
-bool bb_view_unsettled (const struct bb_engine *e, bb_usec now);
 
 /* order.c */
 enum
@@ -352,6 +354,10 @@
 };
 /* Computes the orders of VIEW from its other fields.  */
 void bb_order_fill (struct bb_view *view);
+/* Takes MEMBER out of the orders of VIEW and gives its index to the member
+   LAST.  No other member moves up, because none was told in its place; the
+   owner is not kept up to date.  */
+void bb_order_forget (struct bb_view *view, uint8_t member, uint8_t last);
 /* First members of VIEW for HASH: the members that hold its entry, joining
    ones included; at most BB_REPLICAS active ones and BB_HOPS_MAX in all.  */
 const struct bb_order *bb_order_replicas (const struct bb_view *view,
--- a/core/steer.c
+++ b/core/steer.c
@@ -292,10 +292,9 @@
       decide (c);
       return;
     }
-  bool unsettled = bb_view_unsettled (e, c->now);
   int owner = bb_order_owner (&e->view, c->hash);
   bool own = owner < 0 || e->view.peers[owner] == BB_SELF;
-  int next = unsettled ? next_replica (c) : -1;
+  int next = e->unsettled ? next_replica (c) : -1;
   if (next >= 0)
     hand (c, (uint32_t)next, 0, 0);
   else if (own)
--- a/tests/order_test.c
+++ b/tests/order_test.c
@@ -91,6 +91,36 @@
 }
 END_TEST
 
+/* Guards against replicas of an earlier view that point at another member, or
+   past the end, after a restarted process was taken out of it, and against a
+   member that counts as told though it was not.  */
+START_TEST (forgotten_members_leave_the_orders)
+{
+  struct bb_view *before = make_view (1, MEMBERS, false);
+  struct bb_view *v = make_view (1, MEMBERS, false);
+  uint8_t gone = (uint8_t)_i, last = MEMBERS - 1;
+  v->ids[gone] = v->ids[last];
+  v->count--;
+  bb_order_forget (v, gone, last);
+  for (uint64_t p = 0; p < BB_PARTITIONS; p++)
+    {
+      const struct bb_order *old = bb_order_replicas (before, p << 32);
+      const struct bb_order *o = bb_order_replicas (v, p << 32);
+      uint32_t kept = 0;
+      for (uint32_t i = 0; i < old->count; i++)
+        if (old->members[i] != gone)
+          {
+            ck_assert_uint_lt (o->members[kept], v->count);
+            ck_assert_uint_eq (v->ids[o->members[kept++]],
+                               before->ids[old->members[i]]);
+          }
+      ck_assert_uint_eq (o->count, kept);
+    }
+  g_free (before);
+  g_free (v);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -99,6 +129,7 @@
   tcase_add_test (t, owners_are_stable_and_spread);
   tcase_add_loop_test (t, joining_members_hold_but_do_not_own, 0,
                        G_N_ELEMENTS (cases));
+  tcase_add_loop_test (t, forgotten_members_leave_the_orders, 0, MEMBERS);
   suite_add_tcase (s, t);
   return run_suite (s);
 }
