--- a/core/steer.c
+++ b/core/steer.c
@@ -315,8 +315,7 @@
       decide (c);
       return;
     }
-  bool unsettled = !spent && bb_view_unsettled (e, c->now);
-  int next = unsettled ? next_replica (c) : -1;
+  int next = !spent && e->unsettled ? next_replica (c) : -1;
   if (next >= 0)
     hand (c, (uint32_t)next, 0, 0);
   else if (own)
