core: await known peers and fresh acknowledgements

A peer that was cut off serves again before it is heard, and a waking balancer may take a heartbeat that was sent during its pause for a fresh one.

--- a/core/bits.c
+++ b/core/bits.c
@@ -4,15 +4,22 @@
 
 #include <string.h>
 
-/* Whether every live peer of the data centre has processed SEQUENCE.  */
+/* Whether P may still serve.  A suspected peer may have been cut off and
+   serves again before it is heard.  */
+static bool
+may_serve (const struct bb_peer *p)
+{
+  return p->heard && (!p->suspected || p->state == BB_PEER_ACTIVE);
+}
+
+/* Whether every such peer of the data centre has processed SEQUENCE.  */
 static bool
 all_acknowledged (const struct bb_engine *e, uint32_t sequence)
 {
   for (uint32_t i = 0; i < e->peer_count; i++)
     {
       const struct bb_peer *p = &e->peers[i];
-      if (bb_peer_local (e, p) && bb_peer_live (e, p)
-          && p->acknowledged < sequence)
+      if (bb_peer_local (e, p) && may_serve (p) && p->acknowledged < sequence)
         return false;
     }
   return true;
--- a/core/engine.c
+++ b/core/engine.c
@@ -140,24 +140,23 @@
   e->woke = now;
   for (uint32_t i = 0; i < e->peer_count; i++)
     {
-      e->peers[i].awake = false;
       e->peers[i].pushed = false;
       e->peers[i].heard_at = now;
     }
   bb_forget_embryonic (e);
-  if (e->state == BB_PEER_LEAVING)
-    return;
-  set_state (e, BB_PEER_JOINING, now);
+  set_state (e, e->state == BB_PEER_LEAVING ? e->state : BB_PEER_JOINING, now);
   e->join_sequence = e->bits_sequence;
 }
 
+/* A heartbeat that was sent during the pause may be out of date, so each peer
+   has to acknowledge a sequence number of after the pause.  */
 static void
 check_awake (struct bb_engine *e, bb_usec now)
 {
   bool heard = true;
   for (uint32_t i = 0; i < e->peer_count; i++)
     if (bb_peer_local (e, &e->peers[i]) && bb_peer_live (e, &e->peers[i]))
-      heard &= e->peers[i].awake;
+      heard &= e->peers[i].acknowledged >= e->join_sequence;
   if (heard || now - e->woke >= BB_PAUSE_LIMIT)
     e->awake = true;
 }
--- a/core/heartbeat.c
+++ b/core/heartbeat.c
@@ -233,7 +233,6 @@
   if (h->bits_sequence < p->bits_sequence)
     return; /* overtaken by a later heartbeat */
   p->heard_at = now;
-  p->awake = true;
   if (bb_peer_local (e, p) && h->bits_sequence > p->bits_sequence)
     {
       bb_bits_from_peer (e, p, h);
--- a/core/private.h
+++ b/core/private.h
@@ -15,7 +15,7 @@
   BB_MISSING_SLOT = 0x7fff,
   BB_SERVICE_MAX = 1024,
   BB_SHARE_FULL = 1000, /* permille */
-  BB_VIEWS = 32, /* that entries may have been replicated under */
+  BB_VIEWS = 32,        /* that entries may have been replicated under */
   BB_DOUBT_SIZE = 4096,
   BB_DOUBT_SIGHTINGS = 3, /* of a flow that the other half may know */
 };
@@ -136,7 +136,6 @@
   bool listed; /* by the VM list */
   bool heard;  /* at least once */
   bool suspected;
-  bool awake; /* heard since this process last woke */
   enum bb_peer_state state;
   bb_usec heard_at;
   bb_usec lost_at;
@@ -236,7 +235,7 @@
 
   struct bb_peer peers[BB_PEER_MAX];
   uint32_t peer_count;
-  struct bb_view view;   /* in force */
+  struct bb_view view;            /* in force */
   struct bb_view views[BB_VIEWS]; /* the last ones, by epoch */
   uint8_t epoch;
   uint8_t synced; /* last epoch for which all peers had pushed */
--- a/core/steer.c
+++ b/core/steer.c
@@ -272,8 +272,8 @@
       return;
     }
   bool tcp = is_syn (c->p);
-  /* During a rebase the balancers may miss differently.  A datagram flow has no
-     first packet, so that the next one would be placed again.  */
+  /* During a rebase the balancers may miss differently.  A datagram flow has
+     no first packet, so that the next one would be placed again.  */
   if (slot != base_of (c) || c->s->limited || c->s->target || !tcp)
     {
       if (!bb_record (e, c->hash, (uint16_t)slot,
