--- a/bench/balance.c
+++ b/bench/balance.c
@@ -1,6 +1,6 @@
 /* Imbalance over the backend servers per policy.  */
 
-#include "bench/common.h"
+#include "driver/measure.h"
 
 enum
 {
@@ -23,7 +23,7 @@
 imbalance (const struct user *u, enum bb_policy_kind policy, bool load,
            int round)
 {
-  struct bb_driver_options o = bb_bench_options (round);
+  struct bb_driver_options o = bb_measure_options (round);
   double sum = 0;
   o.balancers = u->balancers;
   o.latency = u->latency;
@@ -50,12 +50,12 @@
 measure (const struct user *u, const char *name, enum bb_policy_kind policy,
          bool load, double bound)
 {
-  int rounds = bb_bench_rounds (3);
+  int rounds = bb_measure_rounds (3);
   double sum = 0;
   for (int round = 0; round < rounds; round++)
     sum += imbalance (u, policy, load, round);
   char *full = g_strdup_printf ("imbalance_%s_%s", name, u->name);
-  bb_bench_print (full, sum / rounds, "max/mean", "<=", bound);
+  bb_measure_print (full, sum / rounds, "max/mean", "<=", bound);
   g_free (full);
 }
 
--- a/bench/broken.c
+++ b/bench/broken.c
@@ -1,7 +1,7 @@
 /* Broken, misrouted and duplicated flows under planned changes, crashes and
    pauses.  */
 
-#include "bench/common.h"
+#include "driver/measure.h"
 
 enum
 {
@@ -76,17 +76,17 @@
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       double broken = 0;
-      for (int round = 0; round < bb_bench_rounds (1); round++)
+      for (int round = 0; round < bb_measure_rounds (1); round++)
         {
-          struct bb_driver_options o = bb_bench_options (round);
-          struct bb_driver *d = bb_bench_open (&o, PLANNED_FLOWS);
+          struct bb_driver_options o = bb_measure_options (round);
+          struct bb_driver *d = bb_measure_open (&o, PLANNED_FLOWS);
           cases[i].run (d);
           broken += finish (d, 20 * BB_SEC);
         }
-      bb_bench_print (cases[i].name, broken, "flows", "=", 0);
+      bb_measure_print (cases[i].name, broken, "flows", "=", 0);
       sum += broken;
     }
-  bb_bench_print ("broken_planned", sum, "flows", "=", 0);
+  bb_measure_print ("broken_planned", sum, "flows", "=", 0);
 }
 
 /* COUNT balancers crash at once while a server drains; returns the share of
@@ -94,9 +94,9 @@
 static double
 crash (int round, enum bb_policy_kind policy, int count)
 {
-  struct bb_driver_options o = bb_bench_options (round);
+  struct bb_driver_options o = bb_measure_options (round);
   o.policy = policy;
-  struct bb_driver *d = bb_bench_open (&o, CRASH_FLOWS);
+  struct bb_driver *d = bb_measure_open (&o, CRASH_FLOWS);
   bb_scenario_set_drain (d, 1, true, BB_SEC);
   bb_driver_run (d, 5 * BB_SEC);
   bb_driver_open (d, CRASH_FLOWS / 5, 0);
@@ -115,14 +115,14 @@
     for (int count = 1; count <= 2; count++)
       {
         double share = 0;
-        int rounds = bb_bench_rounds (3);
+        int rounds = bb_measure_rounds (3);
         for (int round = 0; round < rounds; round++)
           share += crash (round, (enum bb_policy_kind)policy, count) / rounds;
         char *name
             = g_strdup_printf ("broken_crash_%s_%s",
                                count == 1 ? "one" : "two", policies[policy]);
-        bb_bench_print (name, share, "share",
-                        count == 1 ? "=" : "<=", count == 1 ? 0 : 1e-4);
+        bb_measure_print (name, share, "share",
+                          count == 1 ? "=" : "<=", count == 1 ? 0 : 1e-4);
         g_free (name);
       }
 }
@@ -131,17 +131,17 @@
 pauses (void)
 {
   double broken = 0;
-  for (int round = 0; round < bb_bench_rounds (5); round++)
+  for (int round = 0; round < bb_measure_rounds (5); round++)
     {
-      struct bb_driver_options o = bb_bench_options (round);
-      struct bb_driver *d = bb_bench_open (&o, 20000);
+      struct bb_driver_options o = bb_measure_options (round);
+      struct bb_driver *d = bb_measure_open (&o, 20000);
       bb_driver_pause (d, 4, 10 * BB_SEC);
       bb_driver_run (d, BB_SEC);
       bb_scenario_set_drain (d, 1, true, BB_SEC);
       bb_driver_set_rate (d, 500);
       broken += finish (d, 40 * BB_SEC);
     }
-  bb_bench_print ("broken_pause", broken, "flows", "=", 0);
+  bb_measure_print ("broken_pause", broken, "flows", "=", 0);
 }
 
 int
@@ -150,7 +150,7 @@
   planned ();
   crashes ();
   pauses ();
-  bb_bench_print ("misrouted", (double)misrouted, "packets", "=", 0);
-  bb_bench_print ("duplicated", (double)duplicated, "packets", "=", 0);
+  bb_measure_print ("misrouted", (double)misrouted, "packets", "=", 0);
+  bb_measure_print ("duplicated", (double)duplicated, "packets", "=", 0);
   return 0;
 }
--- a/bench/control.c
+++ b/bench/control.c
@@ -1,7 +1,7 @@
 /* Times and costs of control: drains, versions, joins, messages, memory.  */
 
-#include "bench/common.h"
 #include "core/flows.h"
+#include "driver/measure.h"
 
 static double
 seconds (bb_usec time)
@@ -13,9 +13,9 @@
 drain (void)
 {
   double worst = 0;
-  for (int round = 0; round < bb_bench_rounds (10); round++)
+  for (int round = 0; round < bb_measure_rounds (10); round++)
     {
-      struct bb_driver_options o = bb_bench_options (round);
+      struct bb_driver_options o = bb_measure_options (round);
       o.rate = 2000;
       o.life = 20 * BB_SEC;
       struct bb_driver *d = bb_driver_new (&o);
@@ -27,7 +27,7 @@
       worst = MAX (worst, seconds (last - told));
       bb_driver_free (d);
     }
-  bb_bench_print ("drain_last_new", worst, "s", "<=", 3);
+  bb_measure_print ("drain_last_new", worst, "s", "<=", 3);
 }
 
 /* Only balancer 0 reads the configuration service.  */
@@ -35,9 +35,9 @@
 version (void)
 {
   double worst = 0;
-  for (int round = 0; round < bb_bench_rounds (10); round++)
+  for (int round = 0; round < bb_measure_rounds (10); round++)
     {
-      struct bb_driver_options o = bb_bench_options (round);
+      struct bb_driver_options o = bb_measure_options (round);
       struct bb_driver *d = bb_driver_new (&o);
       bb_driver_open (d, 100, 0);
       bb_driver_run (d, (5 + round % 3) * BB_SEC);
@@ -53,16 +53,16 @@
         }
       bb_driver_free (d);
     }
-  bb_bench_print ("config_in_force", worst, "s", "<=", 2);
+  bb_measure_print ("config_in_force", worst, "s", "<=", 2);
 }
 
 static void
 join (void)
 {
   double worst = 0;
-  for (int round = 0; round < bb_bench_rounds (10); round++)
+  for (int round = 0; round < bb_measure_rounds (10); round++)
     {
-      struct bb_driver_options o = bb_bench_options (round);
+      struct bb_driver_options o = bb_measure_options (round);
       o.rate = 500;
       struct bb_driver *d = bb_driver_new (&o);
       bb_driver_run (d, 5 * BB_SEC);
@@ -78,14 +78,14 @@
       worst = MAX (worst, time);
       bb_driver_free (d);
     }
-  bb_bench_print ("join_ready", worst, "s", "<=", 2);
+  bb_measure_print ("join_ready", worst, "s", "<=", 2);
 }
 
 /* 2,000 new flows per second on each of 9 balancers and a drain.  */
 static void
 messages (void)
 {
-  struct bb_driver_options o = bb_bench_options (0);
+  struct bb_driver_options o = bb_measure_options (0);
   uint64_t before[9];
   double worst = 0;
   o.rate = 18000;
@@ -103,7 +103,7 @@
       worst = MAX (worst, (double)bytes / 10);
     }
   bb_driver_free (d);
-  bb_bench_print ("control_bytes", worst, "B/s", "<=", 4096);
+  bb_measure_print ("control_bytes", worst, "B/s", "<=", 4096);
 }
 
 static void
@@ -113,7 +113,7 @@
   bb_flows_init (&t, 300000);
   double bytes = (double)t.size * sizeof *t.flows / 300000;
   bb_flows_clear (&t);
-  bb_bench_print ("flow_bytes", bytes, "B", "<=", 32);
+  bb_measure_print ("flow_bytes", bytes, "B", "<=", 32);
 }
 
 int
--- a/bench/frontier.c
+++ b/bench/frontier.c
@@ -3,7 +3,7 @@
    open flows that three crashes at once break, imbalance of flows and load
    with exact reports and with 10 % noise.  */
 
-#include "bench/common.h"
+#include "driver/measure.h"
 
 #include <stdio.h>
 
@@ -27,7 +27,7 @@
 static struct bb_driver_options
 options (uint16_t spill, int round)
 {
-  struct bb_driver_options o = bb_bench_options (round);
+  struct bb_driver_options o = bb_measure_options (round);
   o.policy = BB_POLICY_EVEN;
   o.spill = spill;
   o.skewed = true;
@@ -91,7 +91,7 @@
 int
 main (void)
 {
-  int rounds = bb_bench_rounds (2);
+  int rounds = bb_measure_rounds (2);
   printf ("# spill tracked broken flows load noisy\n");
   for (size_t i = 0; i < G_N_ELEMENTS (spills); i++)
     {
--- a/bench/common.c
+++ b/driver/measure.c
@@ -1,4 +1,4 @@
-#include "bench/common.h"
+#include "driver/measure.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -12,13 +12,13 @@
 }
 
 uint64_t
-bb_bench_seed (void)
+bb_measure_seed (void)
 {
   return from_environment ("SEED", 1);
 }
 
 int
-bb_bench_rounds (int standard)
+bb_measure_rounds (int standard)
 {
   return (int)MAX (1, from_environment ("ROUNDS", (uint64_t)standard));
 }
@@ -34,20 +34,20 @@
 }
 
 void
-bb_bench_print (const char *name, double value, const char *unit,
-                const char *op, double bound)
+bb_measure_print (const char *name, double value, const char *unit,
+                  const char *op, double bound)
 {
   printf ("measure %s %.6g %s target %s %g %s seed %lu\n", name, value, unit,
           op, bound, meets (value, op, bound) ? "pass" : "fail",
-          (unsigned long)bb_bench_seed ());
+          (unsigned long)bb_measure_seed ());
   (void)fflush (stdout);
 }
 
 struct bb_driver_options
-bb_bench_options (int round)
+bb_measure_options (int round)
 {
   struct bb_driver_options o
-      = bb_scenario_options (bb_bench_seed () * 1000 + (uint64_t)round);
+      = bb_scenario_options (bb_measure_seed () * 1000 + (uint64_t)round);
   o.balancers = 9;
   o.flow_capacity = 300000;
   o.life = 0;
@@ -57,7 +57,7 @@
 }
 
 struct bb_driver *
-bb_bench_open (const struct bb_driver_options *o, uint32_t flows)
+bb_measure_open (const struct bb_driver_options *o, uint32_t flows)
 {
   struct bb_driver *d = bb_driver_new (o);
   bb_driver_run (d, 2 * BB_SEC);
