--- a/core/private.h
+++ b/core/private.h
@@ -36,11 +36,11 @@
   struct bb_endpoint gue;
   struct bb_endpoint health_endpoint;
   uint32_t connection_limit;
-  bool listed;  /* in the configuration in force */
-  bool drain;   /* by configuration */
-  bool leaving; /* by the VM list */
-  bool in_base;
-  bool in_target;
+  bool listed;            /* in the configuration in force */
+  bool drain;             /* by configuration */
+  bool leaving;           /* by the VM list */
+  uint16_t base_weight;   /* in the base set, 0: not in it */
+  uint16_t target_weight; /* in the base set being prepared */
   bb_usec listed_since;
   bb_usec unlisted_since;
   struct bb_health health;
@@ -82,7 +82,8 @@
 {
   struct bb_service conf; /* without servers */
   bool listed;
-  uint32_t buckets;
+  uint32_t buckets;   /* fixed once the base set was formed */
+  uint32_t allocated; /* places of the tables */
   uint32_t spill_buckets;
   uint16_t *base;   /* slot of each bucket */
   uint16_t *target; /* of the base set being prepared, or NULL */
@@ -95,8 +96,12 @@
   bool uniform; /* all weights are equal */
   bool panic;
   bb_usec head_since; /* head last changed */
+  uint64_t formed;    /* version with which its base set began, 0: none */
   bb_usec skipped;    /* an older flow could not be recorded; 0: never */
   bool limited; /* some server is near its limit: record all placements */
+  /* When a caller last sent anything new.  While a whole service is silent, a
+     reset would help no caller.  */
+  bb_usec progressed;
   const struct bb_policy *policy;
 };
 
@@ -157,6 +162,20 @@
   struct bb_outbox outbox;
 };
 
+enum
+{
+  BB_PARTITIONS = 4096, /* of the flows, by 12 bits of the hash */
+  BB_NO_OWNER = 0xff,
+};
+
+/* First members of the rendezvous order of one partition.  */
+struct bb_order
+{
+  uint8_t owner; /* the first active member, or BB_NO_OWNER */
+  uint8_t count;
+  uint8_t members[BB_HOPS_MAX]; /* indices into the view */
+};
+
 /* Members that hold entries, in no order.  */
 struct bb_view
 {
@@ -164,13 +183,7 @@
   bool joining[BB_PEER_MAX];
   uint8_t peers[BB_PEER_MAX]; /* index of the peer; BB_PEER_MAX: self */
   uint32_t count;
-};
-
-/* An ordered set of replicas of one flow.  */
-struct bb_order
-{
-  uint8_t members[BB_PEER_MAX]; /* indices into the view */
-  uint32_t count;
+  struct bb_order orders[BB_PARTITIONS];
 };
 
 struct bb_fetch
@@ -274,6 +287,7 @@
 
   /* base set */
   uint64_t origin;
+  uint64_t hash_seed; /* as of the origin */
   uint32_t generation;
   enum bb_phase phase;
   uint32_t base_digest;
@@ -335,11 +349,12 @@
 {
   BB_SELF = BB_PEER_MAX
 };
-/* First active members of VIEW for HASH: the members that hold its entry,
-   joining ones included; at most BB_REPLICAS active ones and
-   BB_HOPS_MAX in all.  */
-void bb_order_replicas (const struct bb_view *view, uint64_t hash,
-                        struct bb_order *order);
+/* Computes the orders of VIEW from its other fields.  */
+void bb_order_fill (struct bb_view *view);
+/* First members of VIEW for HASH: the members that hold its entry, joining
+   ones included; at most BB_REPLICAS active ones and BB_HOPS_MAX in all.  */
+const struct bb_order *bb_order_replicas (const struct bb_view *view,
+                                          uint64_t hash);
 /* Index into the view of the owner of HASH, or -1.  */
 int bb_order_owner (const struct bb_view *view, uint64_t hash);
 
@@ -360,6 +375,7 @@
 void bb_documents_clear (struct bb_engine *e);
 
 /* baseset.c */
+void bb_base_form (struct bb_engine *e);
 void bb_base_bootstrap (struct bb_engine *e, bb_usec now);
 void bb_base_send (struct bb_engine *e, struct bb_peer *p, bb_usec now);
 void bb_base_receive (struct bb_engine *e, struct bb_peer *p,
--- a/core/steer.c
+++ b/core/steer.c
@@ -97,13 +97,12 @@
 next_replica (const struct steering *c)
 {
   const struct bb_view *v = &c->e->view;
-  struct bb_order order;
   if (c->h && c->h->hops >= BB_HOPS_MAX)
     return -1;
-  bb_order_replicas (v, c->hash, &order);
-  for (uint32_t i = 0; i < order.count; i++)
+  const struct bb_order *order = bb_order_replicas (v, c->hash);
+  for (uint32_t i = 0; i < order->count; i++)
     {
-      uint32_t m = order.members[i];
+      uint32_t m = order->members[i];
       if (v->peers[m] != BB_SELF && !visited (c->h, v->ids[m]))
         return (int)m;
     }
@@ -430,7 +429,7 @@
       return true;
     }
   if (!bb_silence_count (e->silence, c->hash, c->p->sequence, limit, c->now)
-      || !bb_silence_progressed (e->silence, c->s->conf.key, limit, c->now))
+      || c->now - c->s->progressed > limit)
     return false;
   struct bb_flow *f = bb_flows_find (&e->flows, c->hash);
   uint16_t slot = f ? f->slot : base_of (c);
@@ -455,7 +454,7 @@
     return false;
   if (bb_silence_sight (e->silence, c->hash, c->p->sequence, c->now))
     return true;
-  bb_silence_progress (e->silence, c->s->conf.key, c->now);
+  c->s->progressed = c->now;
   return false;
 }
 
@@ -492,7 +491,7 @@
       return;
     }
   v->service = c.s->conf.key;
-  c.hash = bb_flow_hash (p, e->fleet->hash_seed);
+  c.hash = bb_flow_hash (p, e->hash_seed);
   c.bucket = bb_hash_bucket (c.hash, c.s->buckets);
   if (repeated (&c) && silent (&c))
     return;
