--- a/core/private.h
+++ b/core/private.h
@@ -141,7 +141,6 @@
   bool listed; /* by the VM list */
   bool heard;  /* at least once */
   bool suspected;
-  bool awake; /* heard since this process last woke */
   enum bb_peer_state state;
   bb_usec heard_at;
   bb_usec lost_at;
