check: run the cases of the C programs side by side

Cause: one after the other, the random interleavings alone took minutes under sanitizers, and a whole run took 7 min 37 s beside other work. The random seeds are split into six cases of the same seeds.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -1,40 +1,56 @@
 #!/bin/bash
 # Builds and runs all tests, plain and under sanitizers, and prints the sums.
-# A failing test that KNOWN-RED.txt names is printed and does not count.
+# The cases of the C programs run side by side, the end-to-end tests one after
+# the other.  A failing test that KNOWN-RED.txt names is printed and does not
+# count.
 set -u
 jobs=$(nproc)
 passed=0 failed=0 red=0
 known=KNOWN-RED.txt
+logs=$(mktemp -d)
+trap 'rm -rf "$logs"' EXIT
+export ASAN_OPTIONS=detect_leaks=1 logs
 
+# Runs COMMAND with its output and exit status in files named after LABEL.
 run () # LABEL COMMAND...
 {
-  local label=$1 log
+  local log=$logs/${1//[^A-Za-z0-9_]/-}
+  echo "$1" >"$log.label"
   shift
-  log=$(mktemp)
-  CK_VERBOSITY=verbose CK_DEFAULT_TIMEOUT=120 timeout 300 "$@" >"$log" 2>&1
-  local status=$? ok bad
-  ok=$(grep -cE '^[^ ]+:[0-9]+:P:' "$log")
-  bad=$(grep -E '^[^ ]+:[0-9]+:[FE]:' "$log")
+  CK_VERBOSITY=verbose CK_DEFAULT_TIMEOUT=240 timeout 400 "$@" >"$log.out" 2>&1
+  echo $? >"$log.status"
+}
+export -f run
+
+judge_line () # LABEL LINE
+{
+  local test
+  test=$(echo "$2" | cut -d: -f5)
+  if [ -f "$known" ] && grep -qE "^test: .*\b$test\b" "$known"; then
+    echo "known red: $1 $2"
+    red=$((red + 1))
+  else
+    echo "FAILED $1 $2"
+    failed=$((failed + 1))
+  fi
+}
+
+judge () # LOG
+{
+  local label status ok bad line
+  label=$(cat "$1.label") status=$(cat "$1.status")
+  ok=$(grep -cE '^[^ ]+:[0-9]+:P:' "$1.out")
+  bad=$(grep -E '^[^ ]+:[0-9]+:[FE]:' "$1.out")
   passed=$((passed + ok))
   if [ -n "$bad" ]; then
-    while read -r line; do
-      test=$(echo "$line" | cut -d: -f5)
-      if [ -f "$known" ] && grep -qE "^test: .*\b$test\b" "$known"; then
-        echo "known red: $label $line"
-        red=$((red + 1))
-      else
-        echo "FAILED $label $line"
-        failed=$((failed + 1))
-      fi
-    done <<<"$bad"
+    while read -r line; do judge_line "$label" "$line"; done <<<"$bad"
   elif [ "$status" != 0 ] || [ "$ok" = 0 ]; then
     echo "FAILED $label: exit status $status"
-    tail -30 "$log"
+    tail -30 "$1.out"
     failed=$((failed + 1))
   else
     echo "ok $label: $ok"
   fi
-  rm -f "$log"
 }
 
 build () # MAKE ARGUMENTS
@@ -42,24 +58,38 @@
   make --no-print-directory -s -j"$jobs" "$@" all tests || { echo "0 passed, 1 failed"; exit 1; }
 }
 
-run_all () # BUILD LABEL
+# One line "LABEL<tab>CASE<tab>PROGRAM" for each case of the C programs.
+list_cases () # BUILD LABEL
 {
-  local t
-  for t in tests/*_test.c; do
-    t=$(basename "$t" .c)
-    run "$2/$t" "$1/tests/$t"
-  done
-  for t in tests/*_test.sh; do
-    [ -e "$t" ] && BUILD=$1 run "$2/$(basename "$t" .sh)" "$t"
+  local source name
+  for source in tests/*_test.c; do
+    name=$(basename "$source" .c)
+    grep -oP 'tcase_create \("\K[^"]+' "$source" \
+      | while read -r case; do printf '%s\t%s\t%s\n' "$2/$name/$case" "$case" "$1/tests/$name"; done
   done
 }
 
+run_case () # LINE
+{
+  local label case program
+  IFS=$'\t' read -r label case program <<<"$1"
+  CK_RUN_CASE=$case run "$label" "$program"
+}
+export -f run_case
+
 build BUILD=build
-run_all build plain
 build BUILD=build/sanitize OPTIMISE=-O1 \
   SANITIZE="-fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer"
-ASAN_OPTIONS=detect_leaks=1 run_all build/sanitize sanitize
-if [ -x model/run.sh ]; then run model model/run.sh; fi
+# The longest cases come first.
+{ list_cases build/sanitize sanitize; list_cases build plain; } \
+  | awk -F'\t' '{ print ($1 ~ /random|driver/ ? 0 : 1) "\t" $0 }' | sort -s -k1,1 | cut -f2- \
+  | tr '\n' '\0' | xargs -0 -P "$jobs" -I{} bash -c 'run_case "$1"' _ {}
+for t in tests/*_test.sh; do
+  BUILD=build run "plain/$(basename "$t" .sh)" "$t"
+  BUILD=build/sanitize run "sanitize/$(basename "$t" .sh)" "$t"
+done
+run model model/run.sh
+for log in "$logs"/*.label; do judge "${log%.label}"; done
 [ "$red" = 0 ] || echo "known red: $red"
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
--- a/tests/random_test.c
+++ b/tests/random_test.c
@@ -7,8 +7,7 @@
 
 enum
 {
-  FIRST_SEED = 1,
-  SEEDS = 100,
+  SEEDS = 25, /* of one case; scripts/check.sh runs the cases side by side */
   STEPS = 20,
 };
 
@@ -19,6 +18,11 @@
         1032, 1046, 1062, 1082, 1119, 1128, 1152, 1181, 1190, 1194, 1249,
         1281, 1294, 1404, 1410, 1528, 1557, 1622, 1650, 1842 };
 
+enum
+{
+  KEPT = (int)(sizeof failed_once / sizeof *failed_once),
+};
+
 static void
 check_seed (uint64_t seed)
 {
@@ -44,14 +48,30 @@
 START_TEST (kept_seed) { check_seed (failed_once[_i]); }
 END_TEST
 
+static void
+add_seeds (Suite *s, TCase *t, int first)
+{
+  tcase_add_loop_test (t, random_seed, first, first + SEEDS);
+  suite_add_tcase (s, t);
+}
+
+static void
+add_kept (Suite *s, TCase *t, int first, int end)
+{
+  tcase_add_loop_test (t, kept_seed, first, end);
+  suite_add_tcase (s, t);
+}
+
 int
 main (void)
 {
   Suite *s = suite_create ("random");
-  TCase *t = tcase_create ("interleavings");
-  tcase_add_loop_test (t, random_seed, FIRST_SEED, FIRST_SEED + SEEDS);
-  tcase_add_loop_test (t, kept_seed, 0, (int)G_N_ELEMENTS (failed_once));
-  suite_add_tcase (s, t);
+  add_seeds (s, tcase_create ("seeds 1 to 25"), 1);
+  add_seeds (s, tcase_create ("seeds 26 to 50"), 26);
+  add_seeds (s, tcase_create ("seeds 51 to 75"), 51);
+  add_seeds (s, tcase_create ("seeds 76 to 100"), 76);
+  add_kept (s, tcase_create ("kept seeds, first half"), 0, KEPT / 2);
+  add_kept (s, tcase_create ("kept seeds, second half"), KEPT / 2, KEPT);
   SRunner *r = srunner_create (s);
   srunner_run_all (r, CK_ENV);
   int failed = srunner_ntests_failed (r);
