documents: leave the platform 300 ms to bring a new version

Cause: a balancer that saw a newer version in a heartbeat asked the peer at once, although its own watch brought the document within milliseconds, so each change crossed the network once more for each balancer.

--- a/core/documents.c
+++ b/core/documents.c
@@ -6,6 +6,7 @@
 
 #define FETCH_TIMEOUT (500 * BB_MSEC)
 #define REFUSED_TIME (30 * BB_SEC)
+#define PLATFORM_GRACE (300 * BB_MSEC)
 
 void
 bb_engine_keep_document (struct bb_engine *e, enum bb_document_kind kind,
@@ -58,6 +59,24 @@
   ask (e, p, kind, now);
 }
 
+/* A new version usually comes from the platform within moments; asking the
+   peers as well would carry the document twice.  A balancer that has none
+   asks at once.  */
+static bool
+platform_may_bring (struct bb_engine *e, enum bb_document_kind kind,
+                    uint64_t version, bb_usec now)
+{
+  struct bb_fetch *f = &e->fetches[kind];
+  if (!e->kept[kind].version)
+    return false;
+  if (f->noticed != version)
+    {
+      f->noticed = version;
+      f->noticed_at = now;
+    }
+  return now - f->noticed_at < PLATFORM_GRACE;
+}
+
 void
 bb_documents_compare (struct bb_engine *e, struct bb_peer *p, bb_usec now)
 {
@@ -72,6 +91,9 @@
         continue;
       if (p->versions[k] == f->refused && now - f->refused_at < REFUSED_TIME)
         continue;
+      if (platform_may_bring (e, (enum bb_document_kind)k, p->versions[k],
+                              now))
+        continue;
       begin (e, p, (enum bb_document_kind)k, now);
     }
 }
--- a/core/private.h
+++ b/core/private.h
@@ -21,6 +21,7 @@
 };
 
 #define BB_DOUBT_TIME (600 * BB_SEC) /* after that, a lost peer is dead */
+#define BB_DOUBT_LIMIT (500 * BB_MSEC)
 #define BB_LOST_BITS_TIME (10 * BB_SEC)
 #define BB_FORGET_TIME (600 * BB_SEC)
 #define BB_BIT_CLEAR_DELAY (10 * BB_SEC)
@@ -138,8 +139,9 @@
 {
   struct bb_vm vm;
   bool seed;
-  bool listed; /* by the VM list */
-  bool heard;  /* at least once */
+  bool listed;   /* by the VM list */
+  bool delisted; /* the VM list named it before and does no longer */
+  bool heard;    /* at least once */
   bool suspected;
   enum bb_peer_state state;
   bb_usec heard_at;
@@ -195,6 +197,8 @@
   uint32_t total;
   uint32_t length;
   uint64_t refused; /* version that was invalid */
+  uint64_t noticed; /* version that a peer was first seen with */
+  bb_usec noticed_at;
   bb_usec refused_at;
 };
 
@@ -209,6 +213,7 @@
 {
   uint32_t flow;
   uint32_t sightings;
+  bb_usec first;
 };
 
 struct bb_service_address
