--- a/core/members.c
+++ b/core/members.c
@@ -271,11 +271,13 @@
   return !p->listed && !p->seed && now - p->lost_at > BB_FORGET_TIME;
 }
 
+/* A lost peer that the VM list has dropped is dead rather than cut off.  */
 static bool
 is_missing (const struct bb_engine *e, const struct bb_peer *p, bb_usec now)
 {
   return bb_peer_local (e, p) && p->heard && p->suspected
-         && p->state == BB_PEER_ACTIVE && now - p->lost_at < BB_DOUBT_TIME;
+         && p->state == BB_PEER_ACTIVE && !p->delisted
+         && now - p->lost_at < BB_DOUBT_TIME;
 }
 
 void
--- /dev/null
+++ b/core/repeat.c
@@ -0,0 +1,47 @@
+/* Flows whose callers repeat the same sequence number for good.  */
+
+#include "core/steer.h"
+
+bool
+bb_steer_silent (struct bb_steering *c)
+{
+  struct bb_engine *e = c->e;
+  bb_usec limit = c->s->conf.silent_ms * BB_MSEC;
+  int owner = bb_order_owner (&e->view, c->hash);
+  if (!c->h && owner >= 0 && e->view.peers[owner] != BB_SELF)
+    {
+      bb_steer_hand (c, (uint32_t)owner, BB_HAND_REPEAT, 0);
+      return true;
+    }
+  if (!bb_silence_count (e->silence, c->hash, c->p->sequence, limit, c->now)
+      || c->now - c->s->progressed > limit)
+    return false;
+  struct bb_flow *f = bb_flows_find (&e->flows, c->hash);
+  uint16_t slot = f ? f->slot : bb_steer_base (c);
+  if (slot == BB_MISSING_SLOT)
+    return false;
+  c->v->kind = BB_VERDICT_RESET;
+  c->v->target = e->slots[slot].gue;
+  c->v->server = e->slots[slot].key;
+  e->counters.resets++;
+  if (f)
+    bb_flows_set_state (&e->flows, f, BB_FLOW_CLOSING);
+  return true;
+}
+
+bool
+bb_steer_repeated (struct bb_steering *c)
+{
+  struct bb_engine *e = c->e;
+  if (c->h)
+    return c->h->flags & BB_HAND_REPEAT;
+  /* Keep-alives and window probes repeat one byte for as long as a flow is
+     idle (RFC 9293, section 3.8.4).  */
+  if (!c->s->conf.silent_ms || c->p->payload <= 1
+      || c->p->protocol != IPPROTO_TCP)
+    return false;
+  if (bb_silence_sight (e->silence, c->hash, c->p->sequence, c->now))
+    return true;
+  c->s->progressed = c->now;
+  return false;
+}
--- a/core/version.c
+++ b/core/version.c
@@ -147,13 +147,19 @@
     return false;
   e->list_version = l->version;
   for (uint32_t i = 0; i < e->peer_count; i++)
-    e->peers[i].listed = false;
+    {
+      e->peers[i].delisted |= e->peers[i].listed;
+      e->peers[i].listed = false;
+    }
   for (size_t i = 0; i < l->vm_count; i++)
     {
       bb_peer_add (e, &l->vms[i], false, now);
       struct bb_peer *p = bb_peer_find (e, l->vms[i].id);
       if (p)
-        p->listed = true;
+        {
+          p->listed = true;
+          p->delisted = false;
+        }
     }
   note_servers (e, l);
   return true;
