bbctl: say that seed and bucket count stay as they are in force

Cause: diff and the reference said that a change of hash_seed or buckets moves established flows; since the base set carries both, it has no effect while a balancer runs.

--- a/bbctl/changes.c
+++ b/bbctl/changes.c
@@ -2,7 +2,6 @@
 #include <string.h>
 
 /* Points of the hash space at which old and new placement are compared.  */
-#define SAMPLES (1u << 16)
 
 /* Numbers that operators set, in both structures.  */
 struct number
@@ -176,26 +175,22 @@
   return NULL;
 }
 
-/* Share of the hash space where server A in the old table meets another one
-   in the new.  */
+/* Share of the buckets whose server differs.  The bucket count stays the one
+   in force, whatever the new document says.  */
 static double
-moved_share (const struct bb_service *old, const struct bb_service *new,
-             bool seed)
+moved_share (const struct bb_service *old, const struct bb_service *new)
 {
+  struct bb_service in_force = *new;
+  in_force.buckets = old->buckets;
   uint32_t *a = bb_ctl_head_table (old, false);
-  uint32_t *b = bb_ctl_head_table (new, false);
+  uint32_t *b = bb_ctl_head_table (&in_force, false);
   uint32_t moved = 0;
 
-  for (uint64_t i = 0; i < SAMPLES; i++)
-    {
-      /* With another seed, a flow's new bucket has nothing to do with its old
-         one: an unrelated point stands for it.  */
-      uint64_t j = seed ? (i * 40503 + 12345) % SAMPLES : i;
-      moved += a[i * old->buckets / SAMPLES] != b[j * new->buckets / SAMPLES];
-    }
+  for (uint32_t i = 0; i < old->buckets; i++)
+    moved += a[i] != b[i];
   g_free (a);
   g_free (b);
-  return (double)moved / SAMPLES;
+  return (double)moved / old->buckets;
 }
 
 static void
@@ -219,7 +214,7 @@
         }
       compare_service (c, before, s);
       g_strlcpy (move.service, s->name, BB_NAME_MAX);
-      move.share = moved_share (before, s, old->hash_seed != new->hash_seed);
+      move.share = moved_share (before, s);
       g_array_append_val (c->moves, move);
     }
 }
@@ -243,7 +238,8 @@
   c->moves = g_array_new (FALSE, TRUE, sizeof (struct bb_ctl_move));
   if (old->hash_seed != new->hash_seed)
     add_change (c, "hash_seed", true, NULL, NULL,
-                "hash_seed changed; most established flows break");
+                "hash_seed changed; has no effect while a balancer "
+                "of the data centre runs");
   if (old->network_count != new->network_count
       || memcmp (old->networks, new->networks,
                  old->network_count * sizeof *old->networks)
