Leave one after another

Cause: with balancers replaced faster than entries are pushed, all old ones were leaving and all new ones joining, so that no active balancer held the entries and packets without one went to base. A stop may now wait for others, so leave_limit_ms is 300 s by default.

--- a/config/keys_process.c
+++ b/config/keys_process.c
@@ -123,7 +123,7 @@
     "time without packets from the fabric before a stop ends",
     BB_KEY_FIELD (bb_settings, quiet_ms) },
   { "settings", "leave_limit_ms", BB_KEY_INTEGER, "ms", 0, 3600000, NULL,
-    "60000", "longest time that a stop takes",
+    "300000", "longest time that a stop takes",
     BB_KEY_FIELD (bb_settings, leave_limit_ms) },
   { "settings", "probe_interval_ms", BB_KEY_INTEGER, "ms", 50, 60000, NULL,
     "1000", "time between two health probes of one server",
--- a/core/engine.c
+++ b/core/engine.c
@@ -8,6 +8,7 @@
 #define START_LIMIT (5000 * BB_MSEC) /* then start alone */
 #define HEAR_GRACE (600 * BB_MSEC)   /* after the first active peer */
 #define SWEEP_INTERVAL (1000 * BB_MSEC)
+#define LEAVE_STAGGER (300 * BB_MSEC)
 #define SILENCE_SLOTS 65536
 #define SEQUENCE_UNIT (100 * BB_MSEC)
 
@@ -288,6 +289,37 @@
       }
 }
 
+/* Balancers leave one after another: with several leaving and joining at once
+   no active one may be left that holds the entries.  The lowest id goes first,
+   the others see it leaving before their turn.  */
+static bool
+may_leave (const struct bb_engine *e, bb_usec now)
+{
+  bb_usec turn = 0;
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    {
+      const struct bb_peer *p = &e->peers[i];
+      if (!bb_peer_local (e, p) || !bb_peer_live (e, p))
+        continue;
+      if (p->state != BB_PEER_ACTIVE || !p->pushed)
+        return false;
+      if (p->vm.id < e->options.self.id)
+        turn += LEAVE_STAGGER;
+    }
+  return e->push_done && now - e->leave_wanted >= turn;
+}
+
+static void
+check_leave (struct bb_engine *e, bb_usec now)
+{
+  if (!e->leave_wanted || e->state == BB_PEER_LEAVING)
+    return;
+  if (e->state == BB_PEER_ACTIVE && !may_leave (e, now))
+    return;
+  set_state (e, BB_PEER_LEAVING, now);
+  e->leave_sequence = e->bits_sequence;
+}
+
 bool
 bb_engine_tick (struct bb_engine *e, bb_usec now)
 {
@@ -306,6 +338,7 @@
   check_version (e, now);
   check_ready (e, now);
   check_joined (e, now);
+  check_leave (e, now);
   bb_base_tick (e, now);
   bb_push_tick (e, now, elapsed);
   bb_expire_tick (e);
@@ -316,10 +349,9 @@
 void
 bb_engine_leave (struct bb_engine *e, bb_usec now)
 {
-  if (e->state == BB_PEER_LEAVING)
+  if (e->leave_wanted)
     return;
-  set_state (e, BB_PEER_LEAVING, now);
-  e->leave_sequence = e->bits_sequence;
+  e->leave_wanted = now;
   bb_engine_event (e, BB_EVENT_LEAVING, 0, 0, e->flows.used);
 }
 
--- a/core/engine.h
+++ b/core/engine.h
@@ -140,8 +140,9 @@
                        const struct bb_handover *handover, bb_usec now,
                        struct bb_verdict *verdict);
 
-/* Starts to leave.  bb_engine_left is true once nothing is held that peers
-   do not hold too, or no peer is left.  */
+/* Starts to leave; announced to the peers when no other balancer is joining or
+   leaving, until then the balancer goes on as before.  bb_engine_left is true
+   once nothing is held that peers do not hold too, or no peer is left.  */
 void bb_engine_leave (struct bb_engine *e, bb_usec now);
 bool bb_engine_left (const struct bb_engine *e, bb_usec now);
 
--- a/tests/driver_test.c
+++ b/tests/driver_test.c
@@ -12,6 +12,7 @@
   uint32_t flow_capacity;
   uint32_t loss;
   uint32_t idle_s;
+  uint32_t push_bytes;
   bool table; /* policy */
   bool datagrams;
 };
@@ -24,6 +25,7 @@
   o.loss = o.duplicates = c->loss;
   o.flow_capacity = c->flow_capacity ? c->flow_capacity : o.flow_capacity;
   o.idle_s = c->idle_s ? c->idle_s : o.idle_s;
+  o.push_bytes = c->push_bytes ? c->push_bytes : o.push_bytes;
   o.policy = c->table ? BB_POLICY_TABLE : BB_POLICY_EVEN;
   o.datagrams = c->datagrams;
   return o;
@@ -287,6 +289,17 @@
   ck_assert_uint_gt (status (d, 0).generation, 1);
 }
 
+/* When the entries were pushed more slowly than balancers were replaced, all
+   old ones were leaving and all new ones joining, and none owned flows.  */
+static void
+replaced_fast (struct bb_driver *d)
+{
+  bb_driver_set_rate (d, 400);
+  bb_driver_run (d, 20 * BB_SEC);
+  bb_scenario_roll (d, 6, 4 * BB_SEC);
+  bb_driver_run (d, 30 * BB_SEC);
+}
+
 static const struct
 {
   const char *name;
@@ -297,6 +310,7 @@
   { "different versions", mixed_versions, { 0 } },
   { "drain while balancers come and go", drain_and_churn, { 0 } },
   { "owner and table move", owner_and_table_move, { 0 } },
+  { "replaced faster than pushed", replaced_fast, { .push_bytes = 1024 } },
   { "one dies", one_dies, { 0 } },
   { "two die, one joins", two_die_and_one_joins, { 0 } },
   { "two die, packets lost", two_die_and_one_joins, { .loss = 10000 } },
