--- /dev/null
+++ b/core/messages.h
@@ -0,0 +1,145 @@
+/* Messages between balancers.  Included by core/core.h.  */
+
+#ifndef BB_CORE_MESSAGES_H
+#define BB_CORE_MESSAGES_H
+
+#include "core/core.h"
+
+/* Arrays are owned by whoever built the message
+   and live until the call that takes it returns.  */
+
+enum bb_message_kind
+{
+  BB_MESSAGE_HEARTBEAT = 1,
+  BB_MESSAGE_MEMBERS,
+  BB_MESSAGE_WANT,
+  BB_MESSAGE_DOCUMENT,
+  BB_MESSAGE_ENTRIES,
+  BB_MESSAGE_TAKEN,
+  BB_MESSAGE_BASE_SET,
+  BB_MESSAGE_KINDS
+};
+
+enum bb_peer_state
+{
+  BB_PEER_JOINING,
+  BB_PEER_ACTIVE,
+  BB_PEER_LEAVING
+};
+
+enum bb_document_kind
+{
+  BB_DOCUMENT_BASE,
+  BB_DOCUMENT_OVERLAY,
+  BB_DOCUMENT_VMS,
+  BB_DOCUMENT_KINDS
+};
+
+enum bb_phase
+{
+  BB_PHASE_SETTLED,
+  BB_PHASE_PREPARE,
+  BB_PHASE_RESOLVE
+};
+
+struct bb_heartbeat
+{
+  uint64_t incarnation; /* start time; a restart has a greater one */
+  enum bb_peer_state state;
+  uint64_t versions[BB_DOCUMENT_KINDS];
+  uint32_t generation;
+  enum bb_phase phase;
+  uint32_t base_digest;   /* of the target set unless settled */
+  uint32_t bits_sequence; /* of this sender */
+  const uint32_t *bits;   /* server keys */
+  size_t bit_count;
+  uint32_t acknowledged;  /* last bits_sequence processed of the receiver */
+  bool pushed;            /* all entries for the receiver were pushed */
+  uint32_t counts_digest; /* of the ordered server keys behind counts */
+  const int32_t *counts;  /* open flows as counted by the sender */
+  size_t count_count;
+  uint32_t members_digest;
+};
+
+struct bb_members
+{
+  const struct bb_vm *vms;
+  size_t vm_count;
+};
+
+/* A want with offset 0 starts a document; chunks are asked for in order.  */
+struct bb_want
+{
+  enum bb_document_kind document;
+  uint64_t version;
+  uint32_t offset;
+};
+
+struct bb_document
+{
+  enum bb_document_kind document;
+  uint64_t version;
+  uint32_t offset;
+  uint32_t total; /* bytes of the whole document */
+  const uint8_t *bytes;
+  size_t length;
+};
+
+struct bb_entry
+{
+  uint64_t hash;
+  uint32_t server; /* key */
+  uint8_t state;   /* enum bb_flow_state */
+};
+
+struct bb_entries
+{
+  uint32_t batch; /* echoed by taken */
+  const struct bb_entry *entries;
+  size_t entry_count;
+};
+
+struct bb_taken
+{
+  uint32_t batch;
+};
+
+struct bb_set_member
+{
+  uint32_t service; /* key */
+  uint32_t server;  /* key */
+  struct bb_endpoint gue;
+  uint16_t base_weight;   /* in the base set in force, 0: not in it */
+  uint16_t target_weight; /* in the one being prepared, 0: not in it */
+  uint32_t buckets;       /* of the service */
+  uint64_t formed;        /* version with which its base set began */
+};
+
+struct bb_base_set
+{
+  uint64_t origin; /* wall clock of the first generation, microseconds; of
+                      two different base sets the older origin wins */
+  uint64_t hash_seed;
+  uint32_t generation;
+  enum bb_phase phase;
+  uint32_t digest;
+  const struct bb_set_member *members;
+  size_t member_count;
+};
+
+struct bb_message
+{
+  enum bb_message_kind kind;
+  uint32_t from; /* VM id */
+  union
+  {
+    struct bb_heartbeat heartbeat;
+    struct bb_members members;
+    struct bb_want want;
+    struct bb_document document;
+    struct bb_entries entries;
+    struct bb_taken taken;
+    struct bb_base_set base_set;
+  } u;
+};
+#endif
