--- a/tests/engine_test.c
+++ b/tests/engine_test.c
@@ -64,7 +64,7 @@
   struct bb_engine_options options = {
     .self = { .name = "a", .id = 1, .data_centre = "x" },
     .incarnation = 1000000,
-    .flow_capacity = 1000,
+    .flow_capacity = 4000,
     .push_bytes = 2048,
   };
   now = 10 * BB_SEC;
@@ -193,6 +193,27 @@
 }
 END_TEST
 
+/* Guards against a repeated SYN that is placed again because the choice of a
+   spill bucket changes from tick to tick.  */
+START_TEST (repeated_syn_stays)
+{
+  struct bb_engine *e = start ();
+  uint32_t before[FLOWS];
+  service.policy = BB_POLICY_EVEN;
+  service.spill = 1000;
+  fleet.base_version = 2;
+  ck_assert (bb_engine_set_fleet (e, &fleet, now));
+  run (e, 3 * BB_SEC);
+  for (int i = 0; i < FLOWS; i++)
+    before[i] = server_of (e, (uint16_t)(1000 + i), BB_TCP_SYN);
+  run (e, 500 * BB_MSEC);
+  for (int i = 0; i < FLOWS; i++)
+    ck_assert_uint_eq (server_of (e, (uint16_t)(1000 + i), BB_TCP_SYN),
+                       before[i]);
+  bb_engine_free (e);
+}
+END_TEST
+
 /* Guards against a version that goes back.  */
 START_TEST (lower_version_is_ignored)
 {
@@ -215,6 +236,7 @@
   tcase_add_loop_test (t, established_flows_stay, 0,
                        (int)G_N_ELEMENTS (changes));
   tcase_add_test (t, added_service_keeps_its_flows);
+  tcase_add_test (t, repeated_syn_stays);
   tcase_add_test (t, lower_version_is_ignored);
   suite_add_tcase (s, t);
   return run_suite (s);
