Ask a leaving balancer before a miss is final

Cause: a leaving balancer is out of the order, so that nobody asked it while it still held the only entry: its two co-replicas had died and it had not pushed yet. The hand-over model states the rule; the engine had only half.

--- a/core/decide.c
+++ b/core/decide.c
@@ -104,8 +104,8 @@
   bool tcp = bb_is_syn (c->p);
   /* The choice of a spill bucket changes from tick to tick, so that a repeated
      SYN would be placed again.  During a rebase the balancers may miss
-     differently.  A datagram flow has
-     no first packet, so that the next one would be placed again.  */
+     differently.  A datagram flow has no first packet, so that the next one
+     would be placed again.  */
   if (slot != bb_steer_base (c) || c->s->limited || c->s->target || !tcp
       || c->bucket < c->s->spill_buckets)
     {
--- a/core/steer.c
+++ b/core/steer.c
@@ -40,9 +40,9 @@
 }
 
 /* Hands the packet to MEMBER of the view.  */
-void
-bb_steer_hand (struct bb_steering *c, uint32_t member, uint8_t flags,
-               uint32_t server)
+static void
+hand_to (struct bb_steering *c, const struct bb_peer *p, uint8_t flags,
+         uint32_t server)
 {
   struct bb_engine *e = c->e;
   struct bb_handover *o = &c->v->handover;
@@ -54,10 +54,17 @@
   o->flags = flags;
   o->server = server;
   c->v->kind = BB_VERDICT_HAND;
-  c->v->target = e->peers[e->view.peers[member]].vm.data;
+  c->v->target = p->vm.data;
   e->counters.handed_out++;
 }
 
+void
+bb_steer_hand (struct bb_steering *c, uint32_t member, uint8_t flags,
+               uint32_t server)
+{
+  hand_to (c, &c->e->peers[c->e->view.peers[member]], flags, server);
+}
+
 /* The next replica that has not seen the packet, or -1.  */
 static int
 next_replica (const struct bb_steering *c)
@@ -141,6 +148,22 @@
   bb_steer_replicate (c, f->slot);
 }
 
+/* A leaving balancer that has not seen the packet, or NULL.  It may hold the
+   last replica until it has pushed it.  */
+static const struct bb_peer *
+next_leaving (const struct bb_steering *c)
+{
+  const struct bb_engine *e = c->e;
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    {
+      const struct bb_peer *p = &e->peers[i];
+      if (p->state == BB_PEER_LEAVING && bb_peer_local (e, p)
+          && bb_peer_live (e, p) && !visited (c->h, p->vm.id))
+        return p;
+    }
+  return NULL;
+}
+
 /* No entry here.  While views differ or entries are still being moved, the
    other replicas are asked, and then the owner decides.  */
 static void
@@ -156,9 +179,13 @@
       bb_steer_decide (c);
       return;
     }
-  int next = !spent && e->unsettled ? next_replica (c) : -1;
+  bool ask = !spent && e->unsettled;
+  int next = ask ? next_replica (c) : -1;
+  const struct bb_peer *leaving = ask && next < 0 ? next_leaving (c) : NULL;
   if (next >= 0)
     bb_steer_hand (c, (uint32_t)next, 0, 0);
+  else if (leaving)
+    hand_to (c, leaving, 0, 0);
   else if (own)
     bb_steer_decide (c);
   else
