A released balancer tells its peers before it exits

One that had exited was still taken for live until it was suspected, 1.5 s later, and with several leaving in turn all retransmissions of a flow met such a gap, so that the flow was reset as silent.

--- a/core/engine.c
+++ b/core/engine.c
@@ -320,6 +320,35 @@
   e->leave_sequence = e->bits_sequence;
 }
 
+/* Whether all peers hold what this balancer held.  */
+static bool
+is_released (const struct bb_engine *e)
+{
+  if (e->state != BB_PEER_LEAVING)
+    return false;
+  for (uint32_t i = 0; i < e->peer_count; i++)
+    {
+      const struct bb_peer *p = &e->peers[i];
+      if (!bb_peer_local (e, p) || !bb_peer_live (e, p)
+          || p->state != BB_PEER_ACTIVE)
+        continue;
+      if (p->acknowledged < e->leave_sequence || !p->pushed)
+        return false;
+    }
+  return e->push_done;
+}
+
+/* A released balancer tells the peers so before it exits: they must not ask it
+   for entries while it is gone and not yet suspected.  */
+static void
+release (struct bb_engine *e)
+{
+  if (e->released || !is_released (e))
+    return;
+  e->released = true;
+  e->heartbeat_soon = true;
+}
+
 bool
 bb_engine_tick (struct bb_engine *e, bb_usec now)
 {
@@ -342,6 +371,7 @@
   bb_base_tick (e, now);
   bb_push_tick (e, now, elapsed);
   bb_expire_tick (e);
+  release (e);
   bb_heartbeats_send (e, now);
   return paused;
 }
@@ -359,18 +389,7 @@
 bb_engine_left (const struct bb_engine *e, bb_usec now)
 {
   (void)now;
-  if (e->state != BB_PEER_LEAVING)
-    return false;
-  for (uint32_t i = 0; i < e->peer_count; i++)
-    {
-      const struct bb_peer *p = &e->peers[i];
-      if (!bb_peer_local (e, p) || !bb_peer_live (e, p)
-          || p->state != BB_PEER_ACTIVE)
-        continue;
-      if (p->acknowledged < e->leave_sequence || !p->pushed)
-        return false;
-    }
-  return e->push_done;
+  return e->released && !e->heartbeat_soon;
 }
 
 const struct bb_counters *
--- a/core/heartbeat.c
+++ b/core/heartbeat.c
@@ -41,7 +41,7 @@
     .u.heartbeat = {
       .incarnation = e->options.incarnation,
       .state = e->state,
-      .generation = e->ready ? e->generation : 0, /* 0: holds no entries */
+      .generation = e->ready && !e->released ? e->generation : 0, /* 0: holds no entries */
       .phase = e->phase,
       .base_digest = bb_base_visible_digest (e),
       .bits_sequence = e->bits_sequence,
--- a/core/private.h
+++ b/core/private.h
@@ -221,6 +221,7 @@
   uint32_t join_sequence; /* peers must have seen it before this one owns */
   uint32_t leave_sequence;
   bb_usec leave_wanted; /* 0: no */
+  bool released;        /* holds nothing that the peers do not hold */
 
   /* version */
   struct bb_fleet *fleet;
--- a/core/steer.c
+++ b/core/steer.c
@@ -157,7 +157,7 @@
   for (uint32_t i = 0; i < e->peer_count; i++)
     {
       const struct bb_peer *p = &e->peers[i];
-      if (p->state == BB_PEER_LEAVING && bb_peer_local (e, p)
+      if (p->state == BB_PEER_LEAVING && bb_peer_local (e, p) && p->generation
           && bb_peer_live (e, p) && !visited (c->h, p->vm.id))
         return p;
     }
