--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # make demo, make check, make measure, make capacity; see README.md.
 
-PACKAGES = core config wire runtime driver
+PACKAGES = core marked config wire runtime platform driver
 PROGRAMS = bluebellstand bbctl
 LIBRARIES = libevent libzmq json-c glib-2.0 log4c msgpack libxxhash
 
@@ -14,6 +14,17 @@
 CFLAGS = -std=gnu11 -g $(OPTIMISE) $(WARNINGS) $(SANITIZE) -I. $(PKG_CFLAGS)
 LDLIBS = $(PKG_LIBS) -lm
 
+# TRANSPORTS=marked leaves out GUE; STATIC=1 links all but the C library
+# statically.  Both shorten the start on VMs with little processor time.
+TRANSPORTS ?= gue marked
+ifeq ($(filter gue, $(TRANSPORTS)),)
+CFLAGS += -DBB_WITHOUT_GUE
+endif
+ifdef STATIC
+LDLIBS = -Wl,-Bstatic -levent_extra -levent_core -ljson-c -lglib-2.0 \
+  -lpcre2-8 -llog4c -lexpat -lmsgpackc -lxxhash -Wl,-Bdynamic -lm -lpthread
+endif
+
 sources = $(filter-out $(1)/main.c, $(wildcard $(1)/*.c))
 objects = $(patsubst %.c, $(BUILD)/%.o, $(1))
 
@@ -53,7 +64,14 @@
 	$(CC) $(CFLAGS) -o $$@ $$(filter %.o, $$^) -Wl,--start-group $(LIBS) \
 	  -Wl,--end-group $(LDLIBS)
 endef
-$(foreach p, $(PROGRAMS), $(eval $(call program,$(p))))
+$(foreach p, $(filter-out bluebellstand, $(PROGRAMS)), \
+  $(eval $(call program,$(p))))
+
+$(BUILD)/bin/bluebellstand: $(call objects, bluebellstand/main.c \
+  $(TRANSPORTS:%=bluebellstand/%.c)) $(LIBS)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o, $^) -Wl,--start-group $(LIBS) \
+	  -Wl,--end-group $(LDLIBS)
 
 link = $(CC) $(CFLAGS) -o $@ $(filter %.o, $^) -Wl,--start-group $(LIBS) \
   -Wl,--end-group $(LDLIBS)
--- a/bluebellstand/main.c
+++ b/bluebellstand/main.c
@@ -1,9 +1,18 @@
 /* bluebellstand: one balancer.  */
 
-#include "runtime/process.h"
+#include "bluebellstand/program.h"
 #include <stdio.h>
 #include <stdlib.h>
 
+/* A build for VMs that have one transport leaves out the rest, whose libraries
+   take most of the time of a start.  */
+static const struct bb_program *const programs[] = {
+#ifndef BB_WITHOUT_GUE
+  &bb_program_gue,
+#endif
+  &bb_program_marked,
+};
+
 static gchar *settings_file;
 static gboolean check_only;
 static gboolean show_version;
@@ -65,16 +74,30 @@
   return settings;
 }
 
+/* The transport that SETTINGS ask for, or NULL if this build has it not.  */
+static const struct bb_program *
+choose (const struct bb_settings *settings)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (programs); i++)
+    if (programs[i]->chosen (settings))
+      return programs[i];
+  return NULL;
+}
+
 static int
 run (const struct bb_settings *settings)
 {
   GError *error = NULL;
-  struct bb_process *p = bb_process_new (settings, &error);
-  if (!p)
-    return fail (BB_ERROR_IO, error);
-  int status = bb_process_run (p);
-  bb_process_free (p);
-  return status;
+  const struct bb_program *program = choose (settings);
+  if (program)
+    {
+      int status = program->run (settings, settings_file, &error);
+      return error ? fail (BB_ERROR_IO, error) : status;
+    }
+  g_set_error (&error, BB_ERROR, BB_ERROR_NOT_FOUND,
+               "%s: this build has not the transport of the settings",
+               settings_file);
+  return fail (BB_ERROR_NOT_FOUND, error);
 }
 
 static bool
@@ -106,10 +129,10 @@
       return EXIT_SUCCESS;
     }
   struct bb_settings *settings = read_settings (settings_file, &status);
-  g_free (settings_file);
   if (!settings)
     return status;
   status = check_only ? EXIT_SUCCESS : run (settings);
   bb_settings_free (settings);
+  g_free (settings_file);
   return status;
 }
--- /dev/null
+++ b/bluebellstand/program.h
@@ -0,0 +1,22 @@
+/* The transports that a balancer runs on.  */
+
+#ifndef BB_BLUEBELLSTAND_PROGRAM_H
+#define BB_BLUEBELLSTAND_PROGRAM_H
+
+#include "config/config.h"
+
+#define BB_VERSION_TEXT "0.2.0"
+
+struct bb_program
+{
+  const char *name;
+  bool (*chosen) (const struct bb_settings *settings);
+  /* Runs until a stop has ended and returns the exit status.  Sets ERROR to
+     BB_ERROR_IO if it cannot start.  */
+  int (*run) (const struct bb_settings *settings, const char *settings_file,
+              GError **error);
+};
+
+extern const struct bb_program bb_program_gue;
+extern const struct bb_program bb_program_marked;
+#endif
--- a/config/config.h
+++ b/config/config.h
@@ -67,6 +67,21 @@
   BB_PLATFORM_DIRECTORY
 };
 
+/* Settings of a balancer on a transport whose packets carry a mark.  */
+struct bb_marked_settings
+{
+  struct bb_endpoint packets; /* port 0: not on such a transport */
+  struct bb_endpoint ready;   /* where the fabric asks for readiness */
+  struct bb_endpoint store;   /* that lists servers and routes */
+  uint16_t peer_port;         /* UDP, of messages between balancers */
+  struct bb_endpoint *seeds;  /* whose addresses are those of balancers */
+  size_t seed_count;
+  uint32_t capacity; /* of the VM's processor, thousandths of a core */
+  uint32_t flow_capacity;
+  uint32_t idle_ms;
+  uint32_t drain_ms; /* longest stop */
+};
+
 struct bb_settings
 {
   struct bb_vm self;
@@ -81,6 +96,7 @@
   uint32_t quiet_ms;       /* without packets before a stop ends */
   uint32_t leave_limit_ms; /* bound of a graceful stop */
   uint32_t probe_interval_ms;
+  struct bb_marked_settings marked;
   char *log_level; /* error, warn, info or debug */
 };
 
--- a/config/schema.c
+++ b/config/schema.c
@@ -78,6 +78,8 @@
     [BB_KEY_ADDRESS] = "a unicast IPv4 address such as \"10.1.2.3\"",
     [BB_KEY_NETWORK]
     = "an IPv4 network such as \"10.1.2.0/24\" without host bits",
+    [BB_KEY_ENDPOINT] = "an address and port such as \"10.1.2.3:80\"",
+    [BB_KEY_DECIMAL] = "a number from 0.001 to 1000",
     [BB_KEY_OBJECT] = "an object",
     [BB_KEY_NAMES] = "an object of names",
     [BB_KEY_LIST] = "a list",
@@ -125,6 +127,22 @@
   return prefix == 32 || (network->address & (UINT32_MAX >> prefix)) == 0;
 }
 
+static bool
+parse_endpoint (const char *text, struct bb_endpoint *endpoint)
+{
+  g_autofree char *copy = g_strdup (text);
+  char *colon = strrchr (copy, ':');
+  guint64 port;
+
+  if (!colon
+      || !g_ascii_string_to_unsigned (colon + 1, 10, 1, UINT16_MAX, &port,
+                                      NULL))
+    return false;
+  *colon = '\0';
+  endpoint->port = (uint16_t)port;
+  return parse_address (copy, &endpoint->address);
+}
+
 static const struct bb_choice *
 find_choice (const struct bb_key *key, const char *name)
 {
@@ -138,12 +156,15 @@
 check_string (const struct bb_key *key, const char *s)
 {
   struct bb_network network;
+  struct bb_endpoint endpoint;
   uint32_t address;
 
   switch (key->type)
     {
     case BB_KEY_NAME:
       return bb_name_valid (s);
+    case BB_KEY_ENDPOINT:
+      return parse_endpoint (s, &endpoint);
     case BB_KEY_ADDRESS:
       return parse_address (s, &address);
     case BB_KEY_NETWORK:
@@ -166,19 +187,35 @@
   return n >= key->min && n <= key->max;
 }
 
+/* A whole number may stand for a decimal one.  */
+static bool
+check_decimal (json_object *value)
+{
+  double n = json_object_get_double (value);
+
+  return n >= 0.001 && n <= 1000;
+}
+
 bool
 bb_key_check (const struct bb_key *key, json_object *value,
               enum bb_error_kind *kind)
 {
   static const enum json_type types[BB_KEY_TYPES] = {
-    [BB_KEY_INTEGER] = json_type_int,    [BB_KEY_BOOLEAN] = json_type_boolean,
-    [BB_KEY_NAME] = json_type_string,    [BB_KEY_TEXT] = json_type_string,
-    [BB_KEY_ADDRESS] = json_type_string, [BB_KEY_NETWORK] = json_type_string,
-    [BB_KEY_CHOICE] = json_type_string,  [BB_KEY_OBJECT] = json_type_object,
-    [BB_KEY_NAMES] = json_type_object,   [BB_KEY_LIST] = json_type_array,
+    [BB_KEY_INTEGER] = json_type_int,     [BB_KEY_BOOLEAN] = json_type_boolean,
+    [BB_KEY_NAME] = json_type_string,     [BB_KEY_TEXT] = json_type_string,
+    [BB_KEY_ADDRESS] = json_type_string,  [BB_KEY_NETWORK] = json_type_string,
+    [BB_KEY_ENDPOINT] = json_type_string, [BB_KEY_DECIMAL] = json_type_double,
+    [BB_KEY_CHOICE] = json_type_string,   [BB_KEY_OBJECT] = json_type_object,
+    [BB_KEY_NAMES] = json_type_object,    [BB_KEY_LIST] = json_type_array,
   };
 
   *kind = BB_ERROR_TYPE;
+  if (key->type == BB_KEY_DECIMAL
+      && json_object_is_type (value, json_type_int))
+    {
+      *kind = BB_ERROR_RANGE;
+      return check_decimal (value);
+    }
   if (!json_object_is_type (value, types[key->type]))
     return false;
   *kind = BB_ERROR_RANGE;
@@ -189,6 +226,8 @@
       return strlen (s) == (size_t)json_object_get_string_len (value)
              && check_string (key, s);
     }
+  if (key->type == BB_KEY_DECIMAL)
+    return check_decimal (value);
   return key->type != BB_KEY_INTEGER || check_integer (key, value);
 }
 
@@ -239,6 +278,9 @@
     case BB_KEY_NETWORK:
       parse_network (s, field);
       break;
+    case BB_KEY_ENDPOINT:
+      parse_endpoint (s, field);
+      break;
     case BB_KEY_CHOICE:
       store_number (field, key->size, find_choice (key, s)->value);
       break;
@@ -275,6 +317,9 @@
     store_number (field, key->size, json_object_get_boolean (value));
   else if (key->type == BB_KEY_INTEGER)
     store_number (field, key->size, json_object_get_int64 (value));
+  else if (key->type == BB_KEY_DECIMAL)
+    store_number (field, key->size,
+                  (int64_t)(json_object_get_double (value) * 1000 + 0.5));
   else
     store_string (key, json_object_get_string (value), field);
 }
--- a/config/schema.h
+++ b/config/schema.h
@@ -11,10 +11,12 @@
 {
   BB_KEY_INTEGER,
   BB_KEY_BOOLEAN,
-  BB_KEY_NAME,    /* char[BB_NAME_MAX] */
-  BB_KEY_TEXT,    /* char *, allocated */
-  BB_KEY_ADDRESS, /* uint32_t, IPv4 */
-  BB_KEY_NETWORK, /* struct bb_network */
+  BB_KEY_NAME,     /* char[BB_NAME_MAX] */
+  BB_KEY_TEXT,     /* char *, allocated */
+  BB_KEY_ADDRESS,  /* uint32_t, IPv4 */
+  BB_KEY_NETWORK,  /* struct bb_network */
+  BB_KEY_ENDPOINT, /* struct bb_endpoint, "ADDRESS:PORT" */
+  BB_KEY_DECIMAL,  /* uint32_t, thousandths of the number */
   BB_KEY_CHOICE,
   BB_KEY_OBJECT, /* of the keys below it */
   BB_KEY_NAMES,  /* object whose keys are names */
--- a/config/settings.c
+++ b/config/settings.c
@@ -70,12 +70,35 @@
   bb_claims_clear (&claims);
 }
 
+static void
+read_marked (const struct bb_source *source, json_object *object,
+             struct bb_marked_settings *m)
+{
+  json_object *seeds = bb_json_member (object, "seeds", json_type_array);
+  size_t count = seeds ? json_object_array_length (seeds) : 0;
+  const struct bb_key *key = bb_key_find ("settings", "marked.seeds[]");
+  enum bb_error_kind error;
+
+  m->capacity = 1000;
+  bb_schema_read (source, "settings", "marked", "/marked", object, m);
+  m->seeds = g_new0 (struct bb_endpoint, count);
+  for (size_t i = 0; i < count; i++)
+    {
+      struct bb_key row = *key;
+      json_object *value = json_object_array_get_idx (seeds, i);
+      row.size = sizeof m->seeds[0];
+      if (bb_key_check (&row, value, &error))
+        bb_key_store (&row, value, &m->seeds[m->seed_count++]);
+    }
+}
+
 static void
 read_settings (const struct bb_source *source, struct bb_settings *s)
 {
   json_object *root = source->lower->root;
   json_object *egress = bb_json_member (root, "egress", json_type_object);
   json_object *platform = bb_json_member (root, "platform", json_type_object);
+  json_object *marked = bb_json_member (root, "marked", json_type_object);
   json_object *level = bb_json_member (root, "log_level", json_type_string);
 
   bb_schema_read (source, "settings", "", "", root, s);
@@ -85,13 +108,20 @@
   s->log_level = g_strdup (level ? json_object_get_string (level) : "info");
   if (platform)
     read_platform (source, platform, s);
-  if (egress)
+  if (!egress && marked)
+    s->egress.port = 0;
+  else if (egress)
     bb_schema_read (source, "settings", "egress", "/egress", egress,
                     &s->egress);
   else
     bb_source_warn (source, "/egress",
                     "not set; callers whose flows are refused or silent get "
                     "no reset and wait for their own timeouts");
+  if (marked)
+    read_marked (source, marked, &s->marked);
+  else if (!platform)
+    bb_source_fault (source, BB_ERROR_MISSING_KEY, "/platform",
+                     "missing; expected an object, or \"marked\"");
   read_peers (source, bb_json_member (root, "peers", json_type_array), s);
 }
 
@@ -123,6 +153,7 @@
     return;
   g_free (settings->platform);
   g_free (settings->peers);
+  g_free (settings->marked.seeds);
   g_free (settings->log_level);
   g_free (settings);
 }
--- a/core/core.h
+++ b/core/core.h
@@ -206,6 +206,9 @@
   BB_DROP_UNCERTAIN, /* a split: wait whether the other half knows the flow */
   BB_DROP_TABLE_FULL,
   BB_DROP_NOT_READY,
+  BB_DROP_MARK_UNKNOWN,
+  BB_DROP_OTHER_SERVICE,
+  BB_DROP_SPOOFED, /* lengths or flags that no end writes */
   BB_DROP_KINDS
 };
 
@@ -302,9 +305,54 @@
   BB_EVENT_SILENT_RESET,
   BB_EVENT_LEAVING,
   BB_EVENT_STOP,
+  /* of a marked transport */
+  BB_EVENT_SERVER_ADDED,
+  BB_EVENT_SERVER_CHANGED,
+  BB_EVENT_SERVER_RESTARTED,
+  BB_EVENT_SERVER_GONE,
+  BB_EVENT_SERVER_SUSPECT,
+  BB_EVENT_SERVER_TRUSTED,
+  BB_EVENT_ENTRY_REFUSED,
+  BB_EVENT_FLOW_PLACED,
+  BB_EVENT_FLOW_REFUSED,
+  BB_EVENT_FLOW_RESET,
+  BB_EVENT_MARK_UNKNOWN,
+  BB_EVENT_STORE_LOST,
+  BB_EVENT_STORE_BACK,
+  BB_EVENT_READER,
+  BB_EVENT_RELOAD,
   BB_EVENT_KINDS
 };
 
+/* Why an event of a marked transport happened.  */
+enum bb_reason
+{
+  BB_REASON_NONE,
+  BB_REASON_OWN_DATA_CENTRE, /* placed there */
+  BB_REASON_OTHER_DATA_CENTRE,
+  BB_REASON_AGAIN, /* a copy of the first packet, placed as before */
+  BB_REASON_NO_ROUTE,
+  BB_REASON_ROUTE_DROPPED,
+  BB_REASON_NO_SERVER,
+  BB_REASON_ALL_BUSY,
+  BB_REASON_SERVER_GONE,
+  BB_REASON_SERVER_SILENT,
+  BB_REASON_OTHER_SERVICE,
+  BB_REASON_STORE,
+  BB_REASON_PEER,
+  BB_REASON_FIRST,    /* first of the readers' order */
+  BB_REASON_OUTDATED, /* nobody told anything new for too long */
+  BB_REASON_RELIEVED, /* another balancer reads */
+  BB_REASON_TIMEOUT,
+  BB_REASON_REFUSED,
+  BB_REASON_CLOSED,
+  BB_REASON_HISTORY_LOST,
+  BB_REASON_UNREADABLE,
+  BB_REASONS
+};
+
+const char *bb_reason_name (enum bb_reason reason);
+
 const char *bb_event_name (enum bb_event_kind kind);
 
 struct bb_event
@@ -314,6 +362,9 @@
   uint32_t server; /* key, 0: none */
   uint64_t flow;   /* hash, 0: none */
   uint64_t value;  /* of the kind: a version, a count, microseconds */
+  enum bb_reason reason;
+  uint64_t revision; /* of the knowledge that decided, 0: none */
+  bb_usec age;       /* of that knowledge; 0: not said */
 };
 #include "core/messages.h"
 #endif
--- a/core/strings.c
+++ b/core/strings.c
@@ -19,6 +19,9 @@
   [BB_DROP_UNCERTAIN] = "uncertain",
   [BB_DROP_TABLE_FULL] = "table_full",
   [BB_DROP_NOT_READY] = "not_ready",
+  [BB_DROP_MARK_UNKNOWN] = "mark_unknown",
+  [BB_DROP_OTHER_SERVICE] = "other_service",
+  [BB_DROP_SPOOFED] = "spoofed",
 };
 
 static const char *const events[BB_EVENT_KINDS] = {
@@ -47,6 +50,45 @@
   [BB_EVENT_SILENT_RESET] = "silent_reset",
   [BB_EVENT_LEAVING] = "leaving",
   [BB_EVENT_STOP] = "stop",
+  [BB_EVENT_SERVER_ADDED] = "server_added",
+  [BB_EVENT_SERVER_CHANGED] = "server_changed",
+  [BB_EVENT_SERVER_RESTARTED] = "server_restarted",
+  [BB_EVENT_SERVER_GONE] = "server_gone",
+  [BB_EVENT_SERVER_SUSPECT] = "server_suspect",
+  [BB_EVENT_SERVER_TRUSTED] = "server_trusted",
+  [BB_EVENT_ENTRY_REFUSED] = "entry_refused",
+  [BB_EVENT_FLOW_PLACED] = "flow_placed",
+  [BB_EVENT_FLOW_REFUSED] = "flow_refused",
+  [BB_EVENT_FLOW_RESET] = "flow_reset",
+  [BB_EVENT_MARK_UNKNOWN] = "mark_unknown",
+  [BB_EVENT_STORE_LOST] = "store_lost",
+  [BB_EVENT_STORE_BACK] = "store_back",
+  [BB_EVENT_READER] = "reader",
+  [BB_EVENT_RELOAD] = "reload",
+};
+
+static const char *const reasons[BB_REASONS] = {
+  [BB_REASON_NONE] = "none",
+  [BB_REASON_OWN_DATA_CENTRE] = "own_data_centre",
+  [BB_REASON_OTHER_DATA_CENTRE] = "other_data_centre",
+  [BB_REASON_AGAIN] = "again",
+  [BB_REASON_NO_ROUTE] = "no_route",
+  [BB_REASON_ROUTE_DROPPED] = "route_dropped",
+  [BB_REASON_NO_SERVER] = "no_server",
+  [BB_REASON_ALL_BUSY] = "all_busy",
+  [BB_REASON_SERVER_GONE] = "server_gone",
+  [BB_REASON_SERVER_SILENT] = "server_silent",
+  [BB_REASON_OTHER_SERVICE] = "other_service",
+  [BB_REASON_STORE] = "store",
+  [BB_REASON_PEER] = "peer",
+  [BB_REASON_FIRST] = "first",
+  [BB_REASON_OUTDATED] = "outdated",
+  [BB_REASON_RELIEVED] = "relieved",
+  [BB_REASON_TIMEOUT] = "timeout",
+  [BB_REASON_REFUSED] = "refused",
+  [BB_REASON_CLOSED] = "closed",
+  [BB_REASON_HISTORY_LOST] = "history_lost",
+  [BB_REASON_UNREADABLE] = "unreadable",
 };
 
 const char *
@@ -60,3 +102,9 @@
 {
   return (unsigned)kind < BB_EVENT_KINDS ? events[kind] : "unknown";
 }
+
+const char *
+bb_reason_name (enum bb_reason reason)
+{
+  return (unsigned)reason < BB_REASONS ? reasons[reason] : "unknown";
+}
--- /dev/null
+++ b/marked/balancer.h
@@ -0,0 +1,103 @@
+/* Decisions of a balancer on a transport whose packets carry a mark: a word
+   that both ends of a flow return in each packet.  The mark names the flow's
+   backend server, so that any balancer forwards the flow and none has to
+   remember it.
+
+   No function performs I/O; time is an argument.  */
+
+#ifndef BB_MARKED_BALANCER_H
+#define BB_MARKED_BALANCER_H
+
+#include "core/histogram.h"
+#include "marked/sharing.h"
+
+struct bb_marked_packet
+{
+  struct bb_packet packet;
+  uint32_t mark; /* 0: none */
+};
+
+enum bb_marked_verdict_kind
+{
+  BB_MARKED_FORWARD, /* to SERVER, with MARK in the packet */
+  BB_MARKED_RESET,   /* towards the caller */
+  BB_MARKED_DROP     /* counted under DROP */
+};
+
+struct bb_marked_verdict
+{
+  enum bb_marked_verdict_kind kind;
+  enum bb_drop drop;
+  struct bb_endpoint target;
+  uint64_t tag; /* of the server */
+  uint32_t mark;
+};
+
+struct bb_marked_counters
+{
+  uint64_t forwarded;
+  uint64_t placed;
+  uint64_t placed_far; /* in another data centre */
+  uint64_t copies;     /* of first packets */
+  uint64_t refused[BB_REASONS];
+  uint64_t resets;
+  uint64_t drops[BB_DROP_KINDS];
+  uint64_t suspects;
+  uint64_t answers; /* answers of which a caller acknowledged the start */
+  uint64_t repeats; /* packets that a caller sent again */
+};
+
+struct bb_marked_options
+{
+  struct bb_share_options share;
+  const char *data_centre;
+  uint32_t flow_capacity;
+  uint32_t idle_ms; /* a flow without packets for so long has ended */
+};
+
+struct bb_marked;
+
+struct bb_marked *bb_marked_new (const struct bb_marked_options *options,
+                                 const struct bb_share_sink *sink,
+                                 void *context, bb_usec now);
+void bb_marked_free (struct bb_marked *m);
+
+/* Decides on one packet of a caller.  Allocates nothing.  */
+void bb_marked_packet_in (struct bb_marked *m,
+                          const struct bb_marked_packet *packet, bb_usec now,
+                          struct bb_marked_verdict *verdict);
+
+/* What the store says.  A record of state BB_SERVER_GONE needs a name and a
+   revision only.  */
+void bb_marked_put_server (struct bb_marked *m,
+                           const struct bb_server_record *record, bb_usec now);
+void bb_marked_configure (struct bb_marked *m, uint64_t version,
+                          uint64_t revision,
+                          const struct bb_route_record *routes, size_t count,
+                          bb_usec now);
+
+/* Marks the servers gone that are listed, but not among the COUNT names, as
+   of REVISION.  */
+void bb_marked_retain (struct bb_marked *m, const GHashTable *names,
+                       uint64_t revision, bb_usec now);
+
+/* Counts a packet that could not be decoded.  */
+void bb_marked_count_drop (struct bb_marked *m, enum bb_drop kind);
+
+/* All up to REVISION was told, as a call showed that was sent at ASKED.  */
+void bb_marked_current (struct bb_marked *m, uint64_t revision, bb_usec asked,
+                        bb_usec now);
+
+void bb_marked_tick (struct bb_marked *m, bb_usec now);
+
+/* Whether it knows a configuration and can take flows.  */
+bool bb_marked_ready (const struct bb_marked *m);
+
+struct bb_sharing *bb_marked_sharing (struct bb_marked *m);
+struct bb_directory *bb_marked_directory (struct bb_marked *m);
+const struct bb_marked_counters *
+bb_marked_get_counters (const struct bb_marked *m);
+const struct bb_histogram *bb_marked_answer_times (const struct bb_marked *m);
+const struct bb_histogram *bb_marked_open_times (const struct bb_marked *m);
+uint32_t bb_marked_flow_count (const struct bb_marked *m);
+#endif
--- /dev/null
+++ b/marked/directory.c
@@ -0,0 +1,442 @@
+#include "marked/directory.h"
+#include "core/hash.h"
+#include <string.h>
+
+struct bb_directory
+{
+  char data_centre[BB_NAME_MAX];
+  uint64_t version;
+  GHashTable *names;    /* to struct bb_backend_server, which it owns */
+  GHashTable *marks;    /* to struct bb_backend_server */
+  GHashTable *services; /* to struct service_list, which it owns */
+  GHashTable *routes;   /* address and port to struct bb_route, owned */
+  struct bb_link servers_by_revision;
+  struct bb_link routes_by_revision;
+};
+
+struct service_list
+{
+  uint32_t service;
+  struct bb_link servers;
+};
+
+const char *
+bb_server_state_name (enum bb_server_state state)
+{
+  static const char *const names[BB_SERVER_STATES] = {
+    [BB_SERVER_READY] = "ready",
+    [BB_SERVER_DRAINING] = "draining",
+    [BB_SERVER_GONE] = "gone",
+  };
+  return (unsigned)state < BB_SERVER_STATES ? names[state] : "unknown";
+}
+
+struct bb_directory *
+bb_directory_new (const char *data_centre)
+{
+  struct bb_directory *d = g_new0 (struct bb_directory, 1);
+  g_strlcpy (d->data_centre, data_centre, sizeof d->data_centre);
+  d->names = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  d->marks = g_hash_table_new (NULL, NULL);
+  d->services = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  d->routes = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  bb_list_init (&d->servers_by_revision);
+  bb_list_init (&d->routes_by_revision);
+  return d;
+}
+
+void
+bb_directory_free (struct bb_directory *d)
+{
+  if (!d)
+    return;
+  g_hash_table_unref (d->marks);
+  g_hash_table_unref (d->services);
+  g_hash_table_unref (d->routes);
+  g_hash_table_unref (d->names);
+  g_free (d);
+}
+
+/* Lists by revision stay sorted.  A new item is nearly always the newest.  */
+static void
+place_server (struct bb_directory *d, struct bb_backend_server *s)
+{
+  struct bb_link *head = &d->servers_by_revision, *at;
+  bb_list_remove (&s->by_revision);
+  for (at = head->previous; at != head; at = at->previous)
+    if (BB_LINKED (at, struct bb_backend_server, by_revision)->record.revision
+        <= s->record.revision)
+      break;
+  bb_list_append (at->next, &s->by_revision);
+}
+
+static void
+place_route (struct bb_directory *d, struct bb_route *route)
+{
+  struct bb_link *head = &d->routes_by_revision, *at;
+  bb_list_remove (&route->by_revision);
+  for (at = head->previous; at != head; at = at->previous)
+    if (BB_LINKED (at, struct bb_route, by_revision)->record.revision
+        <= route->record.revision)
+      break;
+  bb_list_append (at->next, &route->by_revision);
+}
+
+/* Servers.  */
+
+/* The mark is a hash of the name, equal on all balancers.  Where two servers
+   hash alike, the one that was listed first keeps the mark and the other one
+   takes the next try; 0 is the mark of a packet that carries none.  */
+static uint32_t
+mark_try (const char *name, unsigned try)
+{
+  uint32_t mark = (uint32_t)XXH3_64bits_withSeed (name, strlen (name), try);
+  return mark ? mark : 1;
+}
+
+static bool
+older (const struct bb_backend_server *a, const struct bb_backend_server *b)
+{
+  if (a->record.created != b->record.created)
+    return a->record.created < b->record.created;
+  return strcmp (a->record.name, b->record.name) < 0;
+}
+
+static void
+assign_mark (struct bb_directory *d, struct bb_backend_server *s)
+{
+  struct bb_backend_server *moved = s;
+  for (unsigned try = 0; try < BB_MARK_TRIES && moved; try++)
+    {
+      uint32_t mark = mark_try (moved->record.name, try);
+      struct bb_backend_server *holder = bb_directory_marked (d, mark);
+      if (holder == moved)
+        return;
+      if (holder && older (holder, moved))
+        continue;
+      moved->mark = mark;
+      g_hash_table_insert (d->marks, GUINT_TO_POINTER (mark), moved);
+      moved = holder;
+      try = 0;
+      if (moved)
+        moved->mark = 0;
+    }
+}
+
+static void
+release_mark (struct bb_directory *d, struct bb_backend_server *s)
+{
+  if (s->mark != 0 && bb_directory_marked (d, s->mark) == s)
+    g_hash_table_remove (d->marks, GUINT_TO_POINTER (s->mark));
+}
+
+struct bb_link *
+bb_directory_service (const struct bb_directory *d, uint32_t service)
+{
+  struct service_list *list
+      = g_hash_table_lookup (d->services, GUINT_TO_POINTER (service));
+  return list ? &list->servers : NULL;
+}
+
+static struct bb_link *
+service_get (struct bb_directory *d, uint32_t service)
+{
+  struct bb_link *head = bb_directory_service (d, service);
+  if (head)
+    return head;
+  struct service_list *list = g_new0 (struct service_list, 1);
+  list->service = service;
+  bb_list_init (&list->servers);
+  g_hash_table_insert (d->services, GUINT_TO_POINTER (service), list);
+  return &list->servers;
+}
+
+/* Takes over what RECORD says, and what follows from it.  */
+static void
+store (struct bb_directory *d, struct bb_backend_server *s,
+       const struct bb_server_record *record, bb_usec now)
+{
+  uint64_t created = s->record.created;
+  s->record = *record;
+  if (created != 0 && (record->created == 0 || created < record->created))
+    s->record.created = created;
+  s->key = bb_server_key (record->service, record->name);
+  s->service = bb_name_key (record->service);
+  s->local = strcmp (record->data_centre, d->data_centre) == 0;
+  s->cold_until = record->cold_ms ? now + record->cold_ms * BB_MSEC : 0;
+  bb_list_remove (&s->of_service);
+  if (record->state == BB_SERVER_GONE)
+    s->gone_since = MAX (now - record->gone_ms * BB_MSEC, 1);
+  else
+    {
+      s->gone_since = 0;
+      bb_list_append (service_get (d, s->service), &s->of_service);
+    }
+  place_server (d, s);
+}
+
+static bool
+equal (const struct bb_server_record *a, const struct bb_server_record *b)
+{
+  return a->state == b->state && a->address.address == b->address.address
+         && a->address.port == b->address.port && a->slots == b->slots
+         && a->born_ms == b->born_ms && (a->cold_ms > 0) == (b->cold_ms > 0)
+         && strcmp (a->service, b->service) == 0
+         && strcmp (a->data_centre, b->data_centre) == 0;
+}
+
+static enum bb_view_change
+change (struct bb_directory *d, struct bb_backend_server *s,
+        const struct bb_server_record *record, bb_usec now)
+{
+  if (record->revision <= s->record.revision)
+    return BB_VIEW_STALE;
+  bool same = equal (&s->record, record);
+  bool was_gone = s->record.state == BB_SERVER_GONE;
+  bool restarted = record->state != BB_SERVER_GONE && record->born_ms != 0
+                   && s->record.born_ms != 0
+                   && record->born_ms != s->record.born_ms;
+  struct bb_server_record kept = *record;
+  if (record->state == BB_SERVER_GONE)
+    {
+      /* A removal names the server only.  */
+      kept = s->record;
+      kept.state = BB_SERVER_GONE;
+      kept.revision = record->revision;
+    }
+  bb_usec gone_since = s->gone_since;
+  store (d, s, &kept, now);
+  if (was_gone && kept.state == BB_SERVER_GONE)
+    s->gone_since = gone_since;
+  if (restarted)
+    s->load = (struct bb_server_load){ 0 };
+  if (kept.state == BB_SERVER_GONE)
+    return was_gone ? BB_VIEW_SAME : BB_VIEW_GONE;
+  if (restarted)
+    return BB_VIEW_RESTARTED;
+  if (was_gone)
+    return BB_VIEW_ADDED;
+  return same ? BB_VIEW_SAME : BB_VIEW_CHANGED;
+}
+
+enum bb_view_change
+bb_directory_put (struct bb_directory *d,
+                  const struct bb_server_record *record, bb_usec now,
+                  struct bb_backend_server **server)
+{
+  struct bb_backend_server *s = bb_directory_find (d, record->name);
+  *server = s;
+  if (s)
+    return change (d, s, record, now);
+  if (record->state == BB_SERVER_GONE && record->address.port == 0)
+    return BB_VIEW_SAME;
+  s = g_new0 (struct bb_backend_server, 1);
+  bb_list_init (&s->by_revision);
+  bb_list_init (&s->of_service);
+  s->listed = now;
+  store (d, s, record, now);
+  g_hash_table_insert (d->names, s->record.name, s);
+  assign_mark (d, s);
+  *server = s;
+  return record->state == BB_SERVER_GONE ? BB_VIEW_SAME : BB_VIEW_ADDED;
+}
+
+struct bb_backend_server *
+bb_directory_marked (const struct bb_directory *d, uint32_t mark)
+{
+  return g_hash_table_lookup (d->marks, GUINT_TO_POINTER (mark));
+}
+
+struct bb_backend_server *
+bb_directory_find (const struct bb_directory *d, const char *name)
+{
+  return g_hash_table_lookup (d->names, name);
+}
+
+struct bb_link *
+bb_directory_servers (struct bb_directory *d)
+{
+  return &d->servers_by_revision;
+}
+
+/* Routes.  */
+
+static gpointer
+route_key (const struct bb_endpoint *e)
+{
+  return GSIZE_TO_POINTER ((gsize)e->address << 16 | e->port);
+}
+
+struct bb_route *
+bb_directory_route (const struct bb_directory *d,
+                    const struct bb_endpoint *address)
+{
+  return g_hash_table_lookup (d->routes, route_key (address));
+}
+
+bool
+bb_route_allows (const struct bb_route *route, uint32_t service)
+{
+  for (uint32_t i = 0; i < route->allowed_count; i++)
+    if (route->allowed[i] == service)
+      return true;
+  return false;
+}
+
+/* A service that cannot be remembered is left out: its flows are then not
+   forwarded, which is safe.  */
+static void
+allow (struct bb_route *route, uint32_t service)
+{
+  if (!bb_route_allows (route, service)
+      && route->allowed_count < BB_ROUTE_ALLOWED)
+    route->allowed[route->allowed_count++] = service;
+}
+
+static bool
+same_shares (const struct bb_route_record *a, const struct bb_route_record *b)
+{
+  if (a->share_count != b->share_count)
+    return false;
+  for (uint32_t i = 0; i < a->share_count; i++)
+    if (a->shares[i].service != b->shares[i].service
+        || a->shares[i].weight != b->shares[i].weight)
+      return false;
+  return true;
+}
+
+static struct bb_route *
+route_get (struct bb_directory *d, const struct bb_endpoint *address)
+{
+  struct bb_route *route = bb_directory_route (d, address);
+  if (route)
+    return route;
+  route = g_new0 (struct bb_route, 1);
+  bb_list_init (&route->by_revision);
+  g_hash_table_insert (d->routes, route_key (address), route);
+  return route;
+}
+
+enum bb_view_change
+bb_directory_put_route (struct bb_directory *d,
+                        const struct bb_route_record *record, bb_usec now)
+{
+  struct bb_route *route = route_get (d, &record->address);
+  if (record->revision <= route->record.revision)
+    return BB_VIEW_STALE;
+  bool known = route->record.revision != 0;
+  bool same = known && same_shares (&route->record, record);
+  route->record = *record;
+  if (!same)
+    route->dropped = record->share_count ? 0 : now;
+  for (uint32_t i = 0; i < record->share_count; i++)
+    allow (route, record->shares[i].service);
+  place_route (d, route);
+  if (same)
+    return BB_VIEW_SAME;
+  if (record->share_count == 0)
+    return BB_VIEW_GONE;
+  return known ? BB_VIEW_CHANGED : BB_VIEW_ADDED;
+}
+
+static int
+drop_missing (struct bb_directory *d, const struct bb_route_record *routes,
+              size_t count, uint64_t revision, bb_usec now)
+{
+  int changed = 0;
+  GHashTable *named = g_hash_table_new (NULL, NULL);
+  for (size_t i = 0; i < count; i++)
+    g_hash_table_add (named, route_key (&routes[i].address));
+  struct bb_link *next;
+  for (struct bb_link *at = d->routes_by_revision.next;
+       at != &d->routes_by_revision; at = next)
+    {
+      struct bb_route *route = BB_LINKED (at, struct bb_route, by_revision);
+      next = at->next;
+      struct bb_route_record gone
+          = { .address = route->record.address, .revision = revision };
+      if (route->record.share_count != 0
+          && !g_hash_table_contains (named, route_key (&gone.address))
+          && bb_directory_put_route (d, &gone, now) == BB_VIEW_GONE)
+        changed++;
+    }
+  g_hash_table_unref (named);
+  return changed;
+}
+
+int
+bb_directory_configure (struct bb_directory *d, uint64_t version,
+                        uint64_t revision,
+                        const struct bb_route_record *routes, size_t count,
+                        bb_usec now)
+{
+  if (version <= d->version)
+    return -1;
+  d->version = version;
+  int changed = drop_missing (d, routes, count, revision, now);
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct bb_route *route
+          = bb_directory_route (d, &routes[i].address);
+      if (route && same_shares (&route->record, &routes[i]))
+        continue;
+      enum bb_view_change change = bb_directory_put_route (d, &routes[i], now);
+      if (change != BB_VIEW_STALE)
+        changed++;
+    }
+  return changed;
+}
+
+uint64_t
+bb_directory_version (const struct bb_directory *d)
+{
+  return d->version;
+}
+
+void
+bb_directory_set_version (struct bb_directory *d, uint64_t version)
+{
+  d->version = MAX (d->version, version);
+}
+
+struct bb_link *
+bb_directory_routes (struct bb_directory *d)
+{
+  return &d->routes_by_revision;
+}
+
+/* Ageing.  */
+
+static gboolean
+server_expired (gpointer name, gpointer value, gpointer context)
+{
+  (void)name;
+  struct bb_backend_server *s = value;
+  void **arguments = context;
+  const bb_usec *now = arguments[1];
+  if (s->gone_since == 0 || *now - s->gone_since < BB_VIEW_RETENTION)
+    return FALSE;
+  release_mark (arguments[0], s);
+  bb_list_remove (&s->by_revision);
+  return TRUE;
+}
+
+static gboolean
+route_expired (gpointer key, gpointer value, gpointer context)
+{
+  (void)key;
+  struct bb_route *route = value;
+  const bb_usec *now = context;
+  if (route->dropped == 0 || *now - route->dropped < BB_VIEW_RETENTION)
+    return FALSE;
+  bb_list_remove (&route->by_revision);
+  return TRUE;
+}
+
+void
+bb_directory_sweep (struct bb_directory *d, bb_usec now)
+{
+  void *context[] = { d, &now };
+  g_hash_table_foreach_remove (d->names, server_expired, context);
+  g_hash_table_foreach_remove (d->routes, route_expired, &now);
+}
--- /dev/null
+++ b/marked/directory.h
@@ -0,0 +1,167 @@
+/* What a balancer knows of backend servers and routes: each item with the
+   revision of the store at which it last changed, so that balancers can tell
+   each other what is newer than a revision.
+
+   Servers that are gone are kept for BB_VIEW_RETENTION, because callers may
+   still send packets of flows with their mark.  */
+
+#ifndef BB_MARKED_DIRECTORY_H
+#define BB_MARKED_DIRECTORY_H
+
+#include "core/core.h"
+#include "marked/list.h"
+
+enum
+{
+  BB_ROUTE_SERVICES = 4, /* services that one route splits new flows over */
+  BB_ROUTE_ALLOWED = 8,  /* services that a route ever led to */
+  BB_MARK_TRIES = 4,     /* marks tried when two servers hash alike */
+};
+
+/* Flows live 60 s at most on the platform (flow-lifetime of its settings); a
+   margin covers clocks and packets under way.  */
+#define BB_VIEW_RETENTION (75 * BB_SEC)
+
+enum bb_server_state
+{
+  BB_SERVER_READY,
+  BB_SERVER_DRAINING,
+  BB_SERVER_GONE,
+  BB_SERVER_STATES
+};
+
+const char *bb_server_state_name (enum bb_server_state state);
+
+/* One backend server as the registry lists it.  */
+struct bb_server_record
+{
+  char name[BB_NAME_MAX];
+  char service[BB_NAME_MAX];
+  char data_centre[BB_NAME_MAX];
+  struct bb_endpoint address;
+  uint64_t tag; /* by which the server knows that a packet is meant for it */
+  enum bb_server_state state;
+  uint32_t cold_ms; /* for how much longer it is slow */
+  uint32_t gone_ms; /* for how long it has been gone */
+  uint16_t slots;   /* requests that it runs at once; 0: unknown */
+  int64_t born_ms;  /* wall-clock time of its start; 0: unknown */
+  uint64_t created; /* revision at which the name was first listed */
+  uint64_t revision;
+};
+
+/* What the forward path and the peers tell of a server's load.  */
+struct bb_server_load
+{
+  int32_t open;      /* flows placed here that have not ended */
+  int32_t busy;      /* requests that passed here without an answer yet */
+  int32_t peer_open; /* the same, as the peers count */
+  int32_t peer_busy;
+  uint32_t unanswered;   /* repetitions since the last sign of life */
+  bb_usec silent_since;  /* first of them; 0: none */
+  bb_usec suspect_until; /* gets no new flows before */
+  bb_usec answer_time;   /* smoothed time to the first acknowledged answer */
+  bb_usec alive;         /* last sign of life */
+};
+
+struct bb_backend_server
+{
+  struct bb_server_record record;
+  uint32_t key; /* bb_server_key of service and name, for logs */
+  uint32_t service;
+  uint32_t mark;
+  bool local;         /* in the data centre of this balancer */
+  bb_usec listed;     /* first known here */
+  bb_usec gone_since; /* 0: listed */
+  bb_usec cold_until;
+  struct bb_server_load load;
+  struct bb_link by_revision;
+  struct bb_link of_service;
+};
+
+struct bb_route_share
+{
+  uint32_t service;
+  uint32_t weight;
+};
+
+struct bb_route_record
+{
+  struct bb_endpoint address; /* what callers connect to */
+  struct bb_route_share shares[BB_ROUTE_SERVICES];
+  uint32_t share_count; /* 0: the route was dropped */
+  uint64_t revision;
+};
+
+struct bb_route
+{
+  struct bb_route_record record;
+  uint32_t allowed[BB_ROUTE_ALLOWED];
+  uint32_t allowed_count;
+  bb_usec dropped; /* 0: in force */
+  struct bb_link by_revision;
+};
+
+enum bb_view_change
+{
+  BB_VIEW_SAME,
+  BB_VIEW_STALE, /* older than what is known; ignored */
+  BB_VIEW_ADDED,
+  BB_VIEW_CHANGED,
+  BB_VIEW_RESTARTED, /* the same name, but a new process without flows */
+  BB_VIEW_GONE
+};
+
+struct bb_directory;
+
+struct bb_directory *bb_directory_new (const char *data_centre);
+void bb_directory_free (struct bb_directory *d);
+
+/* Takes over RECORD.  *SERVER is set to the server, or to NULL.  A record of
+   state BB_SERVER_GONE of a server that is not known is kept too: its mark
+   may come.  */
+enum bb_view_change bb_directory_put (struct bb_directory *d,
+                                      const struct bb_server_record *record,
+                                      bb_usec now,
+                                      struct bb_backend_server **server);
+
+/* Takes over one route.  */
+enum bb_view_change
+bb_directory_put_route (struct bb_directory *d,
+                        const struct bb_route_record *record, bb_usec now);
+
+/* Puts the COUNT routes of a whole configuration VERSION in force and drops
+   those that it does not name.  Returns the number of routes changed, or -1
+   if a version at least as new is in force.  */
+int bb_directory_configure (struct bb_directory *d, uint64_t version,
+                            uint64_t revision,
+                            const struct bb_route_record *routes, size_t count,
+                            bb_usec now);
+
+/* Configuration version in force; 0: none.  SET only raises it.  */
+uint64_t bb_directory_version (const struct bb_directory *d);
+void bb_directory_set_version (struct bb_directory *d, uint64_t version);
+
+struct bb_route *bb_directory_route (const struct bb_directory *d,
+                                     const struct bb_endpoint *address);
+bool bb_route_allows (const struct bb_route *route, uint32_t service);
+
+/* Servers by mark and by name; NULL if unknown.  */
+struct bb_backend_server *bb_directory_marked (const struct bb_directory *d,
+                                               uint32_t mark);
+struct bb_backend_server *bb_directory_find (const struct bb_directory *d,
+                                             const char *name);
+
+/* Head of the servers of SERVICE that are not gone, linked by of_service;
+   NULL: none.  */
+struct bb_link *bb_directory_service (const struct bb_directory *d,
+                                      uint32_t service);
+
+/* Heads of all servers and routes, oldest revision first, linked by
+   by_revision.  */
+struct bb_link *bb_directory_servers (struct bb_directory *d);
+struct bb_link *bb_directory_routes (struct bb_directory *d);
+
+/* Forgets servers and routes that have been gone for longer than the
+   retention.  */
+void bb_directory_sweep (struct bb_directory *d, bb_usec now);
+#endif
--- /dev/null
+++ b/marked/flows.h
@@ -0,0 +1,61 @@
+/* The flows that passed this balancer lately.  They serve placement only:
+   which server a SYN went to, and how fast servers answer.  A flow that is
+   not here is forwarded by its mark all the same.
+
+   The table has a fixed capacity; the flow that was silent for longest makes
+   room.  Times are milliseconds of the engine's clock.  */
+
+#ifndef BB_MARKED_FLOWS_H
+#define BB_MARKED_FLOWS_H
+
+#include "core/core.h"
+
+enum
+{
+  BB_FLOW_OPENING, /* only SYNs were seen */
+  BB_FLOW_OPEN
+};
+
+struct bb_marked_flow
+{
+  uint64_t hash; /* 0: free */
+  uint32_t mark; /* of the server; 0: none */
+  uint32_t seen_ms;
+  uint32_t asked_ms;     /* when the request under way passed; 0: none */
+  uint32_t sent;         /* end of the newest data of the caller */
+  uint32_t acknowledged; /* newest answer byte that the caller has */
+  uint32_t chain;        /* next of the same hash slot */
+  uint32_t older;        /* by seen_ms */
+  uint32_t newer;
+  uint8_t state;
+  uint8_t repeats; /* of the same data, without an answer */
+};
+
+struct bb_marked_flows;
+
+/* Called when a flow is forgotten, so that its share of the counts goes.  */
+typedef void (*bb_marked_flow_ended) (void *context,
+                                      const struct bb_marked_flow *flow);
+
+struct bb_marked_flows *bb_marked_flows_new (uint32_t capacity,
+                                             bb_marked_flow_ended ended,
+                                             void *context);
+void bb_marked_flows_free (struct bb_marked_flows *flows);
+
+/* The flow of HASH, or NULL.  */
+struct bb_marked_flow *bb_marked_flows_find (struct bb_marked_flows *flows,
+                                             uint64_t hash);
+
+/* A new flow of HASH, which must not be in the table.  */
+struct bb_marked_flow *bb_marked_flows_add (struct bb_marked_flows *flows,
+                                            uint64_t hash, uint32_t now_ms);
+void bb_marked_flows_touch (struct bb_marked_flows *flows,
+                            struct bb_marked_flow *flow, uint32_t now_ms);
+void bb_marked_flows_remove (struct bb_marked_flows *flows,
+                             struct bb_marked_flow *flow);
+
+/* Forgets flows that were silent for IDLE_MS.  */
+void bb_marked_flows_expire (struct bb_marked_flows *flows, uint32_t now_ms,
+                             uint32_t idle_ms);
+uint32_t bb_marked_flows_count (const struct bb_marked_flows *flows);
+#endif
--- a/runtime/data.c
+++ b/runtime/data.c
@@ -1,19 +1,13 @@
-#define _GNU_SOURCE /* recvmmsg, sendmmsg */
 #include "runtime/data.h"
+#include "runtime/batch.h"
 #include "runtime/private.h"
 #include "wire/wire.h"
-#include <arpa/inet.h>
-#include <errno.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 enum
 {
-  BATCH = 64,
   PACKET_MAX = 9216, /* a jumbo frame */
   HEADROOM = 32,     /* the new outer header may be longer than the old one */
-  OUT_MAX = 2 * BATCH, /* a verdict sends two packets at most */
   RESET_MAX = 64,
   ROUNDS_MAX = 16,         /* batches before timers get a turn */
   DISCARD_MAX = 65536,     /* batches; more than any receive buffer holds */
@@ -23,32 +17,14 @@
 struct bb_data
 {
   struct bb_process *process;
-  int fd;
+  struct bb_batch *batch;
   struct event *readable;
   bb_usec last_packet;
-  unsigned out_count;
   unsigned reset_count;
-  struct mmsghdr in[BATCH];
-  struct iovec in_iov[BATCH];
-  struct sockaddr_in from[BATCH];
-  struct mmsghdr out[OUT_MAX];
-  struct iovec out_iov[OUT_MAX];
-  struct sockaddr_in to[OUT_MAX];
-  uint8_t resets[OUT_MAX][RESET_MAX];
+  uint8_t resets[BB_BATCH_OUT][RESET_MAX];
   struct bb_data_counters counters;
-  uint8_t buffers[BATCH][HEADROOM + PACKET_MAX];
 };
 
-static void
-queue (struct bb_data *d, uint8_t *bytes, size_t length,
-       const struct bb_endpoint *target)
-{
-  unsigned i = d->out_count++;
-  d->out_iov[i] = (struct iovec){ bytes, length };
-  d->to[i].sin_addr.s_addr = htonl (target->address);
-  d->to[i].sin_port = htons (target->port);
-}
-
 /* Queues the INNER packet behind a new outer header, which is written into
    the bytes before it.  */
 static void
@@ -58,7 +34,7 @@
 {
   size_t header = BB_GUE_HEADER + (handover ? BB_GUE_HANDOVER : 0);
   bb_gue_encode (inner - header, handover);
-  queue (d, inner - header, header + length, target);
+  bb_batch_queue (d->batch, inner - header, header + length, target);
 }
 
 static void
@@ -76,7 +52,7 @@
   if (length == 0)
     return;
   d->reset_count++;
-  queue (d, bytes, header + length, target);
+  bb_batch_queue (d->batch, bytes, header + length, target);
 }
 
 static void
@@ -108,18 +84,19 @@
 handle (struct bb_data *d, unsigned i, bb_usec now)
 {
   struct bb_engine *engine = d->process->engine;
-  uint8_t *bytes = d->buffers[i] + HEADROOM;
-  size_t length = d->in[i].msg_len, header = 0;
+  struct bb_endpoint from;
+  size_t length, header = 0;
+  uint8_t *bytes = bb_batch_packet (d->batch, i, &length, &from);
   struct bb_handover handover;
   struct bb_packet packet;
   bool handed = false;
   enum bb_drop drop = BB_DROP_TRUNCATED;
 
   d->counters.received_bytes += length;
-  if (!(d->in[i].msg_hdr.msg_flags & MSG_TRUNC))
+  if (length > 0)
     drop = bb_gue_decode (bytes, length, &header, &handed, &handover);
   if (drop == BB_DROP_NONE && handed
-      && !bb_engine_admits (engine, ntohl (d->from[i].sin_addr.s_addr)))
+      && !bb_engine_admits (engine, from.address))
     drop = BB_DROP_NOT_PEER;
   if (drop == BB_DROP_NONE)
     drop = bb_packet_parse (bytes + header, length - header, &packet);
@@ -135,41 +112,17 @@
   act (d, &verdict, &packet, bytes + header, length - header);
 }
 
-/* A packet that the socket refuses is dropped and the rest is sent: callers
-   retransmit, and waiting would delay all other flows.  */
 static void
 flush (struct bb_data *d)
 {
-  unsigned done = 0;
-  while (done < d->out_count)
-    {
-      int sent
-          = sendmmsg (d->fd, d->out + done, d->out_count - done, MSG_DONTWAIT);
-      if (sent < 0 && errno == EINTR)
-        continue;
-      if (sent <= 0)
-        {
-          d->counters.send_drops++;
-          done++;
-          continue;
-        }
-      for (int i = 0; i < sent; i++)
-        d->counters.sent_bytes += d->out[done + (unsigned)i].msg_len;
-      d->counters.sent_packets += (unsigned)sent;
-      done += (unsigned)sent;
-    }
-  d->out_count = 0;
+  bb_batch_flush (d->batch);
+  const struct bb_batch_counters *sent = bb_batch_get_counters (d->batch);
+  d->counters.sent_packets = sent->sent_packets;
+  d->counters.sent_bytes = sent->sent_bytes;
+  d->counters.send_drops = sent->send_drops;
   d->reset_count = 0;
 }
 
-static int
-receive (struct bb_data *d)
-{
-  for (int i = 0; i < BATCH; i++)
-    d->in[i].msg_hdr.msg_namelen = sizeof d->from[i];
-  return recvmmsg (d->fd, d->in, BATCH, MSG_DONTWAIT, NULL);
-}
-
 /* After a pause, packets may be handled before the timer of the tick, so the
    tick's lateness is checked here too.  */
 static bool
@@ -190,7 +143,7 @@
       bb_usec now = bb_clock_boot ();
       if (paused (d, now))
         return;
-      int count = receive (d);
+      int count = bb_batch_receive (d->batch);
       if (count <= 0)
         return;
       d->counters.batches++;
@@ -198,7 +151,7 @@
       for (int i = 0; i < count; i++)
         handle (d, (unsigned)i, now);
       flush (d);
-      if (count < BATCH)
+      if (count < BB_BATCH_SIZE)
         return;
     }
 }
@@ -208,69 +161,25 @@
 {
   for (int i = 0; i < DISCARD_MAX; i++)
     {
-      int count = receive (d);
+      int count = bb_batch_receive (d->batch);
       if (count <= 0)
         return;
       d->counters.discarded += (unsigned)count;
     }
 }
 
-static int
-open_socket (const struct bb_endpoint *endpoint, GError **error)
-{
-  struct sockaddr_in address = {
-    .sin_family = AF_INET,
-    .sin_addr.s_addr = htonl (endpoint->address),
-    .sin_port = htons (endpoint->port),
-  };
-  int size = SOCKET_BUFFER;
-  int fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd >= 0)
-    {
-      setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
-      setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof size);
-      if (bind (fd, (struct sockaddr *)&address, sizeof address) == 0)
-        return fd;
-    }
-  char text[BB_ENDPOINT_TEXT];
-  g_set_error (error, BB_ERROR, BB_ERROR_IO, "data: UDP %s: %s",
-               bb_endpoint_text (text, endpoint), g_strerror (errno));
-  if (fd >= 0)
-    close (fd);
-  return -1;
-}
-
-static void
-link_vectors (struct bb_data *d)
-{
-  for (int i = 0; i < BATCH; i++)
-    {
-      d->in_iov[i] = (struct iovec){ d->buffers[i] + HEADROOM, PACKET_MAX };
-      d->in[i].msg_hdr.msg_iov = &d->in_iov[i];
-      d->in[i].msg_hdr.msg_iovlen = 1;
-      d->in[i].msg_hdr.msg_name = &d->from[i];
-    }
-  for (int i = 0; i < OUT_MAX; i++)
-    {
-      d->to[i].sin_family = AF_INET;
-      d->out[i].msg_hdr.msg_iov = &d->out_iov[i];
-      d->out[i].msg_hdr.msg_iovlen = 1;
-      d->out[i].msg_hdr.msg_name = &d->to[i];
-      d->out[i].msg_hdr.msg_namelen = sizeof d->to[i];
-    }
-}
-
 struct bb_data *
 bb_data_new (struct bb_process *p, GError **error)
 {
-  int fd = open_socket (&p->settings->self.data, error);
-  if (fd < 0)
+  struct bb_batch *batch = bb_batch_new (
+      &p->settings->self.data, SOCKET_BUFFER, HEADROOM, PACKET_MAX, error);
+  if (!batch)
     return NULL;
   struct bb_data *d = g_new0 (struct bb_data, 1);
   d->process = p;
-  d->fd = fd;
-  link_vectors (d);
-  d->readable = event_new (p->loop, fd, EV_READ | EV_PERSIST, on_readable, d);
+  d->batch = batch;
+  d->readable = event_new (p->loop, bb_batch_fd (batch), EV_READ | EV_PERSIST,
+                           on_readable, d);
   event_add (d->readable, NULL);
   return d;
 }
@@ -281,7 +190,7 @@
   if (!d)
     return;
   event_free (d->readable);
-  close (d->fd);
+  bb_batch_free (d->batch);
   g_free (d);
 }
 
--- a/runtime/http.c
+++ b/runtime/http.c
@@ -1,22 +1,15 @@
 #include "runtime/http.h"
+#include "runtime/listen.h"
 #include "runtime/log.h"
 #include "runtime/metrics.h"
 #include "runtime/private.h"
 #include "runtime/status.h"
-#include <errno.h>
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <json-c/json.h>
 #include <string.h>
 
-enum
-{
-  TIMEOUT_S = 5,
-  HEADERS_MAX = 8192, /* bytes */
-  BODY_MAX = 1024
-};
-
 struct bb_http
 {
   struct bb_process *process;
@@ -114,21 +107,10 @@
 struct bb_http *
 bb_http_new (struct bb_process *p, GError **error)
 {
-  const struct bb_endpoint *endpoint = &p->settings->metrics;
-  char address[BB_ENDPOINT_TEXT], text[BB_ENDPOINT_TEXT];
-  struct evhttp *server = evhttp_new (p->loop);
-  evhttp_set_timeout (server, TIMEOUT_S);
-  evhttp_set_max_headers_size (server, HEADERS_MAX);
-  evhttp_set_max_body_size (server, BODY_MAX);
-  evhttp_set_allowed_methods (server, EVHTTP_REQ_GET | EVHTTP_REQ_HEAD);
-  bb_address_text (address, endpoint->address);
-  if (evhttp_bind_socket (server, address, endpoint->port) != 0)
-    {
-      g_set_error (error, BB_ERROR, BB_ERROR_IO, "metrics: TCP %s: %s",
-                   bb_endpoint_text (text, endpoint), g_strerror (errno));
-      evhttp_free (server);
-      return NULL;
-    }
+  struct evhttp *server
+      = bb_listen_http (p->loop, &p->settings->metrics, "metrics", error);
+  if (!server)
+    return NULL;
   struct bb_http *http = g_new (struct bb_http, 1);
   *http = (struct bb_http){ p, server };
   evhttp_set_gencb (server, on_request, http);
--- a/runtime/log.c
+++ b/runtime/log.c
@@ -49,6 +49,12 @@
   [BB_EVENT_BIT_SET] = BB_LOG_DEBUG,
   [BB_EVENT_BIT_ACTED] = BB_LOG_DEBUG,
   [BB_EVENT_BIT_CLEARED] = BB_LOG_DEBUG,
+  [BB_EVENT_SERVER_SUSPECT] = BB_LOG_WARN,
+  [BB_EVENT_ENTRY_REFUSED] = BB_LOG_ERROR,
+  [BB_EVENT_FLOW_REFUSED] = BB_LOG_WARN,
+  [BB_EVENT_FLOW_RESET] = BB_LOG_WARN,
+  [BB_EVENT_MARK_UNKNOWN] = BB_LOG_WARN,
+  [BB_EVENT_STORE_LOST] = BB_LOG_WARN,
 };
 
 static const char *
@@ -59,16 +65,16 @@
 }
 
 /* A log reader that stopped must not stop the balancer: a line is lost when
-   standard error cannot take it at once.  A pipe that polls as writable takes
+   standard output cannot take it at once.  A pipe that polls as writable takes
    PIPE_BUF bytes.  */
 static int
 append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
   struct bb_log *log = log4c_appender_get_udata (appender);
-  struct pollfd pfd = { .fd = STDERR_FILENO, .events = POLLOUT };
+  struct pollfd pfd = { .fd = STDOUT_FILENO, .events = POLLOUT };
   size_t length = strlen (event->evt_rendered_msg);
   if (length > PIPE_BUF || poll (&pfd, 1, 0) != 1 || !(pfd.revents & POLLOUT)
-      || write (STDERR_FILENO, event->evt_rendered_msg, length) < 0)
+      || write (STDOUT_FILENO, event->evt_rendered_msg, length) < 0)
     log->lost++;
   return 0;
 }
@@ -79,7 +85,7 @@
 };
 
 static const log4c_appender_type_t appender_type = {
-  .name = "standard_error",
+  .name = "standard_output",
   .append = append_line,
 };
 
@@ -193,6 +199,13 @@
   g_snprintf (flow, sizeof flow, "%016" PRIx64, event->flow);
   add_string (line, "flow", event->flow ? flow : NULL);
   add_number (line, "value", event->value);
+  if (event->reason)
+    add_string (line, "reason", bb_reason_name (event->reason));
+  if (event->revision)
+    add_number (line, "revision", event->revision);
+  if (event->age)
+    json_object_object_add (line, "age_us",
+                            json_object_new_int64 (event->age));
   if (record->suppressed)
     add_number (line, "suppressed", record->suppressed);
   return to_text (line);
--- a/runtime/log.h
+++ b/runtime/log.h
@@ -1,4 +1,4 @@
-/* The log: one JSON object a line on standard error.  */
+/* The log: one JSON object a line on standard output.  */
 
 #ifndef BB_RUNTIME_LOG_H
 #define BB_RUNTIME_LOG_H
@@ -38,6 +38,6 @@
 char *bb_log_format (const struct bb_log *log,
                      const struct bb_event_record *record);
 
-/* Lines that were lost because the reader of standard error was too slow. */
+/* Lines that were lost because the reader of standard output was too slow. */
 uint64_t bb_log_lost (const struct bb_log *log);
 #endif
--- /dev/null
+++ b/runtime/marked_private.h
@@ -0,0 +1,67 @@
+/* The parts of a process on a marked transport as they see each other.  */
+
+#ifndef BB_RUNTIME_MARKED_PRIVATE_H
+#define BB_RUNTIME_MARKED_PRIVATE_H
+
+#include "core/histogram.h"
+#include "runtime/batch.h"
+#include "runtime/events.h"
+#include "runtime/log.h"
+#include "runtime/marked.h"
+#include "runtime/names.h"
+#include "runtime/util.h"
+#include <event2/event.h>
+
+struct evhttp;
+struct evbuffer;
+
+struct bb_marked_process
+{
+  const struct bb_settings *settings;
+  const char *settings_file; /* read again when it changes; NULL: never */
+  const struct bb_transport *transport;
+  const struct bb_source_ops *source_ops;
+  struct event_base *loop;
+  GRand *random;
+  struct bb_events *events;
+  struct bb_names *names;
+  struct bb_log *log;
+  struct bb_marked *marked;
+  void *source;
+  struct bb_endpoint store; /* that SOURCE reads */
+  struct bb_batch *packets;
+  struct bb_batch *peers;
+  struct evhttp *ready_server;
+  struct evhttp *metrics_server;
+  struct event *packets_readable;
+  struct event *peers_readable;
+  struct event *timer;
+  struct event *signals[3];
+  uint8_t *resets; /* room for the resets of one batch */
+  unsigned reset_count;
+  bb_usec started;
+  bb_usec became_ready;  /* 0: not yet */
+  bb_usec leaving_since; /* 0: not leaving */
+  bb_usec last_packet;
+  bb_usec tick_due;
+  bb_usec file_checked;
+  int64_t file_time; /* of the last change, us */
+  bool store_lost;
+  uint64_t peer_faults; /* datagrams that are no messages */
+  struct bb_histogram loop_delay;
+};
+
+/* marked_http.c: readiness and metrics.  */
+bool bb_marked_http_start (struct bb_marked_process *p, GError **error);
+void bb_marked_http_stop (struct bb_marked_process *p);
+
+/* Whether the fabric is to send flows here.  */
+bool bb_marked_process_ready (const struct bb_marked_process *p);
+
+/* marked_data.c: packets of callers and messages of peers.  */
+bool bb_marked_data_start (struct bb_marked_process *p, GError **error);
+void bb_marked_data_stop (struct bb_marked_process *p);
+void bb_marked_send_peer (struct bb_marked_process *p,
+                          const struct bb_endpoint *to,
+                          const struct bb_share_message *message);
+#endif
--- /dev/null
+++ b/runtime/marked_process.c
@@ -0,0 +1,398 @@
+#include "runtime/marked_private.h"
+#include <inttypes.h>
+#include <signal.h>
+#include <sys/stat.h>
+
+#define TICK_INTERVAL (50 * BB_MSEC)
+
+/* A change of the settings file may come without a signal.  */
+#define FILE_INTERVAL (2 * BB_SEC)
+
+/* The fabric asks for readiness twice a second and takes a balancer out after
+   two misses; packets that were on their way come a little later.  */
+#define LEAVE_LEAST (1300 * BB_MSEC)
+#define LEAVE_QUIET (400 * BB_MSEC)
+
+const char *
+bb_source_outcome_name (enum bb_source_outcome outcome)
+{
+  static const char *const names[BB_SOURCE_OUTCOMES] = {
+    [BB_SOURCE_OK] = "ok",
+    [BB_SOURCE_TIMEOUT] = "timeout",
+    [BB_SOURCE_REFUSED] = "refused",
+    [BB_SOURCE_UNREADABLE] = "unreadable",
+    [BB_SOURCE_HISTORY_LOST] = "history_lost",
+  };
+  return (unsigned)outcome < BB_SOURCE_OUTCOMES ? names[outcome] : "unknown";
+}
+
+/* What the balancer asks for.  */
+
+static void
+sink_event (void *context, const struct bb_event *event)
+{
+  struct bb_marked_process *p = context;
+  bb_events_add (p->events, event, bb_clock_boot (), bb_clock_wall ());
+}
+
+static void
+sink_send (void *context, const struct bb_endpoint *to,
+           const struct bb_share_message *message)
+{
+  bb_marked_send_peer (context, to, message);
+}
+
+static void
+sink_server (void *context, const struct bb_backend_server *s)
+{
+  struct bb_marked_process *p = context;
+  bb_names_add_server (p->names, s->key, s->record.service, s->record.name);
+}
+
+static const struct bb_share_sink share_sink = {
+  .send = sink_send,
+  .event = sink_event,
+  .server = sink_server,
+};
+
+static void
+add_event (struct bb_marked_process *p, enum bb_event_kind kind,
+           uint64_t value, enum bb_reason reason)
+{
+  const struct bb_sharing *sharing = bb_marked_sharing (p->marked);
+  struct bb_event event
+      = { .kind = kind,
+          .value = value,
+          .reason = reason,
+          .revision = bb_sharing_revision (sharing),
+          .age = bb_sharing_age (sharing, bb_clock_boot ()) };
+  sink_event (p, &event);
+}
+
+/* What the store tells.  */
+
+static bool
+source_wanted (void *context, uint64_t *revision)
+{
+  struct bb_marked_process *p = context;
+  const struct bb_sharing *sharing = bb_marked_sharing (p->marked);
+  *revision = bb_sharing_revision (sharing);
+  return bb_sharing_reads (sharing);
+}
+
+static void
+source_server (void *context, const struct bb_server_record *record)
+{
+  struct bb_marked_process *p = context;
+  bb_marked_put_server (p->marked, record, bb_clock_boot ());
+}
+
+static void
+source_configuration (void *context, uint64_t version, uint64_t revision,
+                      const struct bb_route_record *routes, size_t count)
+{
+  struct bb_marked_process *p = context;
+  bb_marked_configure (p->marked, version, revision, routes, count,
+                       bb_clock_boot ());
+}
+
+static void
+source_listed (void *context, const GHashTable *names, uint64_t revision)
+{
+  struct bb_marked_process *p = context;
+  bb_marked_retain (p->marked, names, revision, bb_clock_boot ());
+}
+
+static void
+check_ready (struct bb_marked_process *p)
+{
+  if (p->became_ready != 0 || !bb_marked_ready (p->marked))
+    return;
+  p->became_ready = bb_clock_boot ();
+  add_event (p, BB_EVENT_READY, (uint64_t)(p->became_ready - p->started),
+             BB_REASON_NONE);
+}
+
+static void
+source_current (void *context, uint64_t revision, bb_usec asked)
+{
+  struct bb_marked_process *p = context;
+  if (p->store_lost)
+    add_event (p, BB_EVENT_STORE_BACK, revision, BB_REASON_STORE);
+  p->store_lost = false;
+  bb_marked_current (p->marked, revision, asked, bb_clock_boot ());
+  check_ready (p);
+}
+
+static void
+source_failed (void *context, enum bb_source_outcome outcome)
+{
+  static const enum bb_reason reasons[BB_SOURCE_OUTCOMES] = {
+    [BB_SOURCE_TIMEOUT] = BB_REASON_TIMEOUT,
+    [BB_SOURCE_REFUSED] = BB_REASON_REFUSED,
+    [BB_SOURCE_UNREADABLE] = BB_REASON_UNREADABLE,
+    [BB_SOURCE_HISTORY_LOST] = BB_REASON_HISTORY_LOST,
+  };
+  struct bb_marked_process *p = context;
+  if (!p->store_lost)
+    add_event (p, BB_EVENT_STORE_LOST, 0, reasons[outcome]);
+  p->store_lost = true;
+  bb_sharing_store_failed (bb_marked_sharing (p->marked), bb_clock_boot ());
+}
+
+static void
+source_refused (void *context, const char *key, uint64_t revision,
+                const GError *error)
+{
+  struct bb_marked_process *p = context;
+  g_autofree char *text = g_strdup_printf ("%s, revision %" PRIu64 ": %s", key,
+                                           revision, error->message);
+  add_event (p, BB_EVENT_ENTRY_REFUSED, revision, BB_REASON_UNREADABLE);
+  bb_log_text (p->log, BB_LOG_ERROR, "entry_unusable", text);
+}
+
+static const struct bb_source_sink source_sink = {
+  .wanted = source_wanted,
+  .server = source_server,
+  .configuration = source_configuration,
+  .listed = source_listed,
+  .current = source_current,
+  .failed = source_failed,
+  .refused = source_refused,
+};
+
+static void
+start_source (struct bb_marked_process *p)
+{
+  if (p->source)
+    p->source_ops->stop (p->source);
+  p->source
+      = p->source_ops->start (p->loop, &p->store, p->random, &source_sink, p);
+  p->source_ops->poke (p->source, bb_clock_boot ());
+}
+
+/* Settings.  */
+
+static struct bb_settings *
+read_file (struct bb_marked_process *p)
+{
+  gchar *bytes;
+  gsize length;
+  GError *error = NULL;
+  if (!g_file_get_contents (p->settings_file, &bytes, &length, &error))
+    {
+      bb_log_text (p->log, BB_LOG_ERROR, "settings_unreadable",
+                   error->message);
+      g_error_free (error);
+      return NULL;
+    }
+  GPtrArray *problems = bb_problems_new ();
+  struct bb_settings *s = bb_settings_parse (
+      p->settings_file, (const uint8_t *)bytes, length, problems);
+  g_free (bb_log_problems (p->log, problems));
+  g_ptr_array_unref (problems);
+  g_free (bytes);
+  return s;
+}
+
+/* Seeds and the store's address change in a running process; anything else
+   takes a restart.  Unusable settings change nothing.  */
+static void
+reload (struct bb_marked_process *p)
+{
+  struct bb_settings *s = p->settings_file ? read_file (p) : NULL;
+  if (!s)
+    return;
+  const struct bb_marked_settings *m = &s->marked;
+  bb_sharing_seed (bb_marked_sharing (p->marked), m->seeds, m->seed_count);
+  bool moved = m->store.port != 0
+               && (m->store.address != p->store.address
+                   || m->store.port != p->store.port);
+  add_event (p, BB_EVENT_RELOAD, m->seed_count, BB_REASON_NONE);
+  if (moved)
+    {
+      p->store = m->store;
+      start_source (p);
+    }
+  bb_settings_free (s);
+}
+
+static int64_t
+file_time (const struct bb_marked_process *p)
+{
+  struct stat status;
+  if (!p->settings_file || stat (p->settings_file, &status) != 0)
+    return 0;
+  return (int64_t)status.st_mtim.tv_sec * BB_SEC
+         + status.st_mtim.tv_nsec / 1000;
+}
+
+static void
+check_file (struct bb_marked_process *p, bb_usec now)
+{
+  if (now - p->file_checked < FILE_INTERVAL)
+    return;
+  p->file_checked = now;
+  int64_t changed = file_time (p);
+  if (changed == 0 || changed == p->file_time)
+    return;
+  p->file_time = changed;
+  reload (p);
+}
+
+/* The loop.  */
+
+static void
+check_stop (struct bb_marked_process *p, bb_usec now)
+{
+  if (p->leaving_since == 0)
+    return;
+  bb_usec leaving = now - p->leaving_since;
+  bool quiet = leaving >= LEAVE_LEAST && now - p->last_packet >= LEAVE_QUIET;
+  if (quiet || leaving >= p->settings->marked.drain_ms * BB_MSEC)
+    event_base_loopbreak (p->loop);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  struct bb_marked_process *p = context;
+  bb_usec now = bb_clock_boot ();
+  bb_histogram_add (&p->loop_delay, MAX (now - p->tick_due, 0));
+  p->tick_due = now + TICK_INTERVAL;
+  bb_marked_tick (p->marked, now);
+  p->source_ops->poke (p->source, now);
+  check_ready (p);
+  check_file (p, now);
+  bb_log_flush (p->log, p->events);
+  check_stop (p, now);
+}
+
+static void
+leave (struct bb_marked_process *p)
+{
+  if (p->leaving_since != 0)
+    return;
+  p->leaving_since = bb_clock_boot ();
+  add_event (p, BB_EVENT_LEAVING, 0, BB_REASON_NONE);
+  bb_sharing_leave (bb_marked_sharing (p->marked), p->leaving_since);
+}
+
+static void
+on_signal (evutil_socket_t number, short what, void *context)
+{
+  (void)what;
+  struct bb_marked_process *p = context;
+  if (number == SIGHUP)
+    {
+      p->file_time = file_time (p);
+      reload (p);
+    }
+  else
+    leave (p);
+}
+
+static void
+start_marked (struct bb_marked_process *p)
+{
+  const struct bb_settings *s = p->settings;
+  struct bb_marked_options options = {
+    .share = {
+      .self = { .id = s->self.id,
+                .data_centre = bb_name_key (s->self.data_centre),
+                .endpoint = { s->self.data.address, s->marked.peer_port } },
+      .incarnation = (uint64_t)bb_clock_wall (),
+      .capacity = s->marked.capacity,
+      .seed = g_rand_int (p->random),
+    },
+    .data_centre = s->self.data_centre,
+    .flow_capacity = s->marked.flow_capacity,
+    .idle_ms = s->marked.idle_ms,
+  };
+  p->marked = bb_marked_new (&options, &share_sink, p, p->started);
+  bb_sharing_seed (bb_marked_sharing (p->marked), s->marked.seeds,
+                   s->marked.seed_count);
+}
+
+static void
+start_timers (struct bb_marked_process *p)
+{
+  const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
+  struct timeval tv = bb_clock_timeval (TICK_INTERVAL);
+  p->tick_due = p->started + TICK_INTERVAL;
+  p->timer = event_new (p->loop, -1, EV_PERSIST, on_tick, p);
+  event_add (p->timer, &tv);
+  for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
+    {
+      p->signals[i] = evsignal_new (p->loop, numbers[i], on_signal, p);
+      event_add (p->signals[i], NULL);
+    }
+}
+
+struct bb_marked_process *
+bb_marked_process_new (const struct bb_settings *settings,
+                       const struct bb_transport *transport,
+                       const struct bb_source_ops *source, GError **error)
+{
+  struct bb_marked_process *p = g_new0 (struct bb_marked_process, 1);
+  signal (SIGPIPE, SIG_IGN);
+  p->settings = settings;
+  p->transport = transport;
+  p->source_ops = source;
+  p->store = settings->marked.store;
+  p->loop = event_base_new ();
+  p->random = g_rand_new ();
+  p->events = bb_events_new (BB_EVENTS_CAPACITY);
+  p->names = bb_names_new ();
+  p->log = bb_log_new (&settings->self, p->names, settings->log_level);
+  bb_names_add_vms (p->names, &settings->self, 1);
+  p->started = bb_clock_boot ();
+  start_marked (p);
+  add_event (p, BB_EVENT_START, settings->marked.seed_count, BB_REASON_NONE);
+  if (!bb_marked_data_start (p, error) || !bb_marked_http_start (p, error))
+    {
+      bb_marked_process_free (p);
+      return NULL;
+    }
+  start_timers (p);
+  bb_marked_tick (p->marked, p->started);
+  start_source (p);
+  return p;
+}
+
+void
+bb_marked_process_free (struct bb_marked_process *p)
+{
+  if (!p)
+    return;
+  for (size_t i = 0; i < G_N_ELEMENTS (p->signals); i++)
+    if (p->signals[i])
+      event_free (p->signals[i]);
+  if (p->timer)
+    event_free (p->timer);
+  if (p->source)
+    p->source_ops->stop (p->source);
+  bb_marked_http_stop (p);
+  bb_marked_data_stop (p);
+  bb_marked_free (p->marked);
+  bb_log_free (p->log);
+  bb_names_free (p->names);
+  bb_events_free (p->events);
+  g_rand_free (p->random);
+  event_base_free (p->loop);
+  g_free (p);
+}
+
+int
+bb_marked_process_run (struct bb_marked_process *p, const char *settings_file)
+{
+  p->settings_file = settings_file;
+  p->file_time = file_time (p);
+  int status = event_base_dispatch (p->loop);
+  bb_usec waited = p->leaving_since ? bb_clock_boot () - p->leaving_since : 0;
+  add_event (p, BB_EVENT_STOP, (uint64_t)waited, BB_REASON_NONE);
+  bb_log_flush (p->log, p->events);
+  return status < 0 ? bb_error_answer (BB_ERROR_IO)->exit_status : 0;
+}
--- a/runtime/names.c
+++ b/runtime/names.c
@@ -99,6 +99,13 @@
     add (names, vms[i].id, vms[i].name, NULL);
 }
 
+void
+bb_names_add_server (struct bb_names *names, uint32_t key, const char *service,
+                     const char *server)
+{
+  add (names, key, server, service);
+}
+
 const char *
 bb_names_get (const struct bb_names *names, uint32_t key, const char **service)
 {
--- a/runtime/names.h
+++ b/runtime/names.h
@@ -14,6 +14,9 @@
 void bb_names_add_vms (struct bb_names *names, const struct bb_vm *vms,
                        size_t count);
 
+void bb_names_add_server (struct bb_names *names, uint32_t key,
+                          const char *service, const char *server);
+
 /* The name of the VM, service or server with KEY, or NULL.  *SERVICE is set
    to the name of the server's service, or NULL.  The strings are valid until
    names are added.  */
--- a/runtime/process.h
+++ b/runtime/process.h
@@ -5,8 +5,6 @@
 
 #include "config/config.h"
 
-#define BB_VERSION_TEXT "0.1.0"
-
 struct bb_process;
 
 /* Binds the sockets of SETTINGS, which must outlive the process, and starts
--- a/wire/message.c
+++ b/wire/message.c
@@ -4,56 +4,29 @@
 
 #include "wire/message.h"
 #include "wire/wire.h"
-#include <msgpack.h>
-#include <string.h>
-
-static int
-append (void *data, const char *bytes, size_t length)
-{
-  g_byte_array_append (data, (const guint8 *)bytes, (guint)length);
-  return 0;
-}
-
-static void
-put (msgpack_packer *pk, uint64_t value)
-{
-  msgpack_pack_uint64 (pk, value);
-}
-
-static void
-put_endpoint (msgpack_packer *pk, const struct bb_endpoint *endpoint)
-{
-  put (pk, endpoint->address);
-  put (pk, endpoint->port);
-}
-
-static void
-put_name (msgpack_packer *pk, const char *name)
-{
-  msgpack_pack_str_with_body (pk, name, strnlen (name, BB_NAME_MAX - 1));
-}
+#include "wire/writer.h"
 
 static void
 put_heartbeat (msgpack_packer *pk, const struct bb_heartbeat *h)
 {
-  put (pk, h->incarnation);
-  put (pk, h->state);
+  bb_put (pk, h->incarnation);
+  bb_put (pk, h->state);
   for (size_t i = 0; i < BB_DOCUMENT_KINDS; i++)
-    put (pk, h->versions[i]);
-  put (pk, h->generation);
-  put (pk, h->phase);
-  put (pk, h->base_digest);
-  put (pk, h->bits_sequence);
+    bb_put (pk, h->versions[i]);
+  bb_put (pk, h->generation);
+  bb_put (pk, h->phase);
+  bb_put (pk, h->base_digest);
+  bb_put (pk, h->bits_sequence);
   msgpack_pack_array (pk, h->bit_count);
   for (size_t i = 0; i < h->bit_count; i++)
-    put (pk, h->bits[i]);
-  put (pk, h->acknowledged);
-  put (pk, h->pushed);
-  put (pk, h->counts_digest);
+    bb_put (pk, h->bits[i]);
+  bb_put (pk, h->acknowledged);
+  bb_put (pk, h->pushed);
+  bb_put (pk, h->counts_digest);
   msgpack_pack_array (pk, h->count_count);
   for (size_t i = 0; i < h->count_count; i++)
     msgpack_pack_int32 (pk, h->counts[i]);
-  put (pk, h->members_digest);
+  bb_put (pk, h->members_digest);
 }
 
 static void
@@ -64,66 +37,66 @@
     {
       const struct bb_vm *vm = &members->vms[i];
       msgpack_pack_array (pk, BB_WIRE_VM_FIELDS);
-      put_name (pk, vm->name);
-      put_name (pk, vm->data_centre);
-      put_endpoint (pk, &vm->data);
-      put_endpoint (pk, &vm->control);
-      put (pk, vm->state);
+      bb_put_name (pk, vm->name);
+      bb_put_name (pk, vm->data_centre);
+      bb_put_endpoint (pk, &vm->data);
+      bb_put_endpoint (pk, &vm->control);
+      bb_put (pk, vm->state);
     }
 }
 
 static void
 put_document (msgpack_packer *pk, const struct bb_document *d)
 {
-  put (pk, d->document);
-  put (pk, d->version);
-  put (pk, d->offset);
-  put (pk, d->total);
+  bb_put (pk, d->document);
+  bb_put (pk, d->version);
+  bb_put (pk, d->offset);
+  bb_put (pk, d->total);
   msgpack_pack_bin_with_body (pk, d->bytes, d->length);
 }
 
 static void
 put_want (msgpack_packer *pk, const struct bb_want *want)
 {
-  put (pk, want->document);
-  put (pk, want->version);
-  put (pk, want->offset);
+  bb_put (pk, want->document);
+  bb_put (pk, want->version);
+  bb_put (pk, want->offset);
 }
 
 /* The entries are one flat array, which saves a byte of header for each.  */
 static void
 put_entries (msgpack_packer *pk, const struct bb_entries *entries)
 {
-  put (pk, entries->batch);
+  bb_put (pk, entries->batch);
   msgpack_pack_array (pk, entries->entry_count * BB_WIRE_ENTRY_FIELDS);
   for (size_t i = 0; i < entries->entry_count; i++)
     {
-      put (pk, entries->entries[i].hash);
-      put (pk, entries->entries[i].server);
-      put (pk, entries->entries[i].state);
+      bb_put (pk, entries->entries[i].hash);
+      bb_put (pk, entries->entries[i].server);
+      bb_put (pk, entries->entries[i].state);
     }
 }
 
 static void
 put_base_set (msgpack_packer *pk, const struct bb_base_set *set)
 {
-  put (pk, set->origin);
-  put (pk, set->hash_seed);
-  put (pk, set->generation);
-  put (pk, set->phase);
-  put (pk, set->digest);
+  bb_put (pk, set->origin);
+  bb_put (pk, set->hash_seed);
+  bb_put (pk, set->generation);
+  bb_put (pk, set->phase);
+  bb_put (pk, set->digest);
   msgpack_pack_array (pk, set->member_count);
   for (size_t i = 0; i < set->member_count; i++)
     {
       const struct bb_set_member *m = &set->members[i];
       msgpack_pack_array (pk, BB_WIRE_MEMBER_FIELDS);
-      put (pk, m->service);
-      put (pk, m->server);
-      put_endpoint (pk, &m->gue);
-      put (pk, m->base_weight);
-      put (pk, m->target_weight);
-      put (pk, m->buckets);
-      put (pk, m->formed);
+      bb_put (pk, m->service);
+      bb_put (pk, m->server);
+      bb_put_endpoint (pk, &m->gue);
+      bb_put (pk, m->base_weight);
+      bb_put (pk, m->target_weight);
+      bb_put (pk, m->buckets);
+      bb_put (pk, m->formed);
     }
 }
 
@@ -139,11 +112,11 @@
 {
   GByteArray *out = g_byte_array_sized_new (256);
   msgpack_packer pk;
-  msgpack_packer_init (&pk, out, append);
+  msgpack_packer_init (&pk, out, bb_append);
   msgpack_pack_array (&pk, 3 + body_fields[message->kind]);
-  put (&pk, BB_WIRE_VERSION);
-  put (&pk, message->kind);
-  put (&pk, message->from);
+  bb_put (&pk, BB_WIRE_VERSION);
+  bb_put (&pk, message->kind);
+  bb_put (&pk, message->from);
   switch (message->kind)
     {
     case BB_MESSAGE_HEARTBEAT:
@@ -162,7 +135,7 @@
       put_entries (&pk, &message->u.entries);
       break;
     case BB_MESSAGE_TAKEN:
-      put (&pk, message->u.taken.batch);
+      bb_put (&pk, message->u.taken.batch);
       break;
     case BB_MESSAGE_BASE_SET:
       put_base_set (&pk, &message->u.base_set);
--- a/wire/message_decode.c
+++ b/wire/message_decode.c
@@ -2,170 +2,72 @@
    network: every type, count and range is checked.  */
 
 #include "wire/message.h"
+#include "wire/reader.h"
 #include "wire/wire.h"
-#include <msgpack.h>
 #include <string.h>
 
-/* The elements of an array that have not been read.  BAD is set by the first
-   element that is missing or unfit, and stays set.  */
-struct reader
-{
-  const msgpack_object *at;
-  uint32_t left;
-  msgpack_zone *zone;
-  bool bad;
-};
-
-static const msgpack_object *
-take (struct reader *r, msgpack_object_type type)
-{
-  if (r->bad || r->left == 0 || r->at->type != type)
-    {
-      r->bad = true;
-      return NULL;
-    }
-  r->left--;
-  return r->at++;
-}
-
-static uint64_t
-take_uint (struct reader *r, uint64_t max)
-{
-  const msgpack_object *o = take (r, MSGPACK_OBJECT_POSITIVE_INTEGER);
-  if (o && o->via.u64 > max)
-    r->bad = true;
-  return o && !r->bad ? o->via.u64 : 0;
-}
-
-static uint32_t
-take_u32 (struct reader *r)
-{
-  return (uint32_t)take_uint (r, UINT32_MAX);
-}
-
-static int32_t
-take_i32 (struct reader *r)
-{
-  if (r->left > 0 && r->at->type == MSGPACK_OBJECT_POSITIVE_INTEGER)
-    return (int32_t)take_uint (r, INT32_MAX);
-  const msgpack_object *o = take (r, MSGPACK_OBJECT_NEGATIVE_INTEGER);
-  if (o && o->via.i64 < INT32_MIN)
-    r->bad = true;
-  return o && !r->bad ? (int32_t)o->via.i64 : 0;
-}
-
-static struct reader
-take_array (struct reader *r)
-{
-  struct reader inner = { .zone = r->zone };
-  const msgpack_object *o = take (r, MSGPACK_OBJECT_ARRAY);
-  if (o)
-    {
-      inner.at = o->via.array.ptr;
-      inner.left = o->via.array.size;
-    }
-  return inner;
-}
-
-/* Zeroed memory of the arena for COUNT elements; NULL if COUNT is 0.  */
-static void *
-reserve (struct reader *r, size_t count, size_t size)
-{
-  if (count == 0 || r->bad)
-    return NULL;
-  void *memory = msgpack_zone_malloc (r->zone, count * size);
-  if (!memory)
-    r->bad = true;
-  else
-    memset (memory, 0, count * size);
-  return memory;
-}
-
-static void
-take_name (struct reader *r, char name[BB_NAME_MAX])
-{
-  const msgpack_object *o = take (r, MSGPACK_OBJECT_STR);
-  if (!o)
-    return;
-  size_t size = o->via.str.size;
-  if (size == 0 || size >= BB_NAME_MAX || memchr (o->via.str.ptr, 0, size))
-    {
-      r->bad = true;
-      return;
-    }
-  memcpy (name, o->via.str.ptr, size);
-  name[size] = 0;
-}
-
 static void
-take_endpoint (struct reader *r, struct bb_endpoint *endpoint)
+take_bits (struct bb_reader *r, struct bb_heartbeat *h)
 {
-  endpoint->address = take_u32 (r);
-  endpoint->port = (uint16_t)take_uint (r, UINT16_MAX);
-}
-
-static void
-take_bits (struct reader *r, struct bb_heartbeat *h)
-{
-  struct reader inner = take_array (r);
-  uint32_t *bits = reserve (r, inner.left, sizeof *bits);
+  struct bb_reader inner = bb_take_array (r);
+  uint32_t *bits = bb_reserve (r, inner.left, sizeof *bits);
   h->bits = bits;
   h->bit_count = bits ? inner.left : 0;
   for (size_t i = 0; i < h->bit_count; i++)
-    bits[i] = take_u32 (&inner);
+    bits[i] = bb_take_u32 (&inner);
   r->bad |= inner.bad;
 }
 
 static void
-take_counts (struct reader *r, struct bb_heartbeat *h)
+take_counts (struct bb_reader *r, struct bb_heartbeat *h)
 {
-  struct reader inner = take_array (r);
-  int32_t *counts = reserve (r, inner.left, sizeof *counts);
+  struct bb_reader inner = bb_take_array (r);
+  int32_t *counts = bb_reserve (r, inner.left, sizeof *counts);
   h->counts = counts;
   h->count_count = counts ? inner.left : 0;
   for (size_t i = 0; i < h->count_count; i++)
-    counts[i] = take_i32 (&inner);
+    counts[i] = bb_take_i32 (&inner);
   r->bad |= inner.bad;
 }
 
 static void
-take_heartbeat (struct reader *r, struct bb_heartbeat *h)
+take_heartbeat (struct bb_reader *r, struct bb_heartbeat *h)
 {
-  h->incarnation = take_uint (r, UINT64_MAX);
-  h->state = (enum bb_peer_state)take_uint (r, BB_PEER_LEAVING);
+  h->incarnation = bb_take_uint (r, UINT64_MAX);
+  h->state = (enum bb_peer_state)bb_take_uint (r, BB_PEER_LEAVING);
   for (size_t i = 0; i < BB_DOCUMENT_KINDS; i++)
-    h->versions[i] = take_uint (r, UINT64_MAX);
-  h->generation = take_u32 (r);
-  h->phase = (enum bb_phase)take_uint (r, BB_PHASE_RESOLVE);
-  h->base_digest = take_u32 (r);
-  h->bits_sequence = take_u32 (r);
+    h->versions[i] = bb_take_uint (r, UINT64_MAX);
+  h->generation = bb_take_u32 (r);
+  h->phase = (enum bb_phase)bb_take_uint (r, BB_PHASE_RESOLVE);
+  h->base_digest = bb_take_u32 (r);
+  h->bits_sequence = bb_take_u32 (r);
   take_bits (r, h);
-  h->acknowledged = take_u32 (r);
-  h->pushed = take_uint (r, 1) != 0;
-  h->counts_digest = take_u32 (r);
+  h->acknowledged = bb_take_u32 (r);
+  h->pushed = bb_take_uint (r, 1) != 0;
+  h->counts_digest = bb_take_u32 (r);
   take_counts (r, h);
-  h->members_digest = take_u32 (r);
+  h->members_digest = bb_take_u32 (r);
 }
 
 static void
-take_vm (struct reader *r, struct bb_vm *vm)
-{
-  struct reader fields = take_array (r);
-  take_name (&fields, vm->name);
-  take_name (&fields, vm->data_centre);
-  take_endpoint (&fields, &vm->data);
-  take_endpoint (&fields, &vm->control);
-  vm->state = (enum bb_vm_state)take_uint (&fields, BB_VM_LEAVING);
+take_vm (struct bb_reader *r, struct bb_vm *vm)
+{
+  struct bb_reader fields = bb_take_array (r);
+  bb_take_name (&fields, vm->name);
+  bb_take_name (&fields, vm->data_centre);
+  bb_take_endpoint (&fields, &vm->data);
+  bb_take_endpoint (&fields, &vm->control);
+  vm->state = (enum bb_vm_state)bb_take_uint (&fields, BB_VM_LEAVING);
   r->bad |= fields.bad;
   if (!r->bad)
     vm->id = bb_name_key (vm->name);
 }
 
 static void
-take_members (struct reader *r, struct bb_members *members)
+take_members (struct bb_reader *r, struct bb_members *members)
 {
-  struct reader inner = take_array (r);
-  struct bb_vm *vms = reserve (r, inner.left, sizeof *vms);
+  struct bb_reader inner = bb_take_array (r);
+  struct bb_vm *vms = bb_reserve (r, inner.left, sizeof *vms);
   members->vms = vms;
   members->vm_count = vms ? inner.left : 0;
   for (size_t i = 0; i < members->vm_count; i++)
@@ -174,27 +76,27 @@
 }
 
 static enum bb_document_kind
-take_document_kind (struct reader *r)
+take_document_kind (struct bb_reader *r)
 {
-  return (enum bb_document_kind)take_uint (r, BB_DOCUMENT_KINDS - 1);
+  return (enum bb_document_kind)bb_take_uint (r, BB_DOCUMENT_KINDS - 1);
 }
 
 static void
-take_want (struct reader *r, struct bb_want *want)
+take_want (struct bb_reader *r, struct bb_want *want)
 {
   want->document = take_document_kind (r);
-  want->version = take_uint (r, UINT64_MAX);
-  want->offset = (uint32_t)take_uint (r, BB_DOCUMENT_MAX);
+  want->version = bb_take_uint (r, UINT64_MAX);
+  want->offset = (uint32_t)bb_take_uint (r, BB_DOCUMENT_MAX);
 }
 
 static void
-take_document (struct reader *r, struct bb_document *d)
+take_document (struct bb_reader *r, struct bb_document *d)
 {
   d->document = take_document_kind (r);
-  d->version = take_uint (r, UINT64_MAX);
-  d->offset = (uint32_t)take_uint (r, BB_DOCUMENT_MAX);
-  d->total = (uint32_t)take_uint (r, BB_DOCUMENT_MAX);
-  const msgpack_object *o = take (r, MSGPACK_OBJECT_BIN);
+  d->version = bb_take_uint (r, UINT64_MAX);
+  d->offset = (uint32_t)bb_take_uint (r, BB_DOCUMENT_MAX);
+  d->total = (uint32_t)bb_take_uint (r, BB_DOCUMENT_MAX);
+  const msgpack_object *o = bb_take (r, MSGPACK_OBJECT_BIN);
   if (!o)
     return;
   size_t size = o->via.bin.size;
@@ -204,7 +106,7 @@
       r->bad = true;
       return;
     }
-  uint8_t *bytes = reserve (r, size, 1);
+  uint8_t *bytes = bb_reserve (r, size, 1);
   if (bytes)
     memcpy (bytes, o->via.bin.ptr, size);
   d->bytes = bytes;
@@ -212,49 +114,49 @@
 }
 
 static void
-take_entries (struct reader *r, struct bb_entries *entries)
+take_entries (struct bb_reader *r, struct bb_entries *entries)
 {
-  entries->batch = take_u32 (r);
-  struct reader inner = take_array (r);
+  entries->batch = bb_take_u32 (r);
+  struct bb_reader inner = bb_take_array (r);
   size_t count = inner.left / BB_WIRE_ENTRY_FIELDS;
   if (inner.left % BB_WIRE_ENTRY_FIELDS || count > BB_ENTRIES_PER_MESSAGE)
     r->bad = true;
-  struct bb_entry *list = reserve (r, count, sizeof *list);
+  struct bb_entry *list = bb_reserve (r, count, sizeof *list);
   entries->entries = list;
   entries->entry_count = list ? count : 0;
   for (size_t i = 0; i < entries->entry_count; i++)
     {
-      list[i].hash = take_uint (&inner, UINT64_MAX);
-      list[i].server = take_u32 (&inner);
-      list[i].state = (uint8_t)take_uint (&inner, UINT8_MAX);
+      list[i].hash = bb_take_uint (&inner, UINT64_MAX);
+      list[i].server = bb_take_u32 (&inner);
+      list[i].state = (uint8_t)bb_take_uint (&inner, UINT8_MAX);
     }
   r->bad |= inner.bad;
 }
 
 static void
-take_set_member (struct reader *r, struct bb_set_member *m)
-{
-  struct reader fields = take_array (r);
-  m->service = take_u32 (&fields);
-  m->server = take_u32 (&fields);
-  take_endpoint (&fields, &m->gue);
-  m->base_weight = (uint16_t)take_uint (&fields, UINT16_MAX);
-  m->target_weight = (uint16_t)take_uint (&fields, UINT16_MAX);
-  m->buckets = (uint32_t)take_uint (&fields, BB_BUCKETS_MAX);
-  m->formed = take_uint (&fields, UINT64_MAX);
+take_set_member (struct bb_reader *r, struct bb_set_member *m)
+{
+  struct bb_reader fields = bb_take_array (r);
+  m->service = bb_take_u32 (&fields);
+  m->server = bb_take_u32 (&fields);
+  bb_take_endpoint (&fields, &m->gue);
+  m->base_weight = (uint16_t)bb_take_uint (&fields, UINT16_MAX);
+  m->target_weight = (uint16_t)bb_take_uint (&fields, UINT16_MAX);
+  m->buckets = (uint32_t)bb_take_uint (&fields, BB_BUCKETS_MAX);
+  m->formed = bb_take_uint (&fields, UINT64_MAX);
   r->bad |= fields.bad;
 }
 
 static void
-take_base_set (struct reader *r, struct bb_base_set *set)
-{
-  set->origin = take_uint (r, UINT64_MAX);
-  set->hash_seed = take_uint (r, UINT64_MAX);
-  set->generation = take_u32 (r);
-  set->phase = (enum bb_phase)take_uint (r, BB_PHASE_RESOLVE);
-  set->digest = take_u32 (r);
-  struct reader inner = take_array (r);
-  struct bb_set_member *members = reserve (r, inner.left, sizeof *members);
+take_base_set (struct bb_reader *r, struct bb_base_set *set)
+{
+  set->origin = bb_take_uint (r, UINT64_MAX);
+  set->hash_seed = bb_take_uint (r, UINT64_MAX);
+  set->generation = bb_take_u32 (r);
+  set->phase = (enum bb_phase)bb_take_uint (r, BB_PHASE_RESOLVE);
+  set->digest = bb_take_u32 (r);
+  struct bb_reader inner = bb_take_array (r);
+  struct bb_set_member *members = bb_reserve (r, inner.left, sizeof *members);
   set->members = members;
   set->member_count = members ? inner.left : 0;
   for (size_t i = 0; i < set->member_count; i++)
@@ -263,7 +165,7 @@
 }
 
 static void
-take_body (struct reader *r, struct bb_message *m)
+take_body (struct bb_reader *r, struct bb_message *m)
 {
   switch (m->kind)
     {
@@ -283,7 +185,7 @@
       take_entries (r, &m->u.entries);
       break;
     case BB_MESSAGE_TAKEN:
-      m->u.taken.batch = take_u32 (r);
+      m->u.taken.batch = bb_take_u32 (r);
       break;
     case BB_MESSAGE_BASE_SET:
       take_base_set (r, &m->u.base_set);
@@ -298,19 +200,19 @@
 static const char *
 read_message (const msgpack_unpacked *unpacked, struct bb_message *m)
 {
-  struct reader r = { .at = &unpacked->data, .left = 1 };
+  struct bb_reader r = { .at = &unpacked->data, .left = 1 };
   r.zone = unpacked->zone;
-  struct reader fields = take_array (&r);
-  uint64_t version = take_uint (&fields, UINT64_MAX);
+  struct bb_reader fields = bb_take_array (&r);
+  uint64_t version = bb_take_uint (&fields, UINT64_MAX);
   if (r.bad || fields.bad)
     return "no array that starts with a version";
   if (version != BB_WIRE_VERSION)
     return "unknown protocol version";
-  uint64_t kind = take_uint (&fields, UINT32_MAX);
+  uint64_t kind = bb_take_uint (&fields, UINT32_MAX);
   if (fields.bad || kind < BB_MESSAGE_HEARTBEAT || kind >= BB_MESSAGE_KINDS)
     return "unknown message kind";
   m->kind = (enum bb_message_kind)kind;
-  m->from = take_u32 (&fields);
+  m->from = bb_take_u32 (&fields);
   take_body (&fields, m);
   return fields.bad ? "missing or unfit element" : NULL;
 }
--- /dev/null
+++ b/wire/reader.c
@@ -0,0 +1,90 @@
+#include "wire/reader.h"
+#include <string.h>
+
+const msgpack_object *
+bb_take (struct bb_reader *r, msgpack_object_type type)
+{
+  if (r->bad || r->left == 0 || r->at->type != type)
+    {
+      r->bad = true;
+      return NULL;
+    }
+  r->left--;
+  return r->at++;
+}
+
+uint64_t
+bb_take_uint (struct bb_reader *r, uint64_t max)
+{
+  const msgpack_object *o = bb_take (r, MSGPACK_OBJECT_POSITIVE_INTEGER);
+  if (o && o->via.u64 > max)
+    r->bad = true;
+  return o && !r->bad ? o->via.u64 : 0;
+}
+
+uint32_t
+bb_take_u32 (struct bb_reader *r)
+{
+  return (uint32_t)bb_take_uint (r, UINT32_MAX);
+}
+
+int32_t
+bb_take_i32 (struct bb_reader *r)
+{
+  if (r->left > 0 && r->at->type == MSGPACK_OBJECT_POSITIVE_INTEGER)
+    return (int32_t)bb_take_uint (r, INT32_MAX);
+  const msgpack_object *o = bb_take (r, MSGPACK_OBJECT_NEGATIVE_INTEGER);
+  if (o && o->via.i64 < INT32_MIN)
+    r->bad = true;
+  return o && !r->bad ? (int32_t)o->via.i64 : 0;
+}
+
+struct bb_reader
+bb_take_array (struct bb_reader *r)
+{
+  struct bb_reader inner = { .zone = r->zone };
+  const msgpack_object *o = bb_take (r, MSGPACK_OBJECT_ARRAY);
+  if (o)
+    {
+      inner.at = o->via.array.ptr;
+      inner.left = o->via.array.size;
+    }
+  return inner;
+}
+
+/* Zeroed memory of the arena for COUNT elements; NULL if COUNT is 0.  */
+void *
+bb_reserve (struct bb_reader *r, size_t count, size_t size)
+{
+  if (count == 0 || r->bad)
+    return NULL;
+  void *memory = msgpack_zone_malloc (r->zone, count * size);
+  if (!memory)
+    r->bad = true;
+  else
+    memset (memory, 0, count * size);
+  return memory;
+}
+
+void
+bb_take_name (struct bb_reader *r, char name[BB_NAME_MAX])
+{
+  const msgpack_object *o = bb_take (r, MSGPACK_OBJECT_STR);
+  if (!o)
+    return;
+  size_t size = o->via.str.size;
+  if (size == 0 || size >= BB_NAME_MAX || memchr (o->via.str.ptr, 0, size))
+    {
+      r->bad = true;
+      return;
+    }
+  memcpy (name, o->via.str.ptr, size);
+  name[size] = 0;
+}
+
+void
+bb_take_endpoint (struct bb_reader *r, struct bb_endpoint *endpoint)
+{
+  endpoint->address = bb_take_u32 (r);
+  endpoint->port = (uint16_t)bb_take_uint (r, UINT16_MAX);
+}
--- /dev/null
+++ b/wire/reader.h
@@ -0,0 +1,35 @@
+/* Reads msgpack that comes from the network: every type, count and range is
+   checked.  */
+
+#ifndef BB_WIRE_READER_H
+#define BB_WIRE_READER_H
+
+#include "core/core.h"
+#include <msgpack.h>
+
+/* The elements of an array that have not been read.  BAD is set by the first
+   element that is missing or unfit, and stays set.  */
+struct bb_reader
+{
+  const msgpack_object *at;
+  uint32_t left;
+  msgpack_zone *zone;
+  bool bad;
+};
+
+/* The next element, which must be of TYPE, or NULL.  */
+const msgpack_object *bb_take (struct bb_reader *r, msgpack_object_type type);
+
+/* A number up to MAX; 0 if it is unfit.  */
+uint64_t bb_take_uint (struct bb_reader *r, uint64_t max);
+uint32_t bb_take_u32 (struct bb_reader *r);
+int32_t bb_take_i32 (struct bb_reader *r);
+
+/* The elements of an array; none if it is unfit.  */
+struct bb_reader bb_take_array (struct bb_reader *r);
+void *bb_reserve (struct bb_reader *r, size_t count, size_t size);
+
+/* A text of 1 to BB_NAME_MAX - 1 bytes without NUL.  */
+void bb_take_name (struct bb_reader *r, char name[BB_NAME_MAX]);
+void bb_take_endpoint (struct bb_reader *r, struct bb_endpoint *endpoint);
+#endif
--- /dev/null
+++ b/wire/share.c
@@ -0,0 +1,295 @@
+/* A message is one flat msgpack array: [version, kind, from, incarnation,
+   fields of the kind ...].  Later versions may append elements, which older
+   receivers ignore.  */
+
+#include "wire/share.h"
+#include "wire/message.h"
+#include "wire/reader.h"
+#include "wire/wire.h"
+#include "wire/writer.h"
+
+enum
+{
+  HEAD_FIELDS = 4,
+  VM_FIELDS = 4,
+  LOAD_FIELDS = 4,
+  SERVER_FIELDS = 13,
+  ROUTE_FIELDS = 4,
+};
+
+static const size_t body_fields[BB_SHARE_KINDS] = {
+  [BB_SHARE_BEAT] = 8,
+  [BB_SHARE_WANT] = 1,
+  [BB_SHARE_ITEMS] = 9,
+};
+
+/* Encoding.  */
+
+static void
+put_beat (msgpack_packer *pk, const struct bb_share_beat *b)
+{
+  bb_put (pk, b->data_centre);
+  bb_put (pk, b->flags);
+  bb_put (pk, b->capacity);
+  bb_put (pk, b->revision);
+  bb_put (pk, b->version);
+  bb_put (pk, b->verified_ms);
+  msgpack_pack_array (pk, b->known_count * VM_FIELDS);
+  for (uint32_t i = 0; i < b->known_count; i++)
+    {
+      bb_put (pk, b->known[i].id);
+      bb_put (pk, b->known[i].data_centre);
+      bb_put_endpoint (pk, &b->known[i].endpoint);
+    }
+  msgpack_pack_array (pk, b->load_count * LOAD_FIELDS);
+  for (uint32_t i = 0; i < b->load_count; i++)
+    {
+      bb_put (pk, b->loads[i].mark);
+      bb_put (pk, b->loads[i].open);
+      bb_put (pk, b->loads[i].busy);
+      bb_put (pk, b->loads[i].suspect);
+    }
+}
+
+static void
+put_server (msgpack_packer *pk, const struct bb_server_record *r)
+{
+  bb_put_name (pk, r->name);
+  bb_put_name (pk, r->service);
+  bb_put_name (pk, r->data_centre);
+  bb_put_endpoint (pk, &r->address);
+  bb_put (pk, r->tag);
+  bb_put (pk, r->state);
+  bb_put (pk, r->cold_ms);
+  bb_put (pk, r->gone_ms);
+  bb_put (pk, r->slots);
+  bb_put (pk, (uint64_t)r->born_ms);
+  bb_put (pk, r->created);
+  bb_put (pk, r->revision);
+}
+
+static void
+put_route (msgpack_packer *pk, const struct bb_route_record *r)
+{
+  bb_put_endpoint (pk, &r->address);
+  bb_put (pk, r->revision);
+  msgpack_pack_array (pk, 2 * r->share_count);
+  for (uint32_t i = 0; i < r->share_count; i++)
+    {
+      bb_put (pk, r->shares[i].service);
+      bb_put (pk, r->shares[i].weight);
+    }
+}
+
+static void
+put_items (msgpack_packer *pk, const struct bb_share_items *m)
+{
+  bb_put (pk, m->batch);
+  bb_put (pk, m->chunk);
+  bb_put (pk, m->chunk_count);
+  bb_put (pk, m->from);
+  bb_put (pk, m->to);
+  bb_put (pk, m->version);
+  bb_put (pk, m->verified_ms);
+  msgpack_pack_array (pk, m->server_count * SERVER_FIELDS);
+  for (uint32_t i = 0; i < m->server_count; i++)
+    put_server (pk, &m->servers[i]);
+  msgpack_pack_array (pk, m->route_count * ROUTE_FIELDS);
+  for (uint32_t i = 0; i < m->route_count; i++)
+    put_route (pk, &m->routes[i]);
+}
+
+GByteArray *
+bb_share_encode (const struct bb_share_message *m)
+{
+  GByteArray *out = g_byte_array_sized_new (256);
+  msgpack_packer pk;
+  msgpack_packer_init (&pk, out, bb_append);
+  msgpack_pack_array (&pk, HEAD_FIELDS + body_fields[m->kind]);
+  bb_put (&pk, BB_WIRE_VERSION);
+  bb_put (&pk, m->kind);
+  bb_put (&pk, m->from);
+  bb_put (&pk, m->incarnation);
+  switch (m->kind)
+    {
+    case BB_SHARE_BEAT:
+      put_beat (&pk, &m->beat);
+      break;
+    case BB_SHARE_WANT:
+      bb_put (&pk, m->want.revision);
+      break;
+    case BB_SHARE_ITEMS:
+      put_items (&pk, &m->items);
+      break;
+    case BB_SHARE_KINDS:
+      break;
+    }
+  return out;
+}
+
+/* Decoding.  */
+
+/* Elements of the array that comes next, in groups of FIELDS; *COUNT is the
+   number of groups, at most MAX.  */
+static struct bb_reader
+take_groups (struct bb_reader *r, uint32_t fields, uint32_t max,
+             uint32_t *count)
+{
+  struct bb_reader inner = bb_take_array (r);
+  *count = inner.left / fields;
+  if (inner.left % fields != 0 || *count > max)
+    {
+      r->bad = true;
+      *count = 0;
+    }
+  return inner;
+}
+
+static void
+take_beat (struct bb_reader *r, struct bb_share_beat *b)
+{
+  b->data_centre = bb_take_u32 (r);
+  b->flags = bb_take_u32 (r);
+  b->capacity = bb_take_u32 (r);
+  b->revision = bb_take_uint (r, UINT64_MAX);
+  b->version = bb_take_uint (r, UINT64_MAX);
+  b->verified_ms = bb_take_u32 (r);
+  struct bb_reader inner
+      = take_groups (r, VM_FIELDS, BB_SHARE_KNOWN, &b->known_count);
+  for (uint32_t i = 0; i < b->known_count; i++)
+    {
+      b->known[i].id = bb_take_u32 (&inner);
+      b->known[i].data_centre = bb_take_u32 (&inner);
+      bb_take_endpoint (&inner, &b->known[i].endpoint);
+    }
+  r->bad |= inner.bad;
+  inner = take_groups (r, LOAD_FIELDS, BB_SHARE_LOADS, &b->load_count);
+  for (uint32_t i = 0; i < b->load_count; i++)
+    {
+      b->loads[i].mark = bb_take_u32 (&inner);
+      b->loads[i].open = (uint16_t)bb_take_uint (&inner, UINT16_MAX);
+      b->loads[i].busy = (uint16_t)bb_take_uint (&inner, UINT16_MAX);
+      b->loads[i].suspect = bb_take_uint (&inner, 1) != 0;
+    }
+  r->bad |= inner.bad;
+}
+
+static void
+take_server (struct bb_reader *r, struct bb_server_record *s)
+{
+  bb_take_name (r, s->name);
+  bb_take_name (r, s->service);
+  bb_take_name (r, s->data_centre);
+  bb_take_endpoint (r, &s->address);
+  s->tag = bb_take_uint (r, UINT64_MAX);
+  s->state = (enum bb_server_state)bb_take_uint (r, BB_SERVER_STATES - 1);
+  s->cold_ms = bb_take_u32 (r);
+  s->gone_ms = bb_take_u32 (r);
+  s->slots = (uint16_t)bb_take_uint (r, UINT16_MAX);
+  s->born_ms = (int64_t)bb_take_uint (r, INT64_MAX);
+  s->created = bb_take_uint (r, UINT64_MAX);
+  s->revision = bb_take_uint (r, UINT64_MAX);
+}
+
+static void
+take_route (struct bb_reader *r, struct bb_route_record *route)
+{
+  bb_take_endpoint (r, &route->address);
+  route->revision = bb_take_uint (r, UINT64_MAX);
+  struct bb_reader inner
+      = take_groups (r, 2, BB_ROUTE_SERVICES, &route->share_count);
+  for (uint32_t i = 0; i < route->share_count; i++)
+    {
+      route->shares[i].service = bb_take_u32 (&inner);
+      route->shares[i].weight = bb_take_u32 (&inner);
+    }
+  r->bad |= inner.bad;
+}
+
+static void
+take_items (struct bb_reader *r, struct bb_share_items *m)
+{
+  m->batch = bb_take_u32 (r);
+  m->chunk = (uint32_t)bb_take_uint (r, BB_SHARE_CHUNKS - 1);
+  m->chunk_count = (uint32_t)bb_take_uint (r, BB_SHARE_CHUNKS);
+  m->from = bb_take_uint (r, UINT64_MAX);
+  m->to = bb_take_uint (r, UINT64_MAX);
+  m->version = bb_take_uint (r, UINT64_MAX);
+  m->verified_ms = bb_take_u32 (r);
+  if (m->chunk >= m->chunk_count)
+    r->bad = true;
+  struct bb_reader inner
+      = take_groups (r, SERVER_FIELDS, BB_SHARE_SERVERS, &m->server_count);
+  for (uint32_t i = 0; i < m->server_count; i++)
+    take_server (&inner, &m->servers[i]);
+  r->bad |= inner.bad;
+  inner = take_groups (r, ROUTE_FIELDS, BB_SHARE_ROUTES, &m->route_count);
+  for (uint32_t i = 0; i < m->route_count; i++)
+    take_route (&inner, &m->routes[i]);
+  r->bad |= inner.bad;
+}
+
+static void
+take_body (struct bb_reader *r, struct bb_share_message *m)
+{
+  switch (m->kind)
+    {
+    case BB_SHARE_BEAT:
+      take_beat (r, &m->beat);
+      break;
+    case BB_SHARE_WANT:
+      m->want.revision = bb_take_uint (r, UINT64_MAX);
+      break;
+    case BB_SHARE_ITEMS:
+      take_items (r, &m->items);
+      break;
+    case BB_SHARE_KINDS:
+      break;
+    }
+}
+
+/* Returns what is wrong, or NULL.  */
+static const char *
+read_message (const msgpack_unpacked *unpacked, struct bb_share_message *m)
+{
+  struct bb_reader r = { .at = &unpacked->data, .left = 1 };
+  struct bb_reader fields = bb_take_array (&r);
+  uint64_t version = bb_take_uint (&fields, UINT64_MAX);
+  if (r.bad || fields.bad)
+    return "no array that starts with a version";
+  if (version != BB_WIRE_VERSION)
+    return "unknown protocol version";
+  uint64_t kind = bb_take_uint (&fields, UINT32_MAX);
+  if (fields.bad || kind >= BB_SHARE_KINDS)
+    return "unknown message kind";
+  m->kind = (enum bb_share_kind)kind;
+  m->from = bb_take_u32 (&fields);
+  m->incarnation = bb_take_uint (&fields, UINT64_MAX);
+  take_body (&fields, m);
+  return fields.bad ? "missing or unfit element" : NULL;
+}
+
+bool
+bb_share_decode (const uint8_t *data, size_t length,
+                 struct bb_share_message *message, GError **error)
+{
+  memset (message, 0, sizeof *message);
+  if (length > BB_WIRE_MESSAGE_MAX)
+    {
+      g_set_error (error, BB_ERROR, BB_ERROR_TOO_LARGE,
+                   "message of %zu bytes, at most %d are accepted", length,
+                   BB_WIRE_MESSAGE_MAX);
+      return false;
+    }
+  msgpack_unpacked unpacked;
+  msgpack_unpacked_init (&unpacked);
+  const char *fault = "not msgpack";
+  if (bb_wire_sizes_fit (data, length)
+      && msgpack_unpack_next (&unpacked, (const char *)data, length, NULL)
+             == MSGPACK_UNPACK_SUCCESS)
+    fault = read_message (&unpacked, message);
+  msgpack_unpacked_destroy (&unpacked);
+  if (fault)
+    g_set_error (error, BB_ERROR, BB_ERROR_PROTOCOL, "%s", fault);
+  return !fault;
+}
--- /dev/null
+++ b/wire/share.h
@@ -0,0 +1,15 @@
+/* Codec of the messages between balancers of a marked transport.  */
+
+#ifndef BB_WIRE_SHARE_H
+#define BB_WIRE_SHARE_H
+
+#include "marked/messages.h"
+
+/* Encodes MESSAGE; freed with g_byte_array_unref.  */
+GByteArray *bb_share_encode (const struct bb_share_message *message);
+
+/* Decodes LENGTH bytes into MESSAGE.  Returns false with BB_ERROR_PROTOCOL or
+   BB_ERROR_TOO_LARGE set if they are no message of this version.  */
+bool bb_share_decode (const uint8_t *data, size_t length,
+                      struct bb_share_message *message, GError **error);
+#endif
