--- a/marked/place.c
+++ b/marked/place.c
@@ -7,10 +7,24 @@
    model); what is placed on it meanwhile lasts longer than the cold time.  */
 #define COLD_FACTOR 1.3
 
-/* A server of another data centre must be this much better: answers that
-   cross data centres are priced, and a cut takes such flows away.  */
-#define REMOTE_FACTOR 1.6
-#define REMOTE_MARGIN 2.0
+/* A new flow leaves its data centre when each slot there has so many requests
+   under way or waiting, and some server elsewhere has less than half of that.
+   Flows that stay outlive a cut between data centres.  */
+#define SPILL_PRESSURE 2.0
+#define SPILL_RATIO 0.5
+
+static double
+slots_of (const struct bb_backend_server *s)
+{
+  return s->record.slots ? s->record.slots : 1;
+}
+
+/* Requests under way for each slot, as far as they are seen here.  */
+static double
+pressure (const struct bb_backend_server *s)
+{
+  return (s->load.busy + s->load.peer_busy) / slots_of (s);
+}
 
 static double
 load_cost (const struct bb_backend_server *s, bb_usec now)
@@ -18,13 +32,8 @@
   const struct bb_server_load *l = &s->load;
   double flows = l->open + l->peer_open;
   double busy = l->busy + l->peer_busy;
-  double slots = s->record.slots ? s->record.slots : 1;
-  double cost = (flows + BUSY_WEIGHT * busy + 1) / slots;
-  if (s->cold_until > now)
-    cost *= COLD_FACTOR;
-  if (!s->local)
-    cost = cost * REMOTE_FACTOR + REMOTE_MARGIN;
-  return cost;
+  double cost = (flows + BUSY_WEIGHT * busy + 1) / slots_of (s);
+  return s->cold_until > now ? cost * COLD_FACTOR : cost;
 }
 
 const struct bb_placing bb_placing_load = {
@@ -58,30 +67,56 @@
   p->cost = cost;
 }
 
-static struct bb_choice
-choose (const struct bb_link *servers, const struct bb_placing *placing,
+/* The best server of each kind.  */
+struct picks
+{
+  struct pick near;
+  struct pick far;
+  struct pick suspect;
+};
+
+static struct picks
+survey (const struct bb_link *servers, const struct bb_placing *placing,
         GRand *random, bb_usec now)
 {
-  struct pick trusted = { 0 }, suspect = { 0 };
+  struct picks picks = { 0 };
   for (const struct bb_link *at = servers->next; at != servers; at = at->next)
     {
       struct bb_backend_server *s
           = BB_LINKED (at, struct bb_backend_server, of_service);
+      struct pick *pick = s->local ? &picks.near : &picks.far;
       if (s->record.state != BB_SERVER_READY)
         continue;
-      bool silent = s->load.suspect_until > now;
-      consider (silent ? &suspect : &trusted, s, placing->cost (s, now),
-                random);
+      if (s->load.suspect_until > now)
+        pick = &picks.suspect;
+      consider (pick, s, placing->cost (s, now), random);
     }
+  return picks;
+}
+
+static bool
+spills (const struct bb_backend_server *near,
+        const struct bb_backend_server *far)
+{
+  double here = pressure (near);
+  return here >= SPILL_PRESSURE && pressure (far) < here * SPILL_RATIO;
+}
+
+static struct bb_choice
+choose (const struct bb_link *servers, const struct bb_placing *placing,
+        GRand *random, bb_usec now)
+{
+  struct picks p = survey (servers, placing, random, now);
+  struct bb_backend_server *near = p.near.server, *far = p.far.server;
+  if (near && !(far && spills (near, far)))
+    return (struct bb_choice){ near, BB_REASON_OWN_DATA_CENTRE };
+  if (far)
+    return (struct bb_choice){ far, BB_REASON_OTHER_DATA_CENTRE };
   /* While all look dead one of them is used: the view may be wrong, and a
      flow that fails costs the caller no more than a refusal.  */
-  struct bb_backend_server *server
-      = trusted.server ? trusted.server : suspect.server;
-  if (!server)
-    return (struct bb_choice){ NULL, BB_REASON_NO_SERVER };
-  return (struct bb_choice){ server, server->local
-                                         ? BB_REASON_OWN_DATA_CENTRE
-                                         : BB_REASON_OTHER_DATA_CENTRE };
+  return (struct bb_choice){ p.suspect.server, p.suspect.server
+                                                   ? BB_REASON_SERVER_SILENT
+                                                   : BB_REASON_NO_SERVER };
 }
 
 static uint32_t
