Share one reading of the store between all balancers

Cause: each balancer watched the store itself; seeds were greeted at their control port instead of the port of the peers, so that no balancer knew another one and neither knowledge nor loads were shared. Once they met, balancers of other data centres, which beat seldom, counted as lost after 1 s, and roles and the log never came to rest.

Leaders of the data centres follow one reader; balancers follow their leader. A reader that is silent, refused or outdated is passed over.

--- a/marked/messages.h
+++ b/marked/messages.h
@@ -30,7 +30,8 @@
   BB_SHARE_HELLO = 1,    /* answer with a beat at once */
   BB_SHARE_LEAVING = 2,  /* stops soon */
   BB_SHARE_STORE_OK = 4, /* its last call to the store was answered */
-  BB_SHARE_READING = 8   /* watches the store itself */
+  BB_SHARE_READING = 8,  /* watches the store itself */
+  BB_SHARE_LEADING = 16  /* first of its data centre */
 };
 
 /* One balancer as another one names it.  */
--- a/marked/sharing.c
+++ b/marked/sharing.c
@@ -4,8 +4,6 @@
 enum
 {
   PEERS_MAX = 512, /* balancers of a data centre at the two-year size */
-  FAR_PEERS = 1,   /* of other data centres that one round of beats
-                      reaches */
   CHUNK_WORDS = BB_SHARE_CHUNKS / 64,
 };
 
@@ -16,6 +14,11 @@
 /* One beat in so many goes to peers that are silent.  */
 #define RETRY_INTERVAL (2 * BB_SEC)
 
+/* A balancer that does not lead beats one of another data centre so often, so
+   that the data centres know each other's balancers.  */
+#define FAR_INTERVAL BB_SEC
+#define FAR_SILENCE (20 * BB_SEC)
+
 /* Between two requests for the same items, longer than any round trip.  */
 #define WANT_INTERVAL (150 * BB_MSEC)
 
@@ -69,7 +72,9 @@
   bb_usec beat_due;
   bb_usec wanted;
   bb_usec greeted;
+  bb_usec far_due;
   bool reads;
+  bool leads;
   bool leaving;
   uint32_t batch_number;
   struct batch batch;
@@ -200,7 +205,10 @@
   for (uint32_t i = 0; i < s->peer_count; i++)
     {
       struct peer *p = s->peers[i];
-      if (p->heard != 0 && now - p->heard >= BB_SHARE_SILENCE)
+      bb_usec silent = p->heard ? now - p->heard : 0;
+      if (silent >= BB_SHARE_SILENCE)
+        p->flags &= ~(uint32_t)BB_SHARE_LEADING;
+      if (silent >= (is_near (s, p) ? BB_SHARE_SILENCE : FAR_SILENCE))
         peer_silent (s, p, now);
       if (p->heard == 0 && p->mentioned != 0
           && now - p->mentioned > FORGET_AFTER)
@@ -249,6 +257,8 @@
     flags |= BB_SHARE_STORE_OK;
   if (s->reads)
     flags |= BB_SHARE_READING;
+  if (s->leads)
+    flags |= BB_SHARE_LEADING;
   return flags;
 }
 
@@ -330,24 +340,42 @@
 }
 
 static void
-beat_far (struct bb_sharing *s, const struct bb_share_message *beat,
-          bb_usec now)
+beat_far (struct bb_sharing *s, struct peer *p,
+          const struct bb_share_message *beat, bb_usec now)
 {
-  uint32_t left = FAR_PEERS;
+  struct bb_share_message m = *beat;
+  m.beat.load_count = 0;
+  send (s, &p->vm.endpoint, &m);
+  p->sent = now;
+}
+
+/* One balancer of another data centre, or none.  */
+static struct peer *
+draw_far (struct bb_sharing *s)
+{
+  if (s->peer_count == 0)
+    return NULL;
   uint32_t start
-      = s->peer_count
-            ? (uint32_t)g_rand_int_range (s->random, 0, (gint32)s->peer_count)
-            : 0;
-  for (uint32_t i = 0; i < s->peer_count && left > 0; i++)
+      = (uint32_t)g_rand_int_range (s->random, 0, (gint32)s->peer_count);
+  for (uint32_t i = 0; i < s->peer_count; i++)
     {
       struct peer *p = s->peers[(start + i) % s->peer_count];
-      if (is_near (s, p))
-        continue;
-      struct bb_share_message m = *beat;
-      m.beat.load_count = 0;
-      send (s, &p->vm.endpoint, &m);
-      p->sent = now;
-      left--;
+      if (!is_near (s, p))
+        return p;
+    }
+  return NULL;
+}
+
+/* Leaders hear each other in each round.  */
+static void
+beat_leaders (struct bb_sharing *s, const struct bb_share_message *beat,
+              bb_usec now)
+{
+  for (uint32_t i = 0; i < s->peer_count; i++)
+    {
+      struct peer *p = s->peers[i];
+      if (!is_near (s, p) && p->heard != 0 && p->flags & BB_SHARE_LEADING)
+        beat_far (s, p, beat, now);
     }
 }
 
@@ -364,7 +392,14 @@
       p->sent = now;
       send (s, &p->vm.endpoint, &m);
     }
-  beat_far (s, &m, now);
+  if (s->leads)
+    beat_leaders (s, &m, now);
+  if (now < s->far_due)
+    return;
+  s->far_due = now + (s->leads ? BB_SHARE_INTERVAL : FAR_INTERVAL);
+  struct peer *far = draw_far (s);
+  if (far)
+    beat_far (s, far, &m, now);
 }
 
 /* Items.  */
@@ -449,6 +484,24 @@
     pack (&k, from, now);
 }
 
+/* Tells what is newer than BEFORE: a leader those that follow it, a reader the
+   other leaders too.  */
+static void
+tell (struct bb_sharing *s, uint64_t before, bb_usec now)
+{
+  if (!s->leads && !s->reads)
+    return;
+  for (uint32_t i = 0; i < s->peer_count; i++)
+    {
+      const struct peer *p = s->peers[i];
+      bool follows = is_near (s, p) ? s->leads
+                                    : s->reads && p->flags & BB_SHARE_LEADING;
+      if (follows && is_live (p, now) && p->revision > 0
+          && !(p->flags & BB_SHARE_READING))
+        send_items (s, &p->vm.endpoint, MIN (before, p->revision), now);
+    }
+}
+
 void
 bb_share_take_server (struct bb_directory *directory,
                       const struct bb_server_record *record,
@@ -529,8 +582,11 @@
                 (bb_usec)m->verified_ms * BB_MSEC);
   if (m->to < s->revision)
     return;
+  uint64_t before = s->revision;
   s->revision = m->to;
   set_verified (s, m->verified_ms, now);
+  if (s->revision > before)
+    tell (s, before, now);
 }
 
 static void
@@ -566,16 +622,19 @@
   return id[0] < id[1];
 }
 
-/* Place of this balancer in the order of readers of its data centre.  */
+/* Live balancers before this one: of its data centre, or the leaders of the
+   others.  */
 static uint32_t
-rank (const struct bb_sharing *s, bb_usec now)
+rank (const struct bb_sharing *s, bool near, bb_usec now)
 {
   uint32_t before = 0;
   for (uint32_t i = 0; i < s->peer_count; i++)
     {
       const struct peer *p = s->peers[i];
-      if (is_near (s, p) && is_live (p, now) && p->revision > 0
-          && precedes (s, p, NULL, now))
+      bool counts = is_near (s, p) == near && is_live (p, now)
+                    && p->revision > 0
+                    && (near || p->flags & BB_SHARE_LEADING);
+      if (counts && precedes (s, p, NULL, now))
         before++;
     }
   return before;
@@ -662,11 +721,12 @@
 static void
 choose_role (struct bb_sharing *s, bb_usec now)
 {
-  uint32_t before = rank (s, now);
+  uint32_t before = rank (s, true, now);
   bb_usec age = bb_sharing_age (s, now);
   bb_usec patience
       = BB_SHARE_OUTDATED + MIN (before * RANK_STEP, RANK_STEP_MAX);
-  bool first = before == 0;
+  s->leads = before == 0 && !s->leaving;
+  bool first = s->leads && rank (s, false, now) == 0;
   bool outdated = age > patience;
   bool reads = !s->leaving && (first || outdated);
   if (reads == s->reads)
@@ -716,13 +776,7 @@
     return;
   uint64_t before = s->revision;
   s->revision = revision;
-  for (uint32_t i = 0; i < s->peer_count; i++)
-    {
-      const struct peer *p = s->peers[i];
-      if (is_near (s, p) && is_live (p, now) && p->revision > 0
-          && !(p->flags & BB_SHARE_READING))
-        send_items (s, &p->vm.endpoint, MIN (before, p->revision), now);
-    }
+  tell (s, before, now);
 }
 
 void
--- a/marked/sharing.h
+++ b/marked/sharing.h
@@ -1,29 +1,31 @@
 /* How balancers tell each other what the store says, so that a few readers
    serve many balancers, and what each sees of the servers' load.
 
-   In each data centre the first live balancer of an order by capacity watches
-   the store.  The others follow it: they take over when it is silent, when it
-   cannot reach the store, or when what it tells grows old.  A balancer that
-   hears nobody reads the store itself.  */
+   In each data centre the first live balancer of an order by capacity leads,
+   and the first of the leaders watches the store.  The other leaders follow
+   it, and the balancers of a data centre follow their leader.  Whoever is
+   silent, cannot reach the store or tells what is old is passed over; a
+   balancer that hears nobody reads the store itself.  */
 
 #ifndef BB_MARKED_SHARING_H
 #define BB_MARKED_SHARING_H
 
 #include "marked/messages.h"
 
-/* Three lost beats are silence; a takeover then leaves two thirds of a bound
-   of 3 s for the read itself.  */
+/* Three lost beats are silence.  */
 #define BB_SHARE_INTERVAL (300 * BB_MSEC)
 #define BB_SHARE_SILENCE (1000 * BB_MSEC)
 
 /* A watch of the store waits at most so long, and a reader whose connection
    went silent notices so much later.  */
-#define BB_STORE_WAIT (1500 * BB_MSEC)
+#define BB_STORE_WAIT (1000 * BB_MSEC)
 #define BB_STORE_MARGIN (400 * BB_MSEC)
 
-/* Older knowledge makes a follower read the store itself: a whole watch, its
-   margin and one beat.  */
-#define BB_SHARE_OUTDATED (BB_STORE_WAIT + BB_STORE_MARGIN + BB_SHARE_INTERVAL)
+/* Older knowledge makes a balancer read the store itself: a whole watch, its
+   margin, and a beat from the reader to the leader and on to the follower.
+   What is left of a configuration's bound of 3 s is for the read.  */
+#define BB_SHARE_OUTDATED                                                     \
+  (BB_STORE_WAIT + BB_STORE_MARGIN + 2 * BB_SHARE_INTERVAL)
 
 struct bb_sharing;
 
--- a/runtime/marked_process.c
+++ b/runtime/marked_process.c
@@ -173,6 +173,18 @@
 
 /* Settings.  */
 
+/* Balancers hear each other at one port, which is the same on all VMs.  */
+static void
+set_seeds (struct bb_marked_process *p, const struct bb_marked_settings *m)
+{
+  struct bb_endpoint *seeds = g_new0 (struct bb_endpoint, m->seed_count + 1);
+  for (size_t i = 0; i < m->seed_count; i++)
+    seeds[i] = (struct bb_endpoint){ m->seeds[i].address,
+                                     p->settings->marked.peer_port };
+  bb_sharing_seed (bb_marked_sharing (p->marked), seeds, m->seed_count);
+  g_free (seeds);
+}
+
 static struct bb_settings *
 read_file (struct bb_marked_process *p)
 {
@@ -204,7 +216,7 @@
   if (!s)
     return;
   const struct bb_marked_settings *m = &s->marked;
-  bb_sharing_seed (bb_marked_sharing (p->marked), m->seeds, m->seed_count);
+  set_seeds (p, m);
   bool moved = m->store.port != 0
                && (m->store.address != p->store.address
                    || m->store.port != p->store.port);
@@ -312,8 +324,7 @@
     .idle_ms = s->marked.idle_ms,
   };
   p->marked = bb_marked_new (&options, &share_sink, p, p->started);
-  bb_sharing_seed (bb_marked_sharing (p->marked), s->marked.seeds,
-                   s->marked.seed_count);
+  set_seeds (p, &s->marked);
 }
 
 static void
