Reset flows of a server that several callers show to be dead

Cause: when a server falls silent, its registry entry stays for three heartbeats (3.6 s).

A caller that repeats itself is evidence of silence, one that acknowledges more is evidence of life. Two or three callers that repeat themselves for 0.3 to 0.6 s without any sign of life make the server count as dead: its flows are reset at their next data and callers go elsewhere.

Ruled out: status checks, which are priced and take a slot.

--- a/marked/balancer.c
+++ b/marked/balancer.c
@@ -4,12 +4,6 @@
 #include "marked/place.h"
 #include <netinet/in.h>
 
-/* A server is suspect when callers repeated themselves so often and for so
-   long without any sign of life from it; a caller repeats after 200 ms.  */
-#define SUSPECT_AFTER (350 * BB_MSEC)
-#define SUSPECT_REPEATS 3
-#define SUSPECT_TIME (1500 * BB_MSEC)
-
 /* Copies of a first packet come up to 600 ms after it; a little more covers
    what is queued.  */
 enum
@@ -69,32 +63,25 @@
 static void
 server_alive (struct bb_marked *m, struct bb_backend_server *s, bb_usec now)
 {
-  if (s->load.suspect_until > now)
-    send_event (m, BB_EVENT_SERVER_TRUSTED, s, 0, s->load.unanswered,
-                BB_REASON_NONE, now);
-  s->load.alive = now;
-  s->load.unanswered = 0;
-  s->load.silent_since = 0;
-  s->load.suspect_until = 0;
+  uint32_t repeats = s->load.evidence.repeats;
+  if (bb_suspicion_alive (&s->load.evidence, now))
+    send_event (m, BB_EVENT_SERVER_TRUSTED, s, 0, repeats, BB_REASON_NONE,
+                now);
 }
 
+/* FLOW repeats itself.  */
 static void
-server_silent (struct bb_marked *m, struct bb_backend_server *s, bb_usec now)
+server_silent (struct bb_marked *m, struct bb_backend_server *s,
+               struct bb_marked_flow *flow, bb_usec now)
 {
-  struct bb_server_load *l = &s->load;
   m->counters.repeats++;
-  l->unanswered++;
-  if (l->silent_since == 0)
-    l->silent_since = now;
-  if (l->unanswered < SUSPECT_REPEATS || now - l->silent_since < SUSPECT_AFTER)
+  if (flow->repeats < UINT8_MAX)
+    flow->repeats++;
+  if (!bb_suspicion_repeat (&s->load.evidence, flow->repeats == 1, now))
     return;
-  if (l->suspect_until <= now)
-    {
-      m->counters.suspects++;
-      send_event (m, BB_EVENT_SERVER_SUSPECT, s, 0, l->unanswered,
-                  BB_REASON_SERVER_SILENT, now);
-    }
-  l->suspect_until = now + SUSPECT_TIME;
+  m->counters.suspects++;
+  send_event (m, BB_EVENT_SERVER_SUSPECT, s, 0, s->load.evidence.repeats,
+              BB_REASON_SERVER_SILENT, now);
 }
 
 /* Flows.  */
@@ -152,9 +139,7 @@
         }
       return;
     }
-  if (f->repeats < UINT8_MAX)
-    f->repeats++;
-  server_silent (m, s, now);
+  server_silent (m, s, f, now);
 }
 
 static void
@@ -189,13 +174,16 @@
    flow.  */
 static struct bb_backend_server *
 placed_before (struct bb_marked *m, const struct bb_marked_flow *flow,
-               uint32_t now_ms)
+               bb_usec now)
 {
   if (!flow || flow->state != BB_FLOW_OPENING
-      || now_ms - flow->seen_ms > COPY_TIME_MS)
+      || stamp (now) - flow->seen_ms > COPY_TIME_MS)
     return NULL;
   struct bb_backend_server *s = bb_directory_marked (m->directory, flow->mark);
-  return s && s->record.state != BB_SERVER_GONE ? s : NULL;
+  if (!s || s->record.state == BB_SERVER_GONE
+      || bb_suspicion_dead (&s->load.evidence, now))
+    return NULL;
+  return s;
 }
 
 static void
@@ -239,11 +227,11 @@
            const struct bb_packet *p, bb_usec now, struct bb_marked_verdict *v)
 {
   struct bb_marked_flow *f = bb_marked_flows_find (m->flows, hash);
-  struct bb_backend_server *s = placed_before (m, f, stamp (now));
+  struct bb_backend_server *s = placed_before (m, f, now);
   if (s)
     {
       m->counters.copies++;
-      server_silent (m, s, now);
+      server_silent (m, s, f, now);
       forward (m, s, v);
       return;
     }
@@ -286,12 +274,19 @@
   return f;
 }
 
-/* A server that is not listed any more may live on for a little; a caller that
-   repeats itself shows that it does not.  */
+/* Whether the server of a flow that sends data cannot answer.  One that had
+   announced its end has ended when it is not listed any more.  Of another one
+   the registry may be wrong, so that a caller has to repeat itself.  */
 static bool
-has_ended (const struct bb_marked_flow *f, const struct bb_backend_server *s)
+has_ended (const struct bb_marked_flow *f, const struct bb_backend_server *s,
+           const struct bb_packet *p, bb_usec now)
 {
-  return s->record.state == BB_SERVER_GONE && f->repeats > 0;
+  if (p->payload == 0)
+    return false;
+  if (s->record.state != BB_SERVER_GONE)
+    return bb_suspicion_dead (&s->load.evidence, now);
+  return f->repeats > 0
+         || (s->drained && s->load.evidence.alive < s->gone_since);
 }
 
 static void
@@ -321,9 +316,12 @@
       return;
     }
   observe (m, f, s, p, now);
-  if (has_ended (f, s))
+  if (has_ended (f, s, p, now))
     {
-      reset (m, hash, s, BB_REASON_SERVER_GONE, now, v);
+      reset (m, hash, s,
+             s->record.state == BB_SERVER_GONE ? BB_REASON_SERVER_GONE
+                                               : BB_REASON_SERVER_SILENT,
+             now, v);
       return;
     }
   if (p->tcp_flags & (BB_TCP_FIN | BB_TCP_RST))
--- a/marked/directory.c
+++ b/marked/directory.c
@@ -164,6 +164,10 @@
   s->service = bb_name_key (record->service);
   s->local = strcmp (record->data_centre, d->data_centre) == 0;
   s->cold_until = record->cold_ms ? now + record->cold_ms * BB_MSEC : 0;
+  if (record->state == BB_SERVER_DRAINING)
+    s->drained = true;
+  else if (record->state == BB_SERVER_READY)
+    s->drained = false;
   bb_list_remove (&s->of_service);
   if (record->state == BB_SERVER_GONE)
     s->gone_since = MAX (now - record->gone_ms * BB_MSEC, 1);
--- a/marked/directory.h
+++ b/marked/directory.h
@@ -10,6 +10,7 @@
 
 #include "core/core.h"
 #include "marked/list.h"
+#include "marked/suspicion.h"
 
 enum
 {
@@ -56,11 +57,8 @@
   int32_t busy;      /* requests that passed here without an answer yet */
   int32_t peer_open; /* the same, as the peers count */
   int32_t peer_busy;
-  uint32_t unanswered;   /* repetitions since the last sign of life */
-  bb_usec silent_since;  /* first of them; 0: none */
-  bb_usec suspect_until; /* gets no new flows before */
-  bb_usec answer_time;   /* smoothed time to the first acknowledged answer */
-  bb_usec alive;         /* last sign of life */
+  struct bb_evidence evidence;
+  bb_usec answer_time; /* smoothed time to the start of an answer */
 };
 
 struct bb_backend_server
@@ -69,6 +67,7 @@
   uint32_t key; /* bb_server_key of service and name, for logs */
   uint32_t service;
   uint32_t mark;
+  bool drained;       /* it announced its end before it was gone */
   bool local;         /* in the data centre of this balancer */
   bb_usec listed;     /* first known here */
   bb_usec gone_since; /* 0: listed */
--- a/marked/place.c
+++ b/marked/place.c
@@ -87,7 +87,7 @@
       struct pick *pick = s->local ? &picks.near : &picks.far;
       if (s->record.state != BB_SERVER_READY)
         continue;
-      if (s->load.suspect_until > now)
+      if (bb_suspicion_suspects (&s->load.evidence, now))
         pick = &picks.suspect;
       consider (pick, s, placing->cost (s, now), random);
     }
--- a/marked/sharing.c
+++ b/marked/sharing.c
@@ -181,8 +181,7 @@
       server->load.peer_busy
           = MAX (server->load.peer_busy + sign * load->busy, 0);
       if (sign > 0 && load->suspect)
-        server->load.suspect_until
-            = MAX (server->load.suspect_until, now + BB_SHARE_SILENCE);
+        bb_suspicion_hearsay (&server->load.evidence, now + BB_SHARE_SILENCE);
     }
 }
 
@@ -289,7 +288,8 @@
       const struct bb_backend_server *server
           = BB_LINKED (at, struct bb_backend_server, by_revision);
       const struct bb_server_load *load = &server->load;
-      bool suspect = load->silent_since != 0 && load->suspect_until > now;
+      bool suspect = load->evidence.silent_since != 0
+                     && bb_suspicion_suspects (&load->evidence, now);
       if (load->open <= 0 && load->busy <= 0 && !suspect)
         continue;
       b->loads[b->load_count++] = (struct bb_share_load){
--- /dev/null
+++ b/marked/suspicion.c
@@ -0,0 +1,61 @@
+#include "marked/suspicion.h"
+
+/* A caller repeats itself 200 ms after it was not answered, so that these
+   times come on top of that.  */
+#define SUSPECT_AFTER (150 * BB_MSEC)
+#define DEAD_AFTER (300 * BB_MSEC)
+#define DEAD_AFTER_FEW (600 * BB_MSEC)
+#define SUSPECT_TIME (1500 * BB_MSEC)
+
+enum
+{
+  SUSPECT_REPEATS = 2,
+  DEAD_FLOWS = 3,
+  DEAD_FLOWS_FEW = 2, /* for a server with few flows here */
+};
+
+bool
+bb_suspicion_alive (struct bb_evidence *e, bb_usec now)
+{
+  bool suspect = bb_suspicion_suspects (e, now);
+  *e = (struct bb_evidence){ .alive = now };
+  return suspect;
+}
+
+bool
+bb_suspicion_repeat (struct bb_evidence *e, bool first, bb_usec now)
+{
+  bool suspect = bb_suspicion_suspects (e, now);
+  if (e->silent_since == 0)
+    e->silent_since = now;
+  e->repeats++;
+  e->silent_flows += first;
+  if (e->repeats < SUSPECT_REPEATS || now - e->silent_since < SUSPECT_AFTER)
+    return false;
+  e->suspect_until = now + SUSPECT_TIME;
+  return !suspect;
+}
+
+void
+bb_suspicion_hearsay (struct bb_evidence *e, bb_usec until)
+{
+  /* What callers show here is newer than what a peer's beat tells.  */
+  if (until - BB_SEC > e->alive)
+    e->suspect_until = MAX (e->suspect_until, until);
+}
+
+bool
+bb_suspicion_suspects (const struct bb_evidence *e, bb_usec now)
+{
+  return e->suspect_until > now;
+}
+
+bool
+bb_suspicion_dead (const struct bb_evidence *e, bb_usec now)
+{
+  if (e->silent_since == 0 || !bb_suspicion_suspects (e, now))
+    return false;
+  bb_usec silent = now - e->silent_since;
+  return (e->silent_flows >= DEAD_FLOWS && silent >= DEAD_AFTER)
+         || (e->silent_flows >= DEAD_FLOWS_FEW && silent >= DEAD_AFTER_FEW);
+}
--- /dev/null
+++ b/marked/suspicion.h
@@ -0,0 +1,37 @@
+/* Judges servers by what callers send: a caller that acknowledges more has
+   been answered, one that sends the same bytes again has not.
+
+   Suspicion keeps new flows away and costs little when it is wrong.  A server
+   counts as dead, so that its flows are reset and callers can go elsewhere,
+   only when several callers agree for longer than a request takes.  */
+
+#ifndef BB_MARKED_SUSPICION_H
+#define BB_MARKED_SUSPICION_H
+
+#include "core/core.h"
+
+/* What callers show of one server.  */
+struct bb_evidence
+{
+  bb_usec alive;         /* last sign of life */
+  bb_usec silent_since;  /* first repetition after it; 0: none */
+  uint32_t repeats;      /* since then */
+  uint32_t silent_flows; /* flows that repeat themselves since then */
+  bb_usec suspect_until; /* gets no new flows before */
+};
+
+/* A caller acknowledged something new.  Returns whether the server was
+   suspect.  */
+bool bb_suspicion_alive (struct bb_evidence *e, bb_usec now);
+
+/* A caller sent the same again; FIRST says that its flow did so for the first
+   time since it was last answered.  Returns whether the server has become
+   suspect.  */
+bool bb_suspicion_repeat (struct bb_evidence *e, bool first, bb_usec now);
+
+/* Another balancer finds the server suspect.  */
+void bb_suspicion_hearsay (struct bb_evidence *e, bb_usec until);
+
+bool bb_suspicion_suspects (const struct bb_evidence *e, bb_usec now);
+bool bb_suspicion_dead (const struct bb_evidence *e, bb_usec now);
+#endif
