Reset idle flows too when their server has ended

Cause: a caller with an idle flow to a server that has left or died sends its next request into the void; orders, which may not be repeated, are lost so.

The balancer resets the flows that it has seen as soon as their server has ended for sure: it announced its end and is not listed any more, its entry expired and no caller was answered for 3 s, or several callers show that it is silent. Callers then open a new flow with their next request.

--- a/marked/balancer.c
+++ b/marked/balancer.c
@@ -14,21 +14,34 @@
 
 #define SWEEP_INTERVAL BB_SEC
 
+/* An entry that expired unannounced means three heartbeats of silence, 3.6 s;
+   an answer that is younger contradicts it.  */
+#define ANSWERED_LATELY (3 * BB_SEC)
+
+enum
+{
+  ENDED_MAX = 64, /* servers that ended since the last tick */
+};
+
 struct bb_marked
 {
   struct bb_marked_options options;
-  const struct bb_share_sink *sink;
+  const struct bb_marked_sink *sink;
   void *context;
   struct bb_directory *directory;
   struct bb_sharing *sharing;
   struct bb_marked_flows *flows;
   GRand *random;
   bb_usec swept;
+  struct bb_backend_server *ended[ENDED_MAX];
+  uint32_t ended_count;
   struct bb_marked_counters counters;
   struct bb_histogram answer_times;
   struct bb_histogram open_times;
 };
 
+static const struct bb_share_sink share_sink;
+
 static void
 send_event (struct bb_marked *m, enum bb_event_kind kind,
             const struct bb_backend_server *s, uint64_t flow, uint64_t value,
@@ -69,15 +82,96 @@
                 now);
 }
 
+/* Resets one flow of a server that has ended.  A caller whose flow is idle
+   then opens a new one for its next request, so that no request is lost.  */
+static void
+end_flow (void *context, struct bb_marked_flow *f)
+{
+  struct bb_marked *m = context;
+  if (f->state != BB_FLOW_OPEN)
+    return;
+  struct bb_marked_packet packet = {
+    .packet = { .source = f->caller.address,
+                .source_port = f->caller.port,
+                .destination = f->service.address,
+                .destination_port = f->service.port,
+                .protocol = IPPROTO_TCP,
+                .tcp_flags = BB_TCP_ACK,
+                .sequence = f->sent,
+                .acknowledgement = f->acknowledged },
+    .mark = f->mark,
+  };
+  m->counters.resets++;
+  m->sink->reset (m->context, &packet);
+  bb_marked_flows_remove (m->flows, f);
+}
+
+static void
+end_flows (struct bb_marked *m, const struct bb_backend_server *s,
+           enum bb_reason reason, bb_usec now)
+{
+  uint64_t before = m->counters.resets;
+  bb_marked_flows_each (m->flows, s->mark, end_flow, m);
+  if (m->counters.resets > before)
+    send_event (m, BB_EVENT_FLOW_RESET, s, 0, m->counters.resets - before,
+                reason, now);
+}
+
+/* The flows of S are reset with the next tick; those that find no place in the
+   list are reset one by one, when they send data.  */
+static void
+note_ended (struct bb_marked *m, struct bb_backend_server *s)
+{
+  for (uint32_t i = 0; i < m->ended_count; i++)
+    if (m->ended[i] == s)
+      return;
+  if (m->ended_count < ENDED_MAX)
+    m->ended[m->ended_count++] = s;
+}
+
+/* Whether S has ended for sure.  A server that announced its end has ended
+   when it is not listed any more.  Of another one the registry may be wrong: a
+   caller that was answered lately shows that it lives.  */
+static bool
+has_left (const struct bb_backend_server *s, bb_usec now)
+{
+  if (s->record.state != BB_SERVER_GONE)
+    return bb_suspicion_dead (&s->load.evidence, now);
+  bb_usec alive = s->load.evidence.alive;
+  return s->drained ? alive < s->gone_since : now - alive > ANSWERED_LATELY;
+}
+
+static void
+reset_ended (struct bb_marked *m, bb_usec now)
+{
+  for (uint32_t i = 0; i < m->ended_count; i++)
+    {
+      const struct bb_backend_server *s = m->ended[i];
+      if (has_left (s, now))
+        end_flows (m, s,
+                   s->record.state == BB_SERVER_GONE ? BB_REASON_SERVER_GONE
+                                                     : BB_REASON_SERVER_SILENT,
+                   now);
+    }
+  m->ended_count = 0;
+}
+
 /* FLOW repeats itself.  */
 static void
 server_silent (struct bb_marked *m, struct bb_backend_server *s,
                struct bb_marked_flow *flow, bb_usec now)
 {
+  struct bb_evidence *e = &s->load.evidence;
   m->counters.repeats++;
   if (flow->repeats < UINT8_MAX)
     flow->repeats++;
-  if (!bb_suspicion_repeat (&s->load.evidence, flow->repeats == 1, now))
+  bool suspect = bb_suspicion_repeat (e, flow->repeats == 1, now);
+  if (!e->declared && bb_suspicion_dead (e, now))
+    {
+      e->declared = true;
+      note_ended (m, s);
+    }
+  if (!suspect)
     return;
   m->counters.suspects++;
   send_event (m, BB_EVENT_SERVER_SUSPECT, s, 0, s->load.evidence.repeats,
@@ -195,6 +289,13 @@
   send_event (m, BB_EVENT_FLOW_REFUSED, NULL, hash, 0, reason, now);
 }
 
+static void
+set_ends (struct bb_marked_flow *f, const struct bb_packet *p)
+{
+  f->caller = (struct bb_endpoint){ p->source, p->source_port };
+  f->service = (struct bb_endpoint){ p->destination, p->destination_port };
+}
+
 static void
 place (struct bb_marked *m, const struct bb_route *route, uint64_t hash,
        const struct bb_packet *p, bb_usec now, struct bb_marked_verdict *v)
@@ -209,6 +310,7 @@
     }
   struct bb_marked_flow *f = bb_marked_flows_add (m->flows, hash, stamp (now));
   f->mark = s->mark;
+  set_ends (f, p);
   f->asked_ms = stamp (now);
   f->sent = p->sequence + 1;
   s->load.open++;
@@ -255,6 +357,7 @@
     {
       f = bb_marked_flows_add (m->flows, hash, stamp (now));
       f->mark = s->mark;
+      set_ends (f, p);
       f->state = BB_FLOW_OPEN;
       f->sent = p->sequence;
       f->acknowledged = p->acknowledgement;
@@ -274,19 +377,15 @@
   return f;
 }
 
-/* Whether the server of a flow that sends data cannot answer.  One that had
-   announced its end has ended when it is not listed any more.  Of another one
-   the registry may be wrong, so that a caller has to repeat itself.  */
+/* Whether the server of a flow that sends data cannot answer.  */
 static bool
 has_ended (const struct bb_marked_flow *f, const struct bb_backend_server *s,
            const struct bb_packet *p, bb_usec now)
 {
   if (p->payload == 0)
     return false;
-  if (s->record.state != BB_SERVER_GONE)
-    return bb_suspicion_dead (&s->load.evidence, now);
-  return f->repeats > 0
-         || (s->drained && s->load.evidence.alive < s->gone_since);
+  return has_left (s, now)
+         || (s->record.state == BB_SERVER_GONE && f->repeats > 0);
 }
 
 static void
@@ -358,7 +457,7 @@
 {
   bb_share_take_server (m->directory, record, BB_REASON_STORE,
                         record->revision, bb_sharing_age (m->sharing, now),
-                        m->sink, m->context, now);
+                        &share_sink, m, now);
 }
 
 void
@@ -410,6 +509,7 @@
 bb_marked_tick (struct bb_marked *m, bb_usec now)
 {
   bb_sharing_tick (m->sharing, now);
+  reset_ended (m, now);
   if (now - m->swept < SWEEP_INTERVAL)
     return;
   m->swept = now;
@@ -465,9 +565,41 @@
   return bb_marked_flows_count (m->flows);
 }
 
+/* What the sharing asks for.  */
+
+static void
+share_send (void *context, const struct bb_endpoint *to,
+            const struct bb_share_message *message)
+{
+  const struct bb_marked *m = context;
+  m->sink->send (m->context, to, message);
+}
+
+static void
+share_event (void *context, const struct bb_event *event)
+{
+  const struct bb_marked *m = context;
+  m->sink->event (m->context, event);
+}
+
+static void
+share_server (void *context, struct bb_backend_server *s)
+{
+  struct bb_marked *m = context;
+  if (s->record.state == BB_SERVER_GONE)
+    note_ended (m, s);
+  m->sink->server (m->context, s);
+}
+
+static const struct bb_share_sink share_sink = {
+  .send = share_send,
+  .event = share_event,
+  .server = share_server,
+};
+
 struct bb_marked *
 bb_marked_new (const struct bb_marked_options *options,
-               const struct bb_share_sink *sink, void *context, bb_usec now)
+               const struct bb_marked_sink *sink, void *context, bb_usec now)
 {
   struct bb_marked *m = g_new0 (struct bb_marked, 1);
   m->options = *options;
@@ -475,7 +607,7 @@
   m->context = context;
   m->directory = bb_directory_new (options->data_centre);
   m->sharing
-      = bb_sharing_new (&options->share, m->directory, sink, context, now);
+      = bb_sharing_new (&options->share, m->directory, &share_sink, m, now);
   m->flows = bb_marked_flows_new (options->flow_capacity, flow_ended, m);
   m->random = g_rand_new_with_seed (options->share.seed);
   return m;
--- a/marked/balancer.h
+++ b/marked/balancer.h
@@ -17,6 +17,17 @@
   uint32_t mark; /* 0: none */
 };
 
+struct bb_marked_sink
+{
+  void (*send) (void *context, const struct bb_endpoint *to,
+                const struct bb_share_message *message);
+  void (*event) (void *context, const struct bb_event *event);
+  /* A server is new, or changed.  */
+  void (*server) (void *context, const struct bb_backend_server *server);
+  /* Sends a reset to the caller of PACKET.  */
+  void (*reset) (void *context, const struct bb_marked_packet *packet);
+};
+
 enum bb_marked_verdict_kind
 {
   BB_MARKED_FORWARD, /* to SERVER, with MARK in the packet */
@@ -58,7 +69,7 @@
 struct bb_marked;
 
 struct bb_marked *bb_marked_new (const struct bb_marked_options *options,
-                                 const struct bb_share_sink *sink,
+                                 const struct bb_marked_sink *sink,
                                  void *context, bb_usec now);
 void bb_marked_free (struct bb_marked *m);
 
--- a/marked/flows.c
+++ b/marked/flows.c
@@ -152,6 +152,21 @@
     bb_marked_flows_remove (f, &f->entries[f->oldest]);
 }
 
+void
+bb_marked_flows_each (struct bb_marked_flows *f, uint32_t mark,
+                      void (*each) (void *context,
+                                    struct bb_marked_flow *flow),
+                      void *context)
+{
+  uint32_t newer;
+  for (uint32_t i = f->oldest; i != NONE; i = newer)
+    {
+      newer = f->entries[i].newer;
+      if (f->entries[i].mark == mark)
+        each (context, &f->entries[i]);
+    }
+}
+
 uint32_t
 bb_marked_flows_count (const struct bb_marked_flows *f)
 {
--- a/marked/flows.h
+++ b/marked/flows.h
@@ -19,6 +19,8 @@
 struct bb_marked_flow
 {
   uint64_t hash; /* 0: free */
+  struct bb_endpoint caller;
+  struct bb_endpoint service;
   uint32_t mark; /* of the server; 0: none */
   uint32_t seen_ms;
   uint32_t asked_ms;     /* when the request under way passed; 0: none */
@@ -57,5 +59,10 @@
 /* Forgets flows that were silent for IDLE_MS.  */
 void bb_marked_flows_expire (struct bb_marked_flows *flows, uint32_t now_ms,
                              uint32_t idle_ms);
+/* Calls EACH for the flows of the server with MARK; it may remove the flow. */
+void bb_marked_flows_each (struct bb_marked_flows *flows, uint32_t mark,
+                           void (*each) (void *context,
+                                         struct bb_marked_flow *flow),
+                           void *context);
 uint32_t bb_marked_flows_count (const struct bb_marked_flows *flows);
 #endif
--- a/marked/sharing.h
+++ b/marked/sharing.h
@@ -35,7 +35,7 @@
                 const struct bb_share_message *message);
   void (*event) (void *context, const struct bb_event *event);
   /* A server is new, or changed.  */
-  void (*server) (void *context, const struct bb_backend_server *server);
+  void (*server) (void *context, struct bb_backend_server *server);
 };
 
 /* Puts RECORD, which FROM brought, into DIRECTORY and reports what changed. */
--- a/marked/suspicion.h
+++ b/marked/suspicion.h
@@ -18,6 +18,7 @@
   uint32_t repeats;      /* since then */
   uint32_t silent_flows; /* flows that repeat themselves since then */
   bb_usec suspect_until; /* gets no new flows before */
+  bool declared;         /* dead, and its flows were reset */
 };
 
 /* A caller acknowledged something new.  Returns whether the server was
--- a/runtime/marked_data.c
+++ b/runtime/marked_data.c
@@ -11,7 +11,8 @@
 };
 
 static void
-send_reset (struct bb_marked_process *p, const struct bb_marked_packet *packet)
+queue_reset (struct bb_marked_process *p,
+             const struct bb_marked_packet *packet)
 {
   uint8_t *bytes = p->resets + (size_t)p->reset_count * RESET_MAX;
   size_t length = p->transport->reset (bytes, packet);
@@ -24,6 +25,15 @@
   bb_batch_queue (p->packets, bytes, length, &caller);
 }
 
+void
+bb_marked_send_reset (struct bb_marked_process *p,
+                      const struct bb_marked_packet *packet)
+{
+  p->reset_count = 0;
+  queue_reset (p, packet);
+  bb_batch_flush (p->packets);
+}
+
 static void
 handle (struct bb_marked_process *p, unsigned i, bb_usec now)
 {
@@ -47,7 +57,7 @@
                       length + p->transport->headroom, &v.target);
       break;
     case BB_MARKED_RESET:
-      send_reset (p, &packet);
+      queue_reset (p, &packet);
       break;
     case BB_MARKED_DROP:
       break;
--- a/runtime/marked_private.h
+++ b/runtime/marked_private.h
@@ -61,6 +61,9 @@
 /* marked_data.c: packets of callers and messages of peers.  */
 bool bb_marked_data_start (struct bb_marked_process *p, GError **error);
 void bb_marked_data_stop (struct bb_marked_process *p);
+/* Sends a reset at once to the caller of PACKET.  */
+void bb_marked_send_reset (struct bb_marked_process *p,
+                           const struct bb_marked_packet *packet);
 void bb_marked_send_peer (struct bb_marked_process *p,
                           const struct bb_endpoint *to,
                           const struct bb_share_message *message);
--- a/runtime/marked_process.c
+++ b/runtime/marked_process.c
@@ -49,10 +49,17 @@
   bb_names_add_server (p->names, s->key, s->record.service, s->record.name);
 }
 
-static const struct bb_share_sink share_sink = {
+static void
+sink_reset (void *context, const struct bb_marked_packet *packet)
+{
+  bb_marked_send_reset (context, packet);
+}
+
+static const struct bb_marked_sink marked_sink = {
   .send = sink_send,
   .event = sink_event,
   .server = sink_server,
+  .reset = sink_reset,
 };
 
 static void
@@ -323,7 +330,7 @@
     .flow_capacity = s->marked.flow_capacity,
     .idle_ms = s->marked.idle_ms,
   };
-  p->marked = bb_marked_new (&options, &share_sink, p, p->started);
+  p->marked = bb_marked_new (&options, &marked_sink, p, p->started);
   set_seeds (p, &s->marked);
 }
 
