--- a/marked/directory.c
+++ b/marked/directory.c
@@ -12,6 +12,8 @@
   GHashTable *routes;   /* address and port to struct bb_route, owned */
   struct bb_link servers_by_revision;
   struct bb_link routes_by_revision;
+  bool servers_unsorted;
+  bool routes_unsorted;
 };
 
 struct service_list
@@ -57,29 +59,84 @@
   g_free (d);
 }
 
-/* Lists by revision stay sorted.  A new item is nearly always the newest.  */
+/* Lists by revision are sorted when they are asked for: a whole reading of the
+   store comes in the order of the keys.  */
+
+static void
+place (struct bb_link *head, struct bb_link *link, uint64_t revision,
+       uint64_t newest, bool *unsorted)
+{
+  bb_list_remove (link);
+  *unsorted |= !bb_list_empty (head) && revision < newest;
+  bb_list_append (head, link);
+}
+
+static uint64_t
+server_revision (const struct bb_link *link)
+{
+  return BB_LINKED (link, struct bb_backend_server, by_revision)
+      ->record.revision;
+}
+
+static uint64_t
+route_revision (const struct bb_link *link)
+{
+  return BB_LINKED (link, struct bb_route, by_revision)->record.revision;
+}
+
 static void
 place_server (struct bb_directory *d, struct bb_backend_server *s)
 {
-  struct bb_link *head = &d->servers_by_revision, *at;
-  bb_list_remove (&s->by_revision);
-  for (at = head->previous; at != head; at = at->previous)
-    if (BB_LINKED (at, struct bb_backend_server, by_revision)->record.revision
-        <= s->record.revision)
-      break;
-  bb_list_append (at->next, &s->by_revision);
+  struct bb_link *head = &d->servers_by_revision;
+  uint64_t newest
+      = bb_list_empty (head) ? 0 : server_revision (head->previous);
+  place (head, &s->by_revision, s->record.revision, newest,
+         &d->servers_unsorted);
 }
 
 static void
 place_route (struct bb_directory *d, struct bb_route *route)
 {
-  struct bb_link *head = &d->routes_by_revision, *at;
-  bb_list_remove (&route->by_revision);
-  for (at = head->previous; at != head; at = at->previous)
-    if (BB_LINKED (at, struct bb_route, by_revision)->record.revision
-        <= route->record.revision)
-      break;
-  bb_list_append (at->next, &route->by_revision);
+  struct bb_link *head = &d->routes_by_revision;
+  uint64_t newest = bb_list_empty (head) ? 0 : route_revision (head->previous);
+  place (head, &route->by_revision, route->record.revision, newest,
+         &d->routes_unsorted);
+}
+
+static int
+compare (uint64_t a, uint64_t b)
+{
+  return (a > b) - (a < b);
+}
+
+static gint
+compare_servers (gconstpointer a, gconstpointer b)
+{
+  return compare (server_revision (*(struct bb_link *const *)a),
+                  server_revision (*(struct bb_link *const *)b));
+}
+
+static gint
+compare_routes (gconstpointer a, gconstpointer b)
+{
+  return compare (route_revision (*(struct bb_link *const *)a),
+                  route_revision (*(struct bb_link *const *)b));
+}
+
+static void
+sort (struct bb_link *head, bool *unsorted, GCompareFunc order)
+{
+  if (!*unsorted)
+    return;
+  *unsorted = false;
+  GPtrArray *links = g_ptr_array_new ();
+  for (struct bb_link *at = head->next; at != head; at = at->next)
+    g_ptr_array_add (links, at);
+  g_ptr_array_sort (links, order);
+  bb_list_init (head);
+  for (guint i = 0; i < links->len; i++)
+    bb_list_append (head, links->pdata[i]);
+  g_ptr_array_unref (links);
 }
 
 /* Servers.  */
@@ -87,8 +144,8 @@
 /* The mark is a hash of the name, equal on all balancers.  Where two servers
    hash alike, the one that was listed first keeps the mark and the other one
    takes the next try; 0 is the mark of a packet that carries none.  */
-static uint32_t
-mark_try (const char *name, unsigned try)
+uint32_t
+bb_mark_try (const char *name, unsigned try)
 {
   uint32_t mark = (uint32_t)XXH3_64bits_withSeed (name, strlen (name), try);
   return mark ? mark : 1;
@@ -108,7 +165,7 @@
   struct bb_backend_server *moved = s;
   for (unsigned try = 0; try < BB_MARK_TRIES && moved; try++)
     {
-      uint32_t mark = mark_try (moved->record.name, try);
+      uint32_t mark = bb_mark_try (moved->record.name, try);
       struct bb_backend_server *holder = bb_directory_marked (d, mark);
       if (holder == moved)
         return;
@@ -260,6 +317,7 @@
 struct bb_link *
 bb_directory_servers (struct bb_directory *d)
 {
+  sort (&d->servers_by_revision, &d->servers_unsorted, compare_servers);
   return &d->servers_by_revision;
 }
 
@@ -406,6 +464,7 @@
 struct bb_link *
 bb_directory_routes (struct bb_directory *d)
 {
+  sort (&d->routes_by_revision, &d->routes_unsorted, compare_routes);
   return &d->routes_by_revision;
 }
 
--- a/marked/directory.h
+++ b/marked/directory.h
@@ -144,6 +144,9 @@
                                      const struct bb_endpoint *address);
 bool bb_route_allows (const struct bb_route *route, uint32_t service);
 
+/* Mark number TRY, from 0, of the server with NAME.  */
+uint32_t bb_mark_try (const char *name, unsigned try);
+
 /* Servers by mark and by name; NULL if unknown.  */
 struct bb_backend_server *bb_directory_marked (const struct bb_directory *d,
                                                uint32_t mark);
--- /dev/null
+++ b/tests/directory_test.c
@@ -0,0 +1,238 @@
+#include "marked/directory.h"
+#include "tests/suite.h"
+#include <string.h>
+
+static struct bb_directory *d;
+
+static void
+setup (void)
+{
+  d = bb_directory_new ("north");
+}
+
+static void
+teardown (void)
+{
+  bb_directory_free (d);
+}
+
+static struct bb_server_record
+record (const char *name, uint64_t revision, enum bb_server_state state)
+{
+  struct bb_server_record r = {
+    .service = "desk",
+    .data_centre = "north",
+    .address = { 0x0a000001, 8080 },
+    .tag = revision,
+    .state = state,
+    .slots = 2,
+    .born_ms = 1000,
+    .created = revision,
+    .revision = revision,
+  };
+  g_strlcpy (r.name, name, sizeof r.name);
+  return r;
+}
+
+static struct bb_backend_server *
+put (const struct bb_server_record *r, bb_usec now,
+     enum bb_view_change expected)
+{
+  struct bb_backend_server *s;
+  ck_assert_int_eq (bb_directory_put (d, r, now, &s), expected);
+  return s;
+}
+
+/* What a second record of a server leads to.  */
+static const struct
+{
+  const char *guards;
+  uint64_t revision;
+  enum bb_server_state state;
+  int64_t born_ms;
+  uint32_t cold_ms;
+  enum bb_view_change change;
+} seconds[] = {
+  { "an older record brings nothing back", 4, BB_SERVER_DRAINING, 1000, 0,
+    BB_VIEW_STALE },
+  { "the same record twice changes nothing", 5, BB_SERVER_READY, 1000, 0,
+    BB_VIEW_STALE },
+  { "a heartbeat changes nothing", 6, BB_SERVER_READY, 1000, 0, BB_VIEW_SAME },
+  { "a drain is seen", 6, BB_SERVER_DRAINING, 1000, 0, BB_VIEW_CHANGED },
+  { "a cold start is seen", 6, BB_SERVER_READY, 1000, 500, BB_VIEW_CHANGED },
+  { "a restart under the same name is a new incarnation", 6, BB_SERVER_READY,
+    2000, 0, BB_VIEW_RESTARTED },
+  { "a start that is not told is no restart", 6, BB_SERVER_READY, 0, 0,
+    BB_VIEW_CHANGED },
+  { "a removal is seen", 6, BB_SERVER_GONE, 0, 0, BB_VIEW_GONE },
+};
+
+START_TEST (second_record)
+{
+  struct bb_server_record first = record ("i-01", 5, BB_SERVER_READY);
+  struct bb_server_record second
+      = record ("i-01", seconds[_i].revision, seconds[_i].state);
+  second.born_ms = seconds[_i].born_ms;
+  second.cold_ms = seconds[_i].cold_ms;
+  struct bb_backend_server *s = put (&first, BB_SEC, BB_VIEW_ADDED);
+  s->load.open = 7;
+  put (&second, 2 * BB_SEC, seconds[_i].change);
+  if (seconds[_i].change == BB_VIEW_RESTARTED)
+    ck_assert_int_eq (s->load.open, 0);
+  else
+    ck_assert_int_eq (s->load.open, 7);
+  ck_assert_uint_eq (s->record.address.port, 8080);
+}
+END_TEST
+
+/* Guards against flows of a server that is gone, or gone and back, which
+   nobody can forward any more, and against memory that grows for ever.  */
+START_TEST (gone_servers_stay_for_the_retention)
+{
+  struct bb_server_record r = record ("i-01", 5, BB_SERVER_READY);
+  struct bb_backend_server *s = put (&r, 0, BB_VIEW_ADDED);
+  uint32_t mark = s->mark;
+  struct bb_server_record gone
+      = { .name = "i-01", .state = BB_SERVER_GONE, .revision = 6 };
+  put (&gone, BB_SEC, BB_VIEW_GONE);
+  ck_assert (bb_list_empty (bb_directory_service (d, s->service)));
+  bb_directory_sweep (d, BB_SEC + BB_VIEW_RETENTION - 1);
+  ck_assert_ptr_eq (bb_directory_marked (d, mark), s);
+  bb_directory_sweep (d, BB_SEC + BB_VIEW_RETENTION);
+  ck_assert_ptr_null (bb_directory_marked (d, mark));
+  ck_assert_ptr_null (bb_directory_find (d, "i-01"));
+  r.revision = 9;
+  put (&r, 100 * BB_SEC, BB_VIEW_ADDED);
+  ck_assert_uint_eq (bb_directory_find (d, "i-01")->mark, mark);
+}
+END_TEST
+
+/* Guards against a tombstone that balancers hand each other for ever.  */
+START_TEST (age_of_a_tombstone_is_kept)
+{
+  struct bb_server_record r = record ("i-01", 5, BB_SERVER_GONE);
+  r.gone_ms = (uint32_t)(BB_VIEW_RETENTION / BB_MSEC) - 1000;
+  put (&r, 500 * BB_SEC, BB_VIEW_SAME);
+  bb_directory_sweep (d, 500 * BB_SEC + BB_SEC / 2);
+  ck_assert_ptr_nonnull (bb_directory_find (d, "i-01"));
+  bb_directory_sweep (d, 501 * BB_SEC + 1);
+  ck_assert_ptr_null (bb_directory_find (d, "i-01"));
+}
+END_TEST
+
+enum
+{
+  MANY = 120000 /* servers; about two pairs share their first mark */
+};
+
+/* Guards against two servers with one mark, and against balancers that give a
+   server another mark because they learnt of the servers in another order.  */
+START_TEST (marks_are_unique_and_equal_everywhere)
+{
+  struct bb_directory *other = bb_directory_new ("south");
+  struct bb_backend_server *s;
+  char name[32];
+  int moved = 0;
+  for (unsigned i = 0; i < MANY; i++)
+    {
+      g_snprintf (name, sizeof name, "i-%010x", i * 2654435761U);
+      struct bb_server_record r = record (name, i + 1, BB_SERVER_READY);
+      bb_directory_put (d, &r, 0, &s);
+      g_snprintf (name, sizeof name, "i-%010x", (MANY - 1 - i) * 2654435761U);
+      r = record (name, MANY - i, BB_SERVER_READY);
+      bb_directory_put (other, &r, 0, &s);
+    }
+  for (unsigned i = 0; i < MANY; i++)
+    {
+      g_snprintf (name, sizeof name, "i-%010x", i * 2654435761U);
+      s = bb_directory_find (d, name);
+      ck_assert_ptr_eq (bb_directory_marked (d, s->mark), s);
+      ck_assert_uint_eq (bb_directory_find (other, name)->mark, s->mark);
+      moved += s->mark != bb_mark_try (name, 0);
+    }
+  ck_assert_int_gt (moved, 0);
+  bb_directory_free (other);
+}
+END_TEST
+
+/* Routes.  */
+
+static struct bb_route_record
+route (uint16_t port, uint32_t service, uint64_t revision)
+{
+  return (struct bb_route_record){
+    .address = { 0xc6120001, port },
+    .shares = { { service, 1 } },
+    .share_count = 1,
+    .revision = revision,
+  };
+}
+
+/* Guards against a version that comes back, from whatever side.  */
+START_TEST (versions_only_grow)
+{
+  struct bb_route_record old = route (80, 1, 5), new = route (80, 2, 9);
+  const struct bb_endpoint address = old.address;
+  ck_assert_int_eq (bb_directory_configure (d, 3, 5, &old, 1, 0), 1);
+  ck_assert_int_eq (bb_directory_configure (d, 8, 9, &new, 1, 0), 1);
+  ck_assert_int_eq (bb_directory_configure (d, 8, 9, &old, 1, 0), -1);
+  ck_assert_int_eq (bb_directory_configure (d, 3, 12, &old, 1, 0), -1);
+  ck_assert_int_eq (bb_directory_put_route (d, &old, 0), BB_VIEW_STALE);
+  ck_assert_uint_eq (
+      bb_directory_route (d, &address)->record.shares[0].service, 2);
+  bb_directory_set_version (d, 4);
+  ck_assert_uint_eq (bb_directory_version (d), 8);
+}
+END_TEST
+
+/* Guards against open flows that lose their server because a new version
+   splits the route in another way, and against flows of a service that the
+   route never led to.  */
+START_TEST (services_of_earlier_versions_stay_allowed)
+{
+  struct bb_route_record one = route (80, 1, 5), two = route (80, 2, 9);
+  const struct bb_endpoint address = one.address;
+  bb_directory_configure (d, 3, 5, &one, 1, 0);
+  bb_directory_configure (d, 4, 9, &two, 1, 0);
+  const struct bb_route *r = bb_directory_route (d, &address);
+  ck_assert (bb_route_allows (r, 1));
+  ck_assert (bb_route_allows (r, 2));
+  ck_assert (!bb_route_allows (r, 3));
+}
+END_TEST
+
+/* Guards against routes that stay after a version without them, and that come
+   back when an old version is told again.  */
+START_TEST (missing_routes_are_dropped)
+{
+  struct bb_route_record both[] = { route (80, 1, 5), route (81, 1, 5) };
+  bb_directory_configure (d, 3, 5, both, 2, 0);
+  ck_assert_int_eq (bb_directory_configure (d, 4, 9, both, 1, BB_SEC), 1);
+  const struct bb_route *dropped = bb_directory_route (d, &both[1].address);
+  ck_assert_uint_eq (dropped->record.share_count, 0);
+  ck_assert_int_eq (bb_directory_put_route (d, &both[1], 0), BB_VIEW_STALE);
+  bb_directory_sweep (d, BB_SEC + BB_VIEW_RETENTION);
+  ck_assert_ptr_null (bb_directory_route (d, &both[1].address));
+  ck_assert_ptr_nonnull (bb_directory_route (d, &both[0].address));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("directory");
+  TCase *tc = tcase_create ("servers");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_loop_test (tc, second_record, 0, G_N_ELEMENTS (seconds));
+  tcase_add_test (tc, gone_servers_stay_for_the_retention);
+  tcase_add_test (tc, age_of_a_tombstone_is_kept);
+  tcase_add_test (tc, marks_are_unique_and_equal_everywhere);
+  suite_add_tcase (suite, tc);
+  tc = tcase_create ("routes");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_test (tc, versions_only_grow);
+  tcase_add_test (tc, services_of_earlier_versions_stay_allowed);
+  tcase_add_test (tc, missing_routes_are_dropped);
+  suite_add_tcase (suite, tc);
+  return run_suite (suite);
+}
