--- /dev/null
+++ b/marked/balancer_private.h
@@ -0,0 +1,64 @@
+/* State of the balancer, for the files of this package.  */
+
+#ifndef BB_MARKED_BALANCER_PRIVATE_H
+#define BB_MARKED_BALANCER_PRIVATE_H
+
+#include "marked/balancer.h"
+#include "marked/flows.h"
+
+enum
+{
+  ENDED_MAX = 64, /* servers that ended since the last tick */
+};
+
+struct bb_marked
+{
+  struct bb_marked_options options;
+  const struct bb_marked_sink *sink;
+  void *context;
+  struct bb_directory *directory;
+  struct bb_sharing *sharing;
+  struct bb_marked_flows *flows;
+  GRand *random;
+  bb_usec swept;
+  struct bb_backend_server *ended[ENDED_MAX];
+  uint32_t ended_count;
+  struct bb_marked_counters counters;
+  struct bb_histogram answer_times;
+  struct bb_histogram open_times;
+};
+
+/* knowledge.c */
+void bb_marked_send_event (struct bb_marked *m, enum bb_event_kind kind,
+                           const struct bb_backend_server *s, uint64_t flow,
+                           uint64_t value, enum bb_reason reason, bb_usec now);
+
+/* Milliseconds of the flow table; never 0, which stands for "none".  */
+uint32_t bb_marked_stamp (bb_usec now);
+
+/* observe.c: what packets show of servers.  */
+void bb_marked_forget_flow (void *context, const struct bb_marked_flow *flow);
+void bb_marked_server_alive (struct bb_marked *m, struct bb_backend_server *s,
+                             bb_usec now);
+
+/* FLOW repeats itself.  */
+void bb_marked_server_silent (struct bb_marked *m, struct bb_backend_server *s,
+                              struct bb_marked_flow *flow, bb_usec now);
+
+/* Learns from a packet of an open flow how its server does.  */
+void bb_marked_observe (struct bb_marked *m, struct bb_marked_flow *f,
+                        struct bb_backend_server *s, const struct bb_packet *p,
+                        bb_usec now);
+
+/* ended.c: flows of servers that have ended.  */
+
+/* The flows of S are reset with the next tick; those that find no place in the
+   list are reset one by one, when they send data.  */
+void bb_marked_note_ended (struct bb_marked *m, struct bb_backend_server *s);
+
+/* Whether S has ended for sure.  A server that announced its end has ended
+   when it is not listed any more.  Of another one the registry may be wrong: a
+   caller that was answered lately shows that it lives.  */
+bool bb_marked_has_left (const struct bb_backend_server *s, bb_usec now);
+void bb_marked_reset_ended (struct bb_marked *m, bb_usec now);
+#endif
--- /dev/null
+++ b/marked/ended.c
@@ -0,0 +1,75 @@
+#include "marked/balancer_private.h"
+#include <netinet/in.h>
+
+/* An entry that expired unannounced means three heartbeats of silence, 3.6 s;
+   an answer that is younger contradicts it.  */
+#define ANSWERED_LATELY (3 * BB_SEC)
+
+/* Resets one flow of a server that has ended.  A caller whose flow is idle
+   then opens a new one for its next request, so that no request is lost.  */
+static void
+end_flow (void *context, struct bb_marked_flow *f)
+{
+  struct bb_marked *m = context;
+  if (f->state != BB_FLOW_OPEN)
+    return;
+  struct bb_marked_packet packet = {
+    .packet = { .source = f->caller.address,
+                .source_port = f->caller.port,
+                .destination = f->service.address,
+                .destination_port = f->service.port,
+                .protocol = IPPROTO_TCP,
+                .tcp_flags = BB_TCP_ACK,
+                .sequence = f->sent,
+                .acknowledgement = f->acknowledged },
+    .mark = f->mark,
+  };
+  m->counters.resets++;
+  m->sink->reset (m->context, &packet);
+  bb_marked_flows_remove (m->flows, f);
+}
+
+static void
+end_flows (struct bb_marked *m, const struct bb_backend_server *s,
+           enum bb_reason reason, bb_usec now)
+{
+  uint64_t before = m->counters.resets;
+  bb_marked_flows_each (m->flows, s->mark, end_flow, m);
+  if (m->counters.resets > before)
+    bb_marked_send_event (m, BB_EVENT_FLOW_RESET, s, 0,
+                          m->counters.resets - before, reason, now);
+}
+
+void
+bb_marked_note_ended (struct bb_marked *m, struct bb_backend_server *s)
+{
+  for (uint32_t i = 0; i < m->ended_count; i++)
+    if (m->ended[i] == s)
+      return;
+  if (m->ended_count < ENDED_MAX)
+    m->ended[m->ended_count++] = s;
+}
+
+bool
+bb_marked_has_left (const struct bb_backend_server *s, bb_usec now)
+{
+  if (s->record.state != BB_SERVER_GONE)
+    return bb_suspicion_dead (&s->load.evidence, now);
+  bb_usec alive = s->load.evidence.alive;
+  return s->drained ? alive < s->gone_since : now - alive > ANSWERED_LATELY;
+}
+
+void
+bb_marked_reset_ended (struct bb_marked *m, bb_usec now)
+{
+  for (uint32_t i = 0; i < m->ended_count; i++)
+    {
+      const struct bb_backend_server *s = m->ended[i];
+      if (bb_marked_has_left (s, now))
+        end_flows (m, s,
+                   s->record.state == BB_SERVER_GONE ? BB_REASON_SERVER_GONE
+                                                     : BB_REASON_SERVER_SILENT,
+                   now);
+    }
+  m->ended_count = 0;
+}
--- /dev/null
+++ b/marked/observe.c
@@ -0,0 +1,99 @@
+#include "marked/balancer_private.h"
+
+enum
+{
+  ANSWER_SMOOTHING = 8, /* weight of the past against one new answer */
+};
+
+void
+bb_marked_forget_flow (void *context, const struct bb_marked_flow *flow)
+{
+  struct bb_marked *m = context;
+  struct bb_backend_server *s = bb_directory_marked (m->directory, flow->mark);
+  if (!s)
+    return;
+  s->load.open = MAX (s->load.open - 1, 0);
+  if (flow->asked_ms != 0 && flow->state == BB_FLOW_OPEN)
+    s->load.busy = MAX (s->load.busy - 1, 0);
+}
+
+void
+bb_marked_server_alive (struct bb_marked *m, struct bb_backend_server *s,
+                        bb_usec now)
+{
+  uint32_t repeats = s->load.evidence.repeats;
+  if (bb_suspicion_alive (&s->load.evidence, now))
+    bb_marked_send_event (m, BB_EVENT_SERVER_TRUSTED, s, 0, repeats,
+                          BB_REASON_NONE, now);
+}
+
+void
+bb_marked_server_silent (struct bb_marked *m, struct bb_backend_server *s,
+                         struct bb_marked_flow *flow, bb_usec now)
+{
+  struct bb_evidence *e = &s->load.evidence;
+  m->counters.repeats++;
+  if (flow->repeats < UINT8_MAX)
+    flow->repeats++;
+  bool suspect = bb_suspicion_repeat (e, flow->repeats == 1, now);
+  if (!e->declared && bb_suspicion_dead (e, now))
+    {
+      e->declared = true;
+      bb_marked_note_ended (m, s);
+    }
+  if (!suspect)
+    return;
+  m->counters.suspects++;
+  bb_marked_send_event (m, BB_EVENT_SERVER_SUSPECT, s, 0,
+                        s->load.evidence.repeats, BB_REASON_SERVER_SILENT,
+                        now);
+}
+
+static bool
+after (uint32_t a, uint32_t b)
+{
+  return (int32_t)(a - b) > 0;
+}
+
+static void
+answer_seen (struct bb_marked *m, struct bb_marked_flow *f,
+             struct bb_backend_server *s, uint32_t now_ms)
+{
+  bb_usec took = (bb_usec)(now_ms - f->asked_ms) * BB_MSEC;
+  s->load.answer_time += (took - s->load.answer_time) / (ANSWER_SMOOTHING + 1);
+  s->load.busy = MAX (s->load.busy - 1, 0);
+  f->asked_ms = 0;
+  m->counters.answers++;
+  bb_histogram_add (&m->answer_times, took);
+}
+
+void
+bb_marked_observe (struct bb_marked *m, struct bb_marked_flow *f,
+                   struct bb_backend_server *s, const struct bb_packet *p,
+                   bb_usec now)
+{
+  uint32_t end = p->sequence + p->payload;
+  uint32_t now_ms = bb_marked_stamp (now);
+  if (after (p->acknowledgement, f->acknowledged))
+    {
+      f->acknowledged = p->acknowledgement;
+      f->repeats = 0;
+      bb_marked_server_alive (m, s, now);
+      if (f->asked_ms != 0)
+        answer_seen (m, f, s, now_ms);
+    }
+  if (p->payload == 0)
+    return;
+  if (after (end, f->sent))
+    {
+      f->sent = end;
+      f->repeats = 0;
+      if (f->asked_ms == 0)
+        {
+          f->asked_ms = now_ms;
+          s->load.busy++;
+        }
+      return;
+    }
+  bb_marked_server_silent (m, s, f, now);
+}
--- /dev/null
+++ b/marked/routes.c
@@ -0,0 +1,169 @@
+#include "marked/directory_private.h"
+
+static uint64_t
+route_revision (const struct bb_link *link)
+{
+  return BB_LINKED (link, struct bb_route, by_revision)->record.revision;
+}
+
+static void
+place_route (struct bb_directory *d, struct bb_route *route)
+{
+  struct bb_link *head = &d->routes_by_revision;
+  uint64_t newest = bb_list_empty (head) ? 0 : route_revision (head->previous);
+  bb_directory_place (head, &route->by_revision, route->record.revision,
+                      newest, &d->routes_unsorted);
+}
+
+static gint
+compare_routes (gconstpointer a, gconstpointer b)
+{
+  return bb_directory_compare (route_revision (*(struct bb_link *const *)a),
+                               route_revision (*(struct bb_link *const *)b));
+}
+
+static gpointer
+route_key (const struct bb_endpoint *e)
+{
+  return GSIZE_TO_POINTER ((gsize)e->address << 16 | e->port);
+}
+
+struct bb_route *
+bb_directory_route (const struct bb_directory *d,
+                    const struct bb_endpoint *address)
+{
+  return g_hash_table_lookup (d->routes, route_key (address));
+}
+
+bool
+bb_route_allows (const struct bb_route *route, uint32_t service)
+{
+  for (uint32_t i = 0; i < route->allowed_count; i++)
+    if (route->allowed[i] == service)
+      return true;
+  return false;
+}
+
+/* A service that cannot be remembered is left out: its flows are then not
+   forwarded, which is safe.  */
+static void
+allow (struct bb_route *route, uint32_t service)
+{
+  if (!bb_route_allows (route, service)
+      && route->allowed_count < BB_ROUTE_ALLOWED)
+    route->allowed[route->allowed_count++] = service;
+}
+
+static bool
+same_shares (const struct bb_route_record *a, const struct bb_route_record *b)
+{
+  if (a->share_count != b->share_count)
+    return false;
+  for (uint32_t i = 0; i < a->share_count; i++)
+    if (a->shares[i].service != b->shares[i].service
+        || a->shares[i].weight != b->shares[i].weight)
+      return false;
+  return true;
+}
+
+static struct bb_route *
+route_get (struct bb_directory *d, const struct bb_endpoint *address)
+{
+  struct bb_route *route = bb_directory_route (d, address);
+  if (route)
+    return route;
+  route = g_new0 (struct bb_route, 1);
+  bb_list_init (&route->by_revision);
+  g_hash_table_insert (d->routes, route_key (address), route);
+  return route;
+}
+
+enum bb_view_change
+bb_directory_put_route (struct bb_directory *d,
+                        const struct bb_route_record *record, bb_usec now)
+{
+  struct bb_route *route = route_get (d, &record->address);
+  if (record->revision <= route->record.revision)
+    return BB_VIEW_STALE;
+  bool known = route->record.revision != 0;
+  bool same = known && same_shares (&route->record, record);
+  route->record = *record;
+  if (!same)
+    route->dropped = record->share_count ? 0 : now;
+  for (uint32_t i = 0; i < record->share_count; i++)
+    allow (route, record->shares[i].service);
+  place_route (d, route);
+  if (same)
+    return BB_VIEW_SAME;
+  if (record->share_count == 0)
+    return BB_VIEW_GONE;
+  return known ? BB_VIEW_CHANGED : BB_VIEW_ADDED;
+}
+
+static int
+drop_missing (struct bb_directory *d, const struct bb_route_record *routes,
+              size_t count, uint64_t revision, bb_usec now)
+{
+  int changed = 0;
+  GHashTable *named = g_hash_table_new (NULL, NULL);
+  for (size_t i = 0; i < count; i++)
+    g_hash_table_add (named, route_key (&routes[i].address));
+  struct bb_link *next;
+  for (struct bb_link *at = d->routes_by_revision.next;
+       at != &d->routes_by_revision; at = next)
+    {
+      struct bb_route *route = BB_LINKED (at, struct bb_route, by_revision);
+      next = at->next;
+      struct bb_route_record gone
+          = { .address = route->record.address, .revision = revision };
+      if (route->record.share_count != 0
+          && !g_hash_table_contains (named, route_key (&gone.address))
+          && bb_directory_put_route (d, &gone, now) == BB_VIEW_GONE)
+        changed++;
+    }
+  g_hash_table_unref (named);
+  return changed;
+}
+
+int
+bb_directory_configure (struct bb_directory *d, uint64_t version,
+                        uint64_t revision,
+                        const struct bb_route_record *routes, size_t count,
+                        bb_usec now)
+{
+  if (version <= d->version)
+    return -1;
+  d->version = version;
+  int changed = drop_missing (d, routes, count, revision, now);
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct bb_route *route
+          = bb_directory_route (d, &routes[i].address);
+      if (route && same_shares (&route->record, &routes[i]))
+        continue;
+      enum bb_view_change change = bb_directory_put_route (d, &routes[i], now);
+      if (change != BB_VIEW_STALE)
+        changed++;
+    }
+  return changed;
+}
+
+uint64_t
+bb_directory_version (const struct bb_directory *d)
+{
+  return d->version;
+}
+
+void
+bb_directory_set_version (struct bb_directory *d, uint64_t version)
+{
+  d->version = MAX (d->version, version);
+}
+
+struct bb_link *
+bb_directory_routes (struct bb_directory *d)
+{
+  bb_directory_sort (&d->routes_by_revision, &d->routes_unsorted,
+                     compare_routes);
+  return &d->routes_by_revision;
+}
--- /dev/null
+++ b/marked/share_beats.c
@@ -0,0 +1,254 @@
+#include "marked/share_private.h"
+#include <string.h>
+
+/* One beat in so many goes to peers that are silent.  */
+#define RETRY_INTERVAL (2 * BB_SEC)
+
+/* A balancer that does not lead beats one of another data centre so often, so
+   that the data centres know each other's balancers.  */
+#define FAR_INTERVAL BB_SEC
+
+/* Between two requests for the same items, longer than any round trip.  */
+#define WANT_INTERVAL (150 * BB_MSEC)
+
+/* A store that refused is asked again by the next in the order first.  */
+#define STORE_FAILED_TIME (2 * BB_SEC)
+
+void
+bb_share_send (struct bb_sharing *s, const struct bb_endpoint *to,
+               struct bb_share_message *m)
+{
+  m->from = s->options.self.id;
+  m->incarnation = s->options.incarnation;
+  s->sink->send (s->context, to, m);
+}
+
+uint32_t
+bb_share_age_ms (bb_usec since, bb_usec now)
+{
+  if (since == 0)
+    return UINT32_MAX;
+  return (uint32_t)MIN ((now - since) / BB_MSEC, UINT32_MAX - 1);
+}
+
+uint32_t
+bb_share_own_flags (const struct bb_sharing *s, bb_usec now)
+{
+  uint32_t flags = 0;
+  if (s->leaving)
+    flags |= BB_SHARE_LEAVING;
+  if (s->store_failed == 0 || now - s->store_failed > STORE_FAILED_TIME)
+    flags |= BB_SHARE_STORE_OK;
+  if (s->reads)
+    flags |= BB_SHARE_READING;
+  if (s->leads)
+    flags |= BB_SHARE_LEADING;
+  return flags;
+}
+
+static void
+add_known (struct bb_sharing *s, struct bb_share_beat *b)
+{
+  uint32_t start
+      = s->peer_count
+            ? (uint32_t)g_rand_int_range (s->random, 0, (gint32)s->peer_count)
+            : 0;
+  for (uint32_t i = 0; i < s->peer_count && b->known_count < BB_SHARE_KNOWN;
+       i++)
+    {
+      const struct bb_share_peer *p = s->peers[(start + i) % s->peer_count];
+      if (p->heard != 0)
+        b->known[b->known_count++] = p->vm;
+    }
+}
+
+/* Newest servers first: those that changed last are the ones to place on.  */
+static void
+add_loads (struct bb_sharing *s, struct bb_share_beat *b, bb_usec now)
+{
+  struct bb_link *head = bb_directory_servers (s->directory);
+  for (struct bb_link *at = head->previous;
+       at != head && b->load_count < BB_SHARE_LOADS; at = at->previous)
+    {
+      const struct bb_backend_server *server
+          = BB_LINKED (at, struct bb_backend_server, by_revision);
+      const struct bb_server_load *load = &server->load;
+      bool suspect = load->evidence.silent_since != 0
+                     && bb_suspicion_suspects (&load->evidence, now);
+      if (load->open <= 0 && load->busy <= 0 && !suspect)
+        continue;
+      b->loads[b->load_count++] = (struct bb_share_load){
+        .mark = server->mark,
+        .open = (uint16_t)CLAMP (load->open, 0, UINT16_MAX),
+        .busy = (uint16_t)CLAMP (load->busy, 0, UINT16_MAX),
+        .suspect = suspect,
+      };
+    }
+}
+
+static void
+make_beat (struct bb_sharing *s, struct bb_share_message *m, bool near,
+           bb_usec now)
+{
+  struct bb_share_beat *b = &m->beat;
+  m->kind = BB_SHARE_BEAT;
+  b->data_centre = s->options.self.data_centre;
+  b->flags = bb_share_own_flags (s, now);
+  b->capacity = s->options.capacity;
+  b->revision = s->revision;
+  b->version = bb_directory_version (s->directory);
+  b->verified_ms = bb_share_age_ms (s->verified, now);
+  b->known_count = b->load_count = 0;
+  add_known (s, b);
+  if (near)
+    add_loads (s, b, now);
+}
+
+static void
+greet (struct bb_sharing *s, const struct bb_endpoint *to, bb_usec now)
+{
+  struct bb_share_message m;
+  make_beat (s, &m, false, now);
+  m.beat.flags |= BB_SHARE_HELLO;
+  bb_share_send (s, to, &m);
+}
+
+void
+bb_share_greet_seeds (struct bb_sharing *s, bb_usec now)
+{
+  if (bb_sharing_live (s, now) > 0 && now - s->greeted < RETRY_INTERVAL)
+    return;
+  s->greeted = now;
+  for (size_t i = 0; i < s->seed_count; i++)
+    if (s->seeds[i].address != s->options.self.endpoint.address)
+      greet (s, &s->seeds[i], now);
+}
+
+static void
+beat_far (struct bb_sharing *s, struct bb_share_peer *p,
+          const struct bb_share_message *beat, bb_usec now)
+{
+  struct bb_share_message m = *beat;
+  m.beat.load_count = 0;
+  bb_share_send (s, &p->vm.endpoint, &m);
+  p->sent = now;
+}
+
+/* One balancer of another data centre, or none.  */
+static struct bb_share_peer *
+draw_far (struct bb_sharing *s)
+{
+  if (s->peer_count == 0)
+    return NULL;
+  uint32_t start
+      = (uint32_t)g_rand_int_range (s->random, 0, (gint32)s->peer_count);
+  for (uint32_t i = 0; i < s->peer_count; i++)
+    {
+      struct bb_share_peer *p = s->peers[(start + i) % s->peer_count];
+      if (!bb_share_is_near (s, p))
+        return p;
+    }
+  return NULL;
+}
+
+/* Leaders hear each other in each round.  */
+static void
+beat_leaders (struct bb_sharing *s, const struct bb_share_message *beat,
+              bb_usec now)
+{
+  for (uint32_t i = 0; i < s->peer_count; i++)
+    {
+      struct bb_share_peer *p = s->peers[i];
+      if (!bb_share_is_near (s, p) && p->heard != 0
+          && p->flags & BB_SHARE_LEADING)
+        beat_far (s, p, beat, now);
+    }
+}
+
+void
+bb_share_send_beats (struct bb_sharing *s, bb_usec now)
+{
+  struct bb_share_message m;
+  make_beat (s, &m, true, now);
+  for (uint32_t i = 0; i < s->peer_count; i++)
+    {
+      struct bb_share_peer *p = s->peers[i];
+      if (!bb_share_is_near (s, p)
+          || (p->heard == 0 && now - p->sent < RETRY_INTERVAL))
+        continue;
+      p->sent = now;
+      bb_share_send (s, &p->vm.endpoint, &m);
+    }
+  if (s->leads)
+    beat_leaders (s, &m, now);
+  if (now < s->far_due)
+    return;
+  s->far_due = now + (s->leads ? BB_SHARE_INTERVAL : FAR_INTERVAL);
+  struct bb_share_peer *far = draw_far (s);
+  if (far)
+    beat_far (s, far, &m, now);
+}
+
+static void
+want (struct bb_sharing *s, const struct bb_share_peer *p, bb_usec now)
+{
+  if (now - s->wanted < WANT_INTERVAL)
+    return;
+  s->wanted = now;
+  struct bb_share_message m = { .kind = BB_SHARE_WANT };
+  m.want.revision = s->revision;
+  bb_share_send (s, &p->vm.endpoint, &m);
+}
+
+/* The state that a beat tells of counts as current for this balancer too if it
+   holds the same revision.  */
+static void
+follow (struct bb_sharing *s, const struct bb_share_peer *p,
+        const struct bb_share_beat *b, bb_usec now)
+{
+  if (b->revision == s->revision && b->revision > 0)
+    bb_share_set_verified (s, b->verified_ms, now);
+  else if (b->revision > s->revision)
+    want (s, p, now);
+}
+
+void
+bb_share_receive_beat (struct bb_sharing *s, const struct bb_endpoint *from,
+                       const struct bb_share_message *m, bb_usec now)
+{
+  const struct bb_share_beat *b = &m->beat;
+  struct bb_share_vm vm
+      = { .id = m->from, .data_centre = b->data_centre, .endpoint = *from };
+  struct bb_share_peer *p = bb_share_peer_get (s, &vm);
+  if (!p)
+    return;
+  if (p->heard == 0)
+    bb_share_send_event (s, BB_EVENT_PEER_JOINED, vm.id, b->revision,
+                         BB_REASON_NONE, 0);
+  else
+    bb_share_count_loads (s, p, -1, now);
+  p->vm = vm;
+  p->incarnation = m->incarnation;
+  p->heard = now;
+  p->flags = b->flags;
+  p->capacity = b->capacity;
+  p->revision = b->revision;
+  p->version = b->version;
+  p->mentioned = now;
+  p->load_count = b->load_count;
+  memcpy (p->loads, b->loads, b->load_count * sizeof b->loads[0]);
+  bb_share_count_loads (s, p, 1, now);
+  for (uint32_t i = 0; i < b->known_count; i++)
+    {
+      struct bb_share_peer *known = bb_share_peer_get (s, &b->known[i]);
+      if (known && known->mentioned == 0)
+        known->mentioned = now;
+    }
+  follow (s, p, b, now);
+  if (b->flags & BB_SHARE_HELLO)
+    {
+      struct bb_share_message answer;
+      make_beat (s, &answer, bb_share_is_near (s, p), now);
+      bb_share_send (s, from, &answer);
+    }
+}
--- /dev/null
+++ b/marked/share_items.c
@@ -0,0 +1,186 @@
+#include "marked/share_private.h"
+
+struct packer
+{
+  struct bb_sharing *sharing;
+  const struct bb_endpoint *to;
+  struct bb_share_message message;
+  bool counting;
+  uint32_t chunks;
+};
+
+static void
+flush (struct packer *k)
+{
+  struct bb_share_items *m = &k->message.items;
+  m->chunk = k->chunks++;
+  if (!k->counting)
+    bb_share_send (k->sharing, k->to, &k->message);
+  m->server_count = m->route_count = 0;
+}
+
+/* Walks the items that are newer than FROM.  Servers and routes are in
+   datagrams of their own.  */
+static void
+pack (struct packer *k, uint64_t from, bb_usec now)
+{
+  struct bb_directory *d = k->sharing->directory;
+  struct bb_share_items *m = &k->message.items;
+  struct bb_link *head = bb_directory_servers (d);
+  k->chunks = 0;
+  m->server_count = m->route_count = 0;
+  for (struct bb_link *at = head->previous; at != head; at = at->previous)
+    {
+      const struct bb_backend_server *server
+          = BB_LINKED (at, struct bb_backend_server, by_revision);
+      if (server->record.revision <= from)
+        break;
+      struct bb_server_record *r = &m->servers[m->server_count++];
+      *r = server->record;
+      r->cold_ms = (uint32_t)(MAX (server->cold_until - now, 0) / BB_MSEC);
+      r->gone_ms = server->gone_since
+                       ? (uint32_t)((now - server->gone_since) / BB_MSEC)
+                       : 0;
+      if (m->server_count == BB_SHARE_SERVERS)
+        flush (k);
+    }
+  if (m->server_count > 0)
+    flush (k);
+  head = bb_directory_routes (d);
+  for (struct bb_link *at = head->previous; at != head; at = at->previous)
+    {
+      const struct bb_route *route
+          = BB_LINKED (at, struct bb_route, by_revision);
+      if (route->record.revision <= from)
+        break;
+      m->routes[m->route_count++] = route->record;
+      if (m->route_count == BB_SHARE_ROUTES)
+        flush (k);
+    }
+  if (m->route_count > 0 || k->chunks == 0)
+    flush (k);
+}
+
+void
+bb_share_send_items (struct bb_sharing *s, const struct bb_endpoint *to,
+                     uint64_t from, bb_usec now)
+{
+  struct packer k = { .sharing = s, .to = to, .counting = true };
+  struct bb_share_items *m = &k.message.items;
+  k.message.kind = BB_SHARE_ITEMS;
+  m->batch = ++s->batch_number;
+  m->from = from;
+  m->to = s->revision;
+  m->version = bb_directory_version (s->directory);
+  m->verified_ms = bb_share_age_ms (s->verified, now);
+  pack (&k, from, now);
+  m->chunk_count = k.chunks;
+  k.counting = false;
+  if (k.chunks <= BB_SHARE_CHUNKS)
+    pack (&k, from, now);
+}
+
+void
+bb_share_tell (struct bb_sharing *s, uint64_t before, bb_usec now)
+{
+  if (!s->leads && !s->reads)
+    return;
+  for (uint32_t i = 0; i < s->peer_count; i++)
+    {
+      const struct bb_share_peer *p = s->peers[i];
+      bool follows = bb_share_is_near (s, p)
+                         ? s->leads
+                         : s->reads && p->flags & BB_SHARE_LEADING;
+      if (follows && bb_share_is_live (p, now) && p->revision > 0
+          && !(p->flags & BB_SHARE_READING))
+        bb_share_send_items (s, &p->vm.endpoint, MIN (before, p->revision),
+                             now);
+    }
+}
+
+void
+bb_share_take_server (struct bb_directory *directory,
+                      const struct bb_server_record *record,
+                      enum bb_reason from, uint64_t revision, bb_usec age,
+                      const struct bb_share_sink *sink, void *context,
+                      bb_usec now)
+{
+  static const enum bb_event_kind kinds[] = {
+    [BB_VIEW_ADDED] = BB_EVENT_SERVER_ADDED,
+    [BB_VIEW_CHANGED] = BB_EVENT_SERVER_CHANGED,
+    [BB_VIEW_RESTARTED] = BB_EVENT_SERVER_RESTARTED,
+    [BB_VIEW_GONE] = BB_EVENT_SERVER_GONE,
+  };
+  struct bb_backend_server *server;
+  enum bb_view_change change
+      = bb_directory_put (directory, record, now, &server);
+  if (!server || change == BB_VIEW_SAME || change == BB_VIEW_STALE)
+    return;
+  sink->server (context, server);
+  struct bb_event event = { .kind = kinds[change],
+                            .server = server->key,
+                            .value = server->record.state,
+                            .reason = from,
+                            .revision = revision,
+                            .age = age };
+  sink->event (context, &event);
+}
+
+static void
+take_items (struct bb_sharing *s, const struct bb_share_items *m, bb_usec now)
+{
+  for (uint32_t i = 0; i < m->server_count; i++)
+    {
+      bb_share_take_server (s->directory, &m->servers[i], BB_REASON_PEER,
+                            m->to, (bb_usec)m->verified_ms * BB_MSEC, s->sink,
+                            s->context, now);
+    }
+  for (uint32_t i = 0; i < m->route_count; i++)
+    bb_directory_put_route (s->directory, &m->routes[i], now);
+}
+
+/* Returns whether the batch is complete.  */
+static bool
+collect (struct bb_sharing *s, uint32_t from, const struct bb_share_items *m)
+{
+  struct bb_share_batch *b = &s->batch;
+  if (b->from != from || b->number != m->batch)
+    *b = (struct bb_share_batch){ .from = from,
+                                  .number = m->batch,
+                                  .chunk_count = m->chunk_count };
+  uint64_t bit = (uint64_t)1 << (m->chunk % 64);
+  if (m->chunk_count != b->chunk_count || b->chunks[m->chunk / 64] & bit)
+    return false;
+  b->chunks[m->chunk / 64] |= bit;
+  return ++b->received == b->chunk_count;
+}
+
+void
+bb_share_set_verified (struct bb_sharing *s, uint32_t verified_ms, bb_usec now)
+{
+  if (verified_ms != UINT32_MAX)
+    s->verified = MAX (s->verified, now - (bb_usec)verified_ms * BB_MSEC);
+}
+
+void
+bb_share_receive_items (struct bb_sharing *s, uint32_t from,
+                        const struct bb_share_items *m, bb_usec now)
+{
+  if (m->from > s->revision)
+    return;
+  take_items (s, m, now);
+  if (!collect (s, from, m))
+    return;
+  uint64_t version = bb_directory_version (s->directory);
+  bb_directory_set_version (s->directory, m->version);
+  if (m->version > version)
+    bb_share_send_event (s, BB_EVENT_VERSION, from, m->version, BB_REASON_PEER,
+                         (bb_usec)m->verified_ms * BB_MSEC);
+  if (m->to < s->revision)
+    return;
+  uint64_t before = s->revision;
+  s->revision = m->to;
+  bb_share_set_verified (s, m->verified_ms, now);
+  if (s->revision > before)
+    bb_share_tell (s, before, now);
+}
