An answer at another balancer vetoes that a server is dead

Balancers tell their neighbours which servers answered since the last beat; while one does, the server is not dead. Evidence has to last for 0.4 s (three callers) or 0.9 s (two), before 0.3 s and 0.6 s.

--- a/marked/messages.h
+++ b/marked/messages.h
@@ -48,6 +48,7 @@
   uint16_t open;
   uint16_t busy;
   bool suspect;
+  bool answers; /* it answered since the last beat */
 };
 
 struct bb_share_beat
--- a/marked/share_beats.c
+++ b/marked/share_beats.c
@@ -82,6 +82,7 @@
         .open = (uint16_t)CLAMP (load->open, 0, UINT16_MAX),
         .busy = (uint16_t)CLAMP (load->busy, 0, UINT16_MAX),
         .suspect = suspect,
+        .answers = bb_suspicion_answers (&load->evidence, now),
       };
     }
 }
--- a/marked/share_peers.c
+++ b/marked/share_peers.c
@@ -56,6 +56,8 @@
           = MAX (server->load.peer_open + sign * load->open, 0);
       server->load.peer_busy
           = MAX (server->load.peer_busy + sign * load->busy, 0);
+      if (sign > 0 && load->answers)
+        bb_suspicion_heard_alive (&server->load.evidence, now);
       if (sign > 0 && load->suspect)
         bb_suspicion_hearsay (&server->load.evidence, now + BB_SHARE_SILENCE);
     }
--- a/marked/suspicion.c
+++ b/marked/suspicion.c
@@ -3,10 +3,13 @@
 /* A caller repeats itself 200 ms after it was not answered, so that these
    times come on top of that.  */
 #define SUSPECT_AFTER (150 * BB_MSEC)
-#define DEAD_AFTER (300 * BB_MSEC)
-#define DEAD_AFTER_FEW (600 * BB_MSEC)
+#define DEAD_AFTER (400 * BB_MSEC)
+#define DEAD_AFTER_FEW (900 * BB_MSEC)
 #define SUSPECT_TIME (1500 * BB_MSEC)
 
+/* Time between two beats of a peer.  */
+#define ANSWERS_TIME (300 * BB_MSEC)
+
 enum
 {
   SUSPECT_REPEATS = 2,
@@ -18,7 +21,8 @@
 bb_suspicion_alive (struct bb_evidence *e, bb_usec now)
 {
   bool suspect = bb_suspicion_suspects (e, now);
-  *e = (struct bb_evidence){ .alive = now };
+  *e = (struct bb_evidence){ .alive = now,
+                             .alive_elsewhere = e->alive_elsewhere };
   return suspect;
 }
 
@@ -44,6 +48,18 @@
     e->suspect_until = MAX (e->suspect_until, until);
 }
 
+void
+bb_suspicion_heard_alive (struct bb_evidence *e, bb_usec now)
+{
+  e->alive_elsewhere = now;
+}
+
+bool
+bb_suspicion_answers (const struct bb_evidence *e, bb_usec now)
+{
+  return e->alive != 0 && now - e->alive < ANSWERS_TIME;
+}
+
 bool
 bb_suspicion_suspects (const struct bb_evidence *e, bb_usec now)
 {
@@ -55,6 +71,8 @@
 {
   if (e->silent_since == 0 || !bb_suspicion_suspects (e, now))
     return false;
+  if (e->alive_elsewhere >= e->silent_since)
+    return false;
   bb_usec silent = now - e->silent_since;
   return (e->silent_flows >= DEAD_FLOWS && silent >= DEAD_AFTER)
          || (e->silent_flows >= DEAD_FLOWS_FEW && silent >= DEAD_AFTER_FEW);
--- a/marked/suspicion.h
+++ b/marked/suspicion.h
@@ -3,7 +3,8 @@
 
    Suspicion keeps new flows away and costs little when it is wrong.  A server
    counts as dead, so that its flows are reset and callers can go elsewhere,
-   only when several callers agree for longer than a request takes.  */
+   only when several callers agree for longer than a request takes, and no
+   balancer of the data centre was answered meanwhile.  */
 
 #ifndef BB_MARKED_SUSPICION_H
 #define BB_MARKED_SUSPICION_H
@@ -13,12 +14,13 @@
 /* What callers show of one server.  */
 struct bb_evidence
 {
-  bb_usec alive;         /* last sign of life */
-  bb_usec silent_since;  /* first repetition after it; 0: none */
-  uint32_t repeats;      /* since then */
-  uint32_t silent_flows; /* flows that repeat themselves since then */
-  bb_usec suspect_until; /* gets no new flows before */
-  bool declared;         /* dead, and its flows were reset */
+  bb_usec alive;           /* last sign of life */
+  bb_usec silent_since;    /* first repetition after it; 0: none */
+  uint32_t repeats;        /* since then */
+  uint32_t silent_flows;   /* flows that repeat themselves since then */
+  bb_usec suspect_until;   /* gets no new flows before */
+  bb_usec alive_elsewhere; /* a peer told that it answers; 0: never */
+  bool declared;           /* dead, and its flows were reset */
 };
 
 /* A caller acknowledged something new.  Returns whether the server was
@@ -30,8 +32,12 @@
    suspect.  */
 bool bb_suspicion_repeat (struct bb_evidence *e, bool first, bb_usec now);
 
-/* Another balancer finds the server suspect.  */
+/* Another balancer finds the server suspect, or was answered by it lately.  */
 void bb_suspicion_hearsay (struct bb_evidence *e, bb_usec until);
+void bb_suspicion_heard_alive (struct bb_evidence *e, bb_usec now);
+
+/* Whether the server answered here so lately that peers are to know.  */
+bool bb_suspicion_answers (const struct bb_evidence *e, bb_usec now);
 
 bool bb_suspicion_suspects (const struct bb_evidence *e, bb_usec now);
 bool bb_suspicion_dead (const struct bb_evidence *e, bb_usec now);
--- a/tests/balancer_test.c
+++ b/tests/balancer_test.c
@@ -402,6 +402,21 @@
 }
 END_TEST
 
+/* Guards against resets of flows of a server that answers at other balancers,
+   while the few flows that are seen here wait in its queue.  */
+START_TEST (answers_elsewhere_veto_death)
+{
+  struct bb_evidence e = { 0 };
+  bb_suspicion_alive (&e, BB_SEC);
+  for (int i = 0; i < 4; i++)
+    bb_suspicion_repeat (&e, true, 2 * BB_SEC + i * 300 * BB_MSEC);
+  ck_assert (bb_suspicion_dead (&e, 3 * BB_SEC));
+  bb_suspicion_heard_alive (&e, 2500 * BB_MSEC);
+  ck_assert (bb_suspicion_suspects (&e, 3 * BB_SEC));
+  ck_assert (!bb_suspicion_dead (&e, 3 * BB_SEC));
+}
+END_TEST
+
 /* Guards against new flows for a server that is silent but still listed.  */
 START_TEST (suspect_server_gets_no_new_flow)
 {
@@ -494,6 +509,7 @@
   tcase_add_test (tc, idle_flows_end_with_their_server);
   tcase_add_test (tc, answering_server_without_entry_keeps_its_flows);
   tcase_add_loop_test (tc, silent_server, 0, G_N_ELEMENTS (silences));
+  tcase_add_test (tc, answers_elsewhere_veto_death);
   tcase_add_test (tc, suspect_server_gets_no_new_flow);
   tcase_add_test (tc, restarted_server_starts_empty);
   tcase_add_test (tc, whole_reading_removes_what_it_lacks);
--- a/wire/share.c
+++ b/wire/share.c
@@ -12,7 +12,7 @@
 {
   HEAD_FIELDS = 4,
   VM_FIELDS = 4,
-  LOAD_FIELDS = 4,
+  LOAD_FIELDS = 5,
   SERVER_FIELDS = 13,
   ROUTE_FIELDS = 4,
 };
@@ -48,6 +48,7 @@
       bb_put (pk, b->loads[i].open);
       bb_put (pk, b->loads[i].busy);
       bb_put (pk, b->loads[i].suspect);
+      bb_put (pk, b->loads[i].answers);
     }
 }
 
@@ -171,6 +172,7 @@
       b->loads[i].open = (uint16_t)bb_take_uint (&inner, UINT16_MAX);
       b->loads[i].busy = (uint16_t)bb_take_uint (&inner, UINT16_MAX);
       b->loads[i].suspect = bb_take_uint (&inner, 1) != 0;
+      b->loads[i].answers = bb_take_uint (&inner, 1) != 0;
     }
   r->bad |= inner.bad;
 }
