--- /dev/null
+++ b/tests/adapter_test.c
@@ -0,0 +1,232 @@
+/* The users' packets and entries, as their pages show them.  */
+
+#include "platform/platform.h"
+#include "tests/suite.h"
+#include <string.h>
+
+/* SYN from 100.64.0.7:40001 to 198.18.0.1:443, sequence number 0x11223344.  */
+static const uint8_t syn[BB_PLATFORM_HEAD] = {
+  0x64, 0x40, 0x00, 0x07, 0x01, 0xbb, 0x9c, 0x41, 0xc6, 0x12, 0x00, 0x01,
+  0x11, 0x22, 0x33, 0x44, 0x00, 0x00, 0x00, 0x00, 0xa1, 0xb2, 0xc3, 0xd5,
+  0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x10, 0x00, 0x00, 0x00, 0x00, 0x00
+};
+
+static const uint8_t reset_of_syn[BB_PLATFORM_HEAD] = {
+  0xc6, 0x12, 0x00, 0x01, 0x9c, 0x41, 0x01, 0xbb, 0x64, 0x40, 0x00, 0x07,
+  0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+  0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00
+};
+
+START_TEST (example_of_the_page)
+{
+  struct bb_marked_packet m;
+  uint8_t out[BB_PLATFORM_HEAD];
+  ck_assert_int_eq (bb_platform_transport.decode (syn, sizeof syn, &m),
+                    BB_DROP_NONE);
+  ck_assert_uint_eq (m.packet.source, 0x64400007);
+  ck_assert_uint_eq (m.packet.source_port, 40001);
+  ck_assert_uint_eq (m.packet.destination, 0xc6120001);
+  ck_assert_uint_eq (m.packet.destination_port, 443);
+  ck_assert_uint_eq (m.packet.sequence, 0x11223344);
+  ck_assert_int_eq (m.packet.tcp_flags, BB_TCP_SYN);
+  ck_assert_uint_eq (m.mark, 0);
+  ck_assert_uint_eq (bb_platform_transport.reset (out, &m), sizeof out);
+  ck_assert_mem_eq (out, reset_of_syn, sizeof out);
+}
+END_TEST
+
+/* Packets that neither end writes, or that may not be answered.  */
+static const struct
+{
+  const char *guards;
+  size_t length;
+  uint8_t flags;
+  uint8_t data_length; /* low byte of the length field */
+  enum bb_drop drop;
+  bool reset;
+} odd[] = {
+  { "an empty datagram", 0, 16, 0, BB_DROP_TRUNCATED, false },
+  { "a head without its last byte", 35, 16, 0, BB_DROP_TRUNCATED, false },
+  { "less data than announced", 40, 32, 5, BB_DROP_SPOOFED, false },
+  { "more data than announced", 40, 32, 3, BB_DROP_SPOOFED, false },
+  { "a first packet with data", 40, 16, 4, BB_DROP_SPOOFED, false },
+  { "a server's answer to a first packet", 36, 48, 0, BB_DROP_SPOOFED, false },
+  { "a reset is not answered with a reset", 36, 8, 0, BB_DROP_NONE, false },
+  { "data is answered with a reset", 40, 32, 4, BB_DROP_NONE, true },
+};
+
+START_TEST (odd_packets)
+{
+  uint8_t bytes[64] = { 0 }, out[BB_PLATFORM_HEAD];
+  struct bb_marked_packet m;
+  memcpy (bytes, syn, sizeof syn);
+  bytes[30] = odd[_i].flags;
+  bytes[29] = odd[_i].data_length;
+  uint8_t *exact = g_memdup2 (bytes, odd[_i].length);
+  ck_assert_int_eq (bb_platform_transport.decode (exact, odd[_i].length, &m),
+                    odd[_i].drop);
+  g_free (exact);
+  if (odd[_i].drop == BB_DROP_NONE)
+    ck_assert_int_eq (bb_platform_transport.reset (out, &m) > 0,
+                      odd[_i].reset);
+}
+END_TEST
+
+/* Guards against a packet that is changed on its way, but for the mark.  */
+START_TEST (only_the_mark_is_written)
+{
+  uint8_t bytes[BB_PLATFORM_TAG + sizeof syn];
+  const uint8_t tag[] = { 0, 0, 0, 0x77, 0xec, 0x6e, 0xa0, 0x82 };
+  const uint8_t mark[] = { 0xaa, 0xbb, 0xcc, 0xdd };
+  struct bb_marked_verdict v = { .tag = 0x77ec6ea082, .mark = 0xaabbccdd };
+  memcpy (bytes + BB_PLATFORM_TAG, syn, sizeof syn);
+  bb_platform_transport.address (bytes + BB_PLATFORM_TAG, &v);
+  ck_assert_mem_eq (bytes, tag, sizeof tag);
+  ck_assert_mem_eq (bytes + BB_PLATFORM_TAG, syn, 24);
+  ck_assert_mem_eq (bytes + BB_PLATFORM_TAG + 24, mark, sizeof mark);
+  ck_assert_mem_eq (bytes + BB_PLATFORM_TAG + 28, syn + 28, sizeof syn - 28);
+}
+END_TEST
+
+#define ENTRY(extra)                                                          \
+  "{\"service\":\"huvo11a\",\"address\":\"10.128.0.9:8080\",\"zone\":"        \
+  "\"itagui\",\"version\":\"v1\",\"slots\":2,\"state\":\"ready\"" extra "}"
+
+static const struct
+{
+  const char *key;
+  const char *value;
+  bool usable;
+  uint64_t tag;
+} entries[] = {
+  { "servers/i-7f3a91c2", ENTRY (""), true, 0x7f3a91c2 },
+  { "servers/i-77ec6ea082", ENTRY (",\"born\":1784118115169"), true,
+    0x77ec6ea082 },
+  { "servers/i-01", ENTRY (",\"seq-no\":4,\"later\":[{}]"), true, 1 },
+  { "servers/i-01", ENTRY (",\"slots\":\"two\",\"cold-left-ms\":-1"), true,
+    1 },
+  { "servers/i-01", "", false, 0 },
+  { "servers/i-01", "\xff\xfe{", false, 0 },
+  { "servers/i-01", "[]", false, 0 },
+  { "servers/i-01", "null", false, 0 },
+  { "servers/i-01", "{\"service\":\"a\"}", false, 0 },
+  { "servers/i-01", ENTRY (",\"state\":\"asleep\""), false, 0 },
+  { "servers/i-01", ENTRY (",\"state\":7"), false, 0 },
+  { "servers/i-01", ENTRY (",\"service\":[]"), false, 0 },
+  { "servers/i-01", ENTRY (",\"address\":\"10.128.0.9\""), false, 0 },
+  { "servers/i-01", ENTRY (",\"address\":\"host:80\""), false, 0 },
+  { "servers/i-01", ENTRY (",\"zone\":\"\""), false, 0 },
+  { "servers/", ENTRY (""), false, 0 },
+  { "servers/no-digits-here", ENTRY (""), false, 0 },
+};
+
+/* Guards against entries of other writers that name a server which is none,
+   and against one bad entry that stops the reading of the others.  */
+START_TEST (entry)
+{
+  struct bb_server_record r;
+  GError *error = NULL;
+  const char *value = entries[_i].value;
+  bool usable = bb_platform_entry (entries[_i].key, (const uint8_t *)value,
+                                   strlen (value), &r, &error);
+  ck_assert_int_eq (usable, entries[_i].usable);
+  if (!usable)
+    {
+      ck_assert (g_error_matches (error, BB_ERROR, BB_ERROR_PROTOCOL));
+      g_error_free (error);
+      return;
+    }
+  ck_assert_uint_eq (r.tag, entries[_i].tag);
+  ck_assert_str_eq (r.service, "huvo11a");
+  ck_assert_str_eq (r.data_centre, "itagui");
+  ck_assert_uint_eq (r.address.port, 8080);
+  ck_assert_int_eq (r.state, BB_SERVER_READY);
+}
+END_TEST
+
+#define ROUTE(host, prefix, rest)                                             \
+  "{\"host\":\"" host "\",\"prefix\":\"" prefix "\"," rest "}"
+
+static const struct
+{
+  const char *value;
+  bool usable;
+  size_t count;
+  size_t unusable;
+} configurations[] = {
+  { "{\"version\":7,\"routes\":[" ROUTE (
+        "198.18.0.1",
+        "/8080/", "\"service\":\"a\"") "," ROUTE ("198.18.0.1", "/8443/",
+                                                  "\"traffic-split\":[{"
+                                                  "\"service\":\"a\","
+                                                  "\"weight\":90},"
+                                                  "{\"service\":\"b\","
+                                                  "\"weight\":10}]") "]}",
+    true, 2, 0 },
+  { "{\"version\":7,\"routes\":[]}", true, 0, 0 },
+  { "{\"version\":7,\"routes\":[" ROUTE ("198.18.0.1", "/8080/", "\"service\":\"a\"") "," ROUTE ("198.18.0.1", "/8080/", "\"service\":\"b\"") "," ROUTE (
+        "198.18.0.1", "8080",
+        "\"service\":\"b\"") "," ROUTE ("198.18.0.1", "/http/",
+                                        "\"service\":\"b\"") "," ROUTE ("here",
+                                                                        "/80/",
+                                                                        "\"ser"
+                                                                        "vice"
+                                                                        "\":"
+                                                                        "\"b"
+                                                                        "\"") "," ROUTE ("198.18.0.1",
+                                                                                         "/81/",
+                                                                                         "\"kind\":\"safe\"") ",7]}",
+    true, 1, 6 },
+  { "{\"routes\":[]}", false, 0, 0 },
+  { "{\"version\":0,\"routes\":[]}", false, 0, 0 },
+  { "{\"version\":\"7\",\"routes\":[]}", false, 0, 0 },
+  { "{\"version\":7}", false, 0, 0 },
+  { "{\"version\":7,\"routes\":{}}", false, 0, 0 },
+  { "{\"version\":7,\"routes\":[", false, 0, 0 },
+};
+
+/* Guards against one bad route that keeps the rest of a configuration out of
+   force.  */
+START_TEST (configuration)
+{
+  uint64_t version = 0;
+  struct bb_route_record *routes;
+  size_t count, unusable;
+  GError *error = NULL;
+  const char *value = configurations[_i].value;
+  bool usable = bb_platform_configuration ((const uint8_t *)value,
+                                           strlen (value), &version, &routes,
+                                           &count, &unusable, &error);
+  ck_assert_int_eq (usable, configurations[_i].usable);
+  g_clear_error (&error);
+  if (usable)
+    {
+      ck_assert_uint_eq (version, 7);
+      ck_assert_uint_eq (count, configurations[_i].count);
+      ck_assert_uint_eq (unusable, configurations[_i].unusable);
+    }
+  if (count > 1)
+    {
+      ck_assert_uint_eq (routes[1].address.port, 8443);
+      ck_assert_uint_eq (routes[1].shares[1].service, bb_name_key ("b"));
+      ck_assert_uint_eq (routes[1].shares[0].weight, 90);
+    }
+  g_free (routes);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("adapter");
+  TCase *tc = tcase_create ("packets");
+  tcase_add_test (tc, example_of_the_page);
+  tcase_add_loop_test (tc, odd_packets, 0, G_N_ELEMENTS (odd));
+  tcase_add_test (tc, only_the_mark_is_written);
+  suite_add_tcase (suite, tc);
+  tc = tcase_create ("store");
+  tcase_add_loop_test (tc, entry, 0, G_N_ELEMENTS (entries));
+  tcase_add_loop_test (tc, configuration, 0, G_N_ELEMENTS (configurations));
+  suite_add_tcase (suite, tc);
+  return run_suite (suite);
+}
--- /dev/null
+++ b/tests/share_message_test.c
@@ -0,0 +1,184 @@
+#include "tests/suite.h"
+#include "wire/share.h"
+#include <string.h>
+
+static struct bb_share_message
+make (enum bb_share_kind kind)
+{
+  struct bb_share_message m = {
+    .kind = kind,
+    .from = 0xdeadbeef,
+    .incarnation = 1784118115169311,
+  };
+  switch (kind)
+    {
+    case BB_SHARE_BEAT:
+      m.beat = (struct bb_share_beat){
+        .data_centre = 7,
+        .flags = BB_SHARE_STORE_OK | BB_SHARE_LEADING,
+        .capacity = 55,
+        .revision = UINT64_MAX,
+        .version = 36,
+        .verified_ms = UINT32_MAX,
+        .known = { { 1, 2, { 0x0a010001, 7720 } } },
+        .known_count = 1,
+        .loads
+        = { { 0xffffffff, 65535, 3, true, false }, { 1, 0, 1, false, true } },
+        .load_count = 2,
+      };
+      break;
+    case BB_SHARE_WANT:
+      m.want.revision = 17;
+      break;
+    default:
+      m.items = (struct bb_share_items){
+        .batch = 5,
+        .chunk = 1,
+        .chunk_count = 2,
+        .from = 0,
+        .to = 90,
+        .since = 40,
+        .version = 36,
+        .verified_ms = 12,
+        .servers = { { .name = "i-7f3a91c2",
+                       .service = "huvo11a",
+                       .data_centre = "itagui",
+                       .address = { 0x0a800009, 8080 },
+                       .tag = 0x7f3a91c2,
+                       .state = BB_SERVER_DRAINING,
+                       .cold_ms = 100,
+                       .gone_ms = 3,
+                       .slots = 2,
+                       .born_ms = 1784118115169,
+                       .created = 4,
+                       .revision = 88 } },
+        .server_count = 1,
+        .routes = { { .address = { 0xc6120001, 443 },
+                      .shares = { { 1, 90 }, { 2, 10 } },
+                      .share_count = 2,
+                      .revision = 89 },
+                    { .address = { 0xc6120001, 444 }, .revision = 90 } },
+        .route_count = 2,
+      };
+    }
+  return m;
+}
+
+/* Guards against fields that get lost or swapped between two versions of the
+   code: what is decoded encodes to the same bytes.  */
+START_TEST (messages_round_trip)
+{
+  struct bb_share_message m = make ((enum bb_share_kind)_i), back;
+  GByteArray *bytes = bb_share_encode (&m);
+  ck_assert (bb_share_decode (bytes->data, bytes->len, &back, NULL));
+  ck_assert_int_eq (back.kind, m.kind);
+  ck_assert_uint_eq (back.from, m.from);
+  ck_assert_uint_eq (back.incarnation, m.incarnation);
+  if (m.kind == BB_SHARE_BEAT)
+    {
+      ck_assert_uint_eq (back.beat.revision, m.beat.revision);
+      ck_assert_uint_eq (back.beat.verified_ms, m.beat.verified_ms);
+      ck_assert_uint_eq (back.beat.known[0].endpoint.port, 7720);
+      ck_assert (back.beat.loads[0].suspect && !back.beat.loads[0].answers);
+      ck_assert (back.beat.loads[1].answers);
+    }
+  if (m.kind == BB_SHARE_ITEMS)
+    {
+      ck_assert_str_eq (back.items.servers[0].name, "i-7f3a91c2");
+      ck_assert_uint_eq (back.items.servers[0].gone_ms, 3);
+      ck_assert_uint_eq (back.items.since, 40);
+      ck_assert_uint_eq (back.items.routes[0].shares[1].weight, 10);
+      ck_assert_uint_eq (back.items.routes[1].share_count, 0);
+    }
+  GByteArray *again = bb_share_encode (&back);
+  ck_assert_uint_eq (again->len, bytes->len);
+  ck_assert_mem_eq (again->data, bytes->data, bytes->len);
+  g_byte_array_unref (again);
+  g_byte_array_unref (bytes);
+}
+END_TEST
+
+/* Guards against datagrams above one frame, which a busy link cuts up.  */
+START_TEST (messages_fit_a_frame)
+{
+  struct bb_share_message m = make (BB_SHARE_BEAT);
+  m.beat.load_count = BB_SHARE_LOADS;
+  m.beat.known_count = BB_SHARE_KNOWN;
+  for (int i = 0; i < BB_SHARE_LOADS; i++)
+    m.beat.loads[i]
+        = (struct bb_share_load){ UINT32_MAX, 300, 20, true, true };
+  for (int i = 0; i < BB_SHARE_KNOWN; i++)
+    m.beat.known[i] = (struct bb_share_vm){ UINT32_MAX,
+                                            UINT32_MAX,
+                                            { UINT32_MAX, 65535 } };
+  GByteArray *bytes = bb_share_encode (&m);
+  ck_assert_uint_le (bytes->len, BB_SHARE_DATAGRAM);
+  g_byte_array_unref (bytes);
+}
+END_TEST
+
+/* Guards against reading beyond the end, and against half a message that is
+   taken for a whole one.  */
+START_TEST (cut_messages_are_refused)
+{
+  struct bb_share_message m = make ((enum bb_share_kind)_i), back;
+  GByteArray *bytes = bb_share_encode (&m);
+  for (guint length = 0; length < bytes->len; length++)
+    {
+      uint8_t *copy = g_memdup2 (bytes->data, length);
+      GError *error = NULL;
+      ck_assert (!bb_share_decode (copy, length, &back, &error));
+      ck_assert (g_error_matches (error, BB_ERROR, BB_ERROR_PROTOCOL));
+      g_error_free (error);
+      g_free (copy);
+    }
+  g_byte_array_unref (bytes);
+}
+END_TEST
+
+enum
+{
+  MUTATIONS = 20000
+};
+
+/* Guards against bytes of a stranger that crash a balancer or pass its
+   bounds.  */
+START_TEST (changed_bytes_stay_in_bounds)
+{
+  GRand *random = g_rand_new_with_seed (3);
+  for (int n = 0; n < MUTATIONS; n++)
+    {
+      struct bb_share_message m
+          = make ((enum bb_share_kind) (n % BB_SHARE_KINDS)),
+          back;
+      GByteArray *bytes = bb_share_encode (&m);
+      for (int i = g_rand_int_range (random, 1, 5); i > 0; i--)
+        bytes->data[g_rand_int_range (random, 0, (gint32)bytes->len)]
+            = (guint8)g_rand_int_range (random, 0, 256);
+      GError *error = NULL;
+      if (!bb_share_decode (bytes->data, bytes->len, &back, &error))
+        g_error_free (error);
+      else if (back.kind == BB_SHARE_ITEMS)
+        {
+          ck_assert_uint_le (back.items.server_count, BB_SHARE_SERVERS);
+          ck_assert_uint_le (back.items.route_count, BB_SHARE_ROUTES);
+          ck_assert_uint_lt (back.items.chunk, back.items.chunk_count);
+        }
+      g_byte_array_unref (bytes);
+    }
+  g_rand_free (random);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("share messages");
+  TCase *tc = tcase_create ("codec");
+  tcase_add_loop_test (tc, messages_round_trip, 0, BB_SHARE_KINDS);
+  tcase_add_test (tc, messages_fit_a_frame);
+  tcase_add_loop_test (tc, cut_messages_are_refused, 0, BB_SHARE_KINDS);
+  tcase_add_test (tc, changed_bytes_stay_in_bounds);
+  suite_add_tcase (suite, tc);
+  return run_suite (suite);
+}
