Tell joiners which services a route led to before

Cause: a balancer that started after a route had been led to another service dropped the packets of older flows as meant for another service; callers waited for their whole time limit.

What a route led to travels with it.

--- a/marked/balancer.c
+++ b/marked/balancer.c
@@ -165,6 +165,17 @@
          || (s->record.state == BB_SERVER_GONE && f->repeats > 0);
 }
 
+/* Whether a flow of ROUTE may be at S.  Which services the route led to before
+   this balancer began to know is not known, so that for a flow's lifetime the
+   mark, which only balancers write, is believed.  */
+static bool
+may_lead (const struct bb_marked *m, const struct bb_route *route,
+          const struct bb_backend_server *s, bb_usec now)
+{
+  return bb_route_allows (route, s->service)
+         || now - bb_directory_begun (m->directory) < BB_VIEW_RETENTION;
+}
+
 static void
 continue_flow (struct bb_marked *m, const struct bb_route *route,
                uint64_t hash, const struct bb_marked_packet *packet,
@@ -180,7 +191,7 @@
                             BB_REASON_NONE, now);
       return;
     }
-  if (!route || !bb_route_allows (route, s->service))
+  if (!route || !may_lead (m, route, s, now))
     {
       drop (m, BB_DROP_OTHER_SERVICE, v);
       return;
--- a/marked/directory.c
+++ b/marked/directory.c
@@ -253,11 +253,18 @@
 }
 
 void
-bb_directory_begin (struct bb_directory *d, uint64_t revision)
+bb_directory_begin (struct bb_directory *d, uint64_t revision, bb_usec begun)
 {
+  d->begun = begun;
   d->since = MAX (d->since, revision);
 }
 
+bb_usec
+bb_directory_begun (const struct bb_directory *d)
+{
+  return d->begun;
+}
+
 uint64_t
 bb_directory_since (const struct bb_directory *d)
 {
--- a/marked/directory.h
+++ b/marked/directory.h
@@ -87,15 +87,15 @@
 {
   struct bb_endpoint address; /* what callers connect to */
   struct bb_route_share shares[BB_ROUTE_SERVICES];
-  uint32_t share_count; /* 0: the route was dropped */
+  uint32_t share_count;               /* 0: the route was dropped */
+  uint32_t allowed[BB_ROUTE_ALLOWED]; /* services that it ever led to */
+  uint32_t allowed_count;
   uint64_t revision;
 };
 
 struct bb_route
 {
   struct bb_route_record record;
-  uint32_t allowed[BB_ROUTE_ALLOWED];
-  uint32_t allowed_count;
   bb_usec dropped; /* 0: in force */
   struct bb_link by_revision;
 };
@@ -144,8 +144,14 @@
 gpointer bb_directory_route_key (const struct bb_endpoint *address);
 
 /* The directory was empty and now holds all of REVISION.  It knows nothing of
-   what was removed before.  */
-void bb_directory_begin (struct bb_directory *d, uint64_t revision);
+   what was removed before, nor of configurations before BEGUN.  */
+void bb_directory_begin (struct bb_directory *d, uint64_t revision,
+                         bb_usec begun);
+
+/* When the knowledge began that this directory goes on from.  Until the
+   retention has passed, flows of earlier configurations may live that it does
+   not know of.  */
+bb_usec bb_directory_begun (const struct bb_directory *d);
 
 /* Revision since when all removals are known.  */
 uint64_t bb_directory_since (const struct bb_directory *d);
--- a/marked/directory_private.h
+++ b/marked/directory_private.h
@@ -9,7 +9,8 @@
 {
   char data_centre[BB_NAME_MAX];
   uint64_t version;
-  uint64_t since;       /* all removals are known that are newer */
+  uint64_t since; /* all removals are known that are newer */
+  bb_usec begun;
   GHashTable *names;    /* to struct bb_backend_server, which it owns */
   GHashTable *marks;    /* to struct bb_backend_server */
   GHashTable *services; /* to struct service_list, which it owns */
--- a/marked/knowledge.c
+++ b/marked/knowledge.c
@@ -62,7 +62,7 @@
                   bb_usec now)
 {
   if (bb_sharing_revision (m->sharing) == 0)
-    bb_directory_begin (m->directory, revision);
+    bb_directory_begin (m->directory, revision, now);
   bb_share_retain (m->directory, names, revision, BB_REASON_STORE,
                    bb_sharing_age (m->sharing, now), &share_sink, m, now);
 }
--- a/marked/messages.h
+++ b/marked/messages.h
@@ -80,7 +80,8 @@
   uint32_t chunk_count;
   uint64_t from;
   uint64_t to;
-  uint64_t since; /* the sender knows all newer removals */
+  uint64_t since;    /* the sender knows all newer removals */
+  uint32_t known_ms; /* for how long it has known all routes */
   uint64_t version;
   uint32_t verified_ms;
   struct bb_server_record servers[BB_SHARE_SERVERS];
--- a/marked/routes.c
+++ b/marked/routes.c
@@ -38,8 +38,8 @@
 bool
 bb_route_allows (const struct bb_route *route, uint32_t service)
 {
-  for (uint32_t i = 0; i < route->allowed_count; i++)
-    if (route->allowed[i] == service)
+  for (uint32_t i = 0; i < route->record.allowed_count; i++)
+    if (route->record.allowed[i] == service)
       return true;
   return false;
 }
@@ -50,8 +50,8 @@
 allow (struct bb_route *route, uint32_t service)
 {
   if (!bb_route_allows (route, service)
-      && route->allowed_count < BB_ROUTE_ALLOWED)
-    route->allowed[route->allowed_count++] = service;
+      && route->record.allowed_count < BB_ROUTE_ALLOWED)
+    route->record.allowed[route->record.allowed_count++] = service;
 }
 
 static bool
@@ -87,9 +87,12 @@
     return BB_VIEW_STALE;
   bool known = route->record.revision != 0;
   bool same = known && same_shares (&route->record, record);
+  struct bb_route_record before = route->record;
   route->record = *record;
   if (!same)
     route->dropped = record->share_count ? 0 : now;
+  for (uint32_t i = 0; i < before.allowed_count; i++)
+    allow (route, before.allowed[i]);
   for (uint32_t i = 0; i < record->share_count; i++)
     allow (route, record->shares[i].service);
   place_route (d, route);
--- a/marked/share_items.c
+++ b/marked/share_items.c
@@ -75,6 +75,7 @@
   m->from = from;
   m->to = s->revision;
   m->since = bb_directory_since (s->directory);
+  m->known_ms = bb_share_age_ms (bb_directory_begun (s->directory), now);
   m->version = bb_directory_version (s->directory);
   m->verified_ms = bb_share_age_ms (s->verified, now);
   pack (&k, from, now);
@@ -222,7 +223,8 @@
 retain (struct bb_sharing *s, const struct bb_share_items *m, bb_usec now)
 {
   if (s->revision == 0)
-    bb_directory_begin (s->directory, m->since);
+    bb_directory_begin (s->directory, m->since,
+                        now - (bb_usec)m->known_ms * BB_MSEC);
   bb_share_retain (s->directory, s->batch.names, m->to, BB_REASON_PEER,
                    (bb_usec)m->verified_ms * BB_MSEC, s->sink, s->context,
                    now);
--- a/wire/share.c
+++ b/wire/share.c
@@ -14,13 +14,13 @@
   VM_FIELDS = 4,
   LOAD_FIELDS = 5,
   SERVER_FIELDS = 13,
-  ROUTE_FIELDS = 4,
+  ROUTE_FIELDS = 5,
 };
 
 static const size_t body_fields[BB_SHARE_KINDS] = {
   [BB_SHARE_BEAT] = 8,
   [BB_SHARE_WANT] = 1,
-  [BB_SHARE_ITEMS] = 10,
+  [BB_SHARE_ITEMS] = 11,
 };
 
 /* Encoding.  */
@@ -80,6 +80,9 @@
       bb_put (pk, r->shares[i].service);
       bb_put (pk, r->shares[i].weight);
     }
+  msgpack_pack_array (pk, r->allowed_count);
+  for (uint32_t i = 0; i < r->allowed_count; i++)
+    bb_put (pk, r->allowed[i]);
 }
 
 static void
@@ -91,6 +94,7 @@
   bb_put (pk, m->from);
   bb_put (pk, m->to);
   bb_put (pk, m->since);
+  bb_put (pk, m->known_ms);
   bb_put (pk, m->version);
   bb_put (pk, m->verified_ms);
   msgpack_pack_array (pk, m->server_count * SERVER_FIELDS);
@@ -207,6 +211,10 @@
       route->shares[i].weight = bb_take_u32 (&inner);
     }
   r->bad |= inner.bad;
+  inner = take_groups (r, 1, BB_ROUTE_ALLOWED, &route->allowed_count);
+  for (uint32_t i = 0; i < route->allowed_count; i++)
+    route->allowed[i] = bb_take_u32 (&inner);
+  r->bad |= inner.bad;
 }
 
 static void
@@ -218,6 +226,7 @@
   m->from = bb_take_uint (r, UINT64_MAX);
   m->to = bb_take_uint (r, UINT64_MAX);
   m->since = bb_take_uint (r, UINT64_MAX);
+  m->known_ms = bb_take_u32 (r);
   m->version = bb_take_uint (r, UINT64_MAX);
   m->verified_ms = bb_take_u32 (r);
   if (m->chunk >= m->chunk_count)
