--- a/marked/share_private.h
+++ b/marked/share_private.h
@@ -57,6 +57,7 @@
   bb_usec greeted;
   bb_usec far_due;
   bool reads;
+  bool first; /* of all readers */
   bool leads;
   bool leaving;
   uint32_t batch_number;
--- a/marked/sharing.c
+++ b/marked/sharing.c
@@ -6,6 +6,10 @@
 #define RANK_STEP (120 * BB_MSEC)
 #define RANK_STEP_MAX (480 * BB_MSEC)
 
+/* Calls of those that are not first, while none was answered.  A store that
+   serves only a few of them is found within a bound of 3 s.  */
+#define SELDOM (1500 * BB_MSEC)
+
 struct bb_sharing *
 bb_sharing_new (const struct bb_share_options *options,
                 struct bb_directory *directory,
@@ -106,6 +110,7 @@
       = BB_SHARE_OUTDATED + MIN (before * RANK_STEP, RANK_STEP_MAX);
   s->leads = before == 0 && !s->leaving;
   bool first = s->leads && rank (s, false, now) == 0;
+  s->first = first;
   bool outdated = age > patience;
   bool reads = !s->leaving && (first || outdated);
   if (reads == s->reads)
@@ -162,6 +167,14 @@
   bb_share_send_beats (s, now);
 }
 
+bool
+bb_sharing_may_call (const struct bb_sharing *s, bb_usec now)
+{
+  return s->reads
+         && (s->first || s->store_failed == 0
+             || now - s->store_failed >= SELDOM);
+}
+
 bool
 bb_sharing_reads (const struct bb_sharing *s)
 {
--- a/marked/sharing.h
+++ b/marked/sharing.h
@@ -80,6 +80,10 @@
 /* Whether this balancer is to read the store.  */
 bool bb_sharing_reads (const struct bb_sharing *s);
 
+/* Whether it is to call the store now.  While the store answers nobody, those
+   that are not first ask seldom.  */
+bool bb_sharing_may_call (const struct bb_sharing *s, bb_usec now);
+
 /* The directory holds the store's state of REVISION, as a call showed that
    was sent at ASKED.  */
 void bb_sharing_current (struct bb_sharing *s, uint64_t revision,
--- a/runtime/marked_process.c
+++ b/runtime/marked_process.c
@@ -84,7 +84,7 @@
   struct bb_marked_process *p = context;
   const struct bb_sharing *sharing = bb_marked_sharing (p->marked);
   *revision = bb_sharing_revision (sharing);
-  return bb_sharing_reads (sharing);
+  return bb_sharing_may_call (sharing, bb_clock_boot ());
 }
 
 static void
--- a/tests/sharing_test.c
+++ b/tests/sharing_test.c
@@ -208,7 +208,7 @@
 {
   if (n->asked == 0)
     {
-      if (!bb_sharing_reads (n->sharing) || w.now < n->pause)
+      if (!bb_sharing_may_call (n->sharing, w.now) || w.now < n->pause)
         return;
       n->asked = w.now;
       n->after = bb_sharing_revision (n->sharing);
@@ -501,6 +501,30 @@
 }
 END_TEST
 
+/* Guards against a fleet that floods a store which is down, and one that asks
+   it again only late when it is back.  */
+START_TEST (store_that_is_down_is_asked_seldom)
+{
+  run (5 * BB_SEC);
+  for (unsigned i = 0; i < NODES; i++)
+    {
+      w.nodes[i].refused = true;
+      w.nodes[i].trouble = w.now + RUN_TIME;
+    }
+  unsigned before = w.calls;
+  run (6 * BB_SEC);
+  /* The first one each 0.3 s, each other one once in 1.5 s.  */
+  ck_assert_uint_le (w.calls - before, 20 + (NODES - 1) * 4 + NODES);
+  for (unsigned i = 0; i < NODES; i++)
+    {
+      w.nodes[i].refused = false;
+      w.nodes[i].trouble = w.now - BB_SEC;
+    }
+  run (RUN_TIME);
+  ck_assert_uint_eq (readers (), 1);
+}
+END_TEST
+
 /* Guards against knowledge that a balancer loses or takes twice when messages
    come twice and late.  */
 START_TEST (messages_twice_and_late)
@@ -529,6 +553,7 @@
   tcase_set_timeout (tc, 60);
   tcase_add_loop_test (tc, trouble, 0, G_N_ELEMENTS (troubles));
   tcase_add_test (tc, calls_do_not_grow_with_the_fleet);
+  tcase_add_test (tc, store_that_is_down_is_asked_seldom);
   tcase_add_test (tc, messages_twice_and_late);
   suite_add_tcase (suite, tc);
   return run_suite (suite);
