--- /dev/null
+++ b/tests/store_test.c
@@ -0,0 +1,309 @@
+/* The client of the store against a small one in this process, whose answers
+   are scripted.  */
+
+#include "platform/platform.h"
+#include "runtime/util.h"
+#include "tests/sockets.h"
+#include "tests/suite.h"
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <string.h>
+
+enum
+{
+  CALLS_MAX = 16
+};
+
+static struct
+{
+  struct event_base *loop;
+  struct evhttp *server;
+  struct bb_endpoint endpoint;
+  void *source;
+  GRand *random;
+  const struct step *script;
+  size_t step;
+  char paths[CALLS_MAX][256];
+  size_t paths_count;
+  bool held; /* a call that is not answered */
+  uint64_t revision;
+  bb_usec current_at;
+  unsigned servers, gone, configurations, listed, refused;
+  unsigned names;
+  unsigned failures[BB_SOURCE_OUTCOMES];
+  bool finished;
+} t;
+
+struct step
+{
+  int status;       /* 0: no answer */
+  const char *body; /* NULL: none */
+};
+
+static void
+on_call (struct evhttp_request *request, void *context)
+{
+  (void)context;
+  const struct step *s = &t.script[t.step];
+  if (t.paths_count < CALLS_MAX)
+    g_strlcpy (t.paths[t.paths_count++], evhttp_request_get_uri (request),
+               sizeof t.paths[0]);
+  if (s->status < 0)
+    {
+      t.finished = true;
+      event_base_loopbreak (t.loop);
+      return;
+    }
+  t.step++;
+  if (s->status == 0)
+    return;
+  struct evbuffer *out = evbuffer_new ();
+  if (s->body)
+    evbuffer_add (out, s->body, strlen (s->body));
+  evhttp_send_reply (request, s->status, NULL, out);
+  evbuffer_free (out);
+}
+
+static bool
+sink_wanted (void *context, uint64_t *revision)
+{
+  (void)context;
+  *revision = t.revision;
+  return true;
+}
+
+static void
+sink_server (void *context, const struct bb_server_record *record)
+{
+  (void)context;
+  if (record->state == BB_SERVER_GONE)
+    t.gone++;
+  else
+    t.servers++;
+}
+
+static void
+sink_configuration (void *context, uint64_t version, uint64_t revision,
+                    const struct bb_route_record *routes, size_t count)
+{
+  (void)context;
+  ck_assert_uint_eq (version, 7);
+  ck_assert_uint_eq (count, 1);
+  ck_assert_uint_eq (routes[0].revision, revision);
+  t.configurations++;
+}
+
+static void
+sink_listed (void *context, GHashTable *names, uint64_t revision)
+{
+  (void)context;
+  (void)revision;
+  t.listed++;
+  t.names = g_hash_table_size (names);
+}
+
+static void
+sink_current (void *context, uint64_t revision, bb_usec asked)
+{
+  (void)context;
+  ck_assert_int_le (asked, bb_clock_boot ());
+  t.revision = revision;
+}
+
+static void
+sink_failed (void *context, enum bb_source_outcome outcome)
+{
+  (void)context;
+  t.failures[outcome]++;
+}
+
+static void
+sink_refused (void *context, const char *key, uint64_t revision,
+              const GError *error)
+{
+  (void)context;
+  (void)key;
+  (void)revision;
+  ck_assert_ptr_nonnull (error);
+  t.refused++;
+}
+
+static const struct bb_source_sink sink = {
+  .wanted = sink_wanted,
+  .server = sink_server,
+  .configuration = sink_configuration,
+  .listed = sink_listed,
+  .current = sink_current,
+  .failed = sink_failed,
+  .refused = sink_refused,
+};
+
+static void
+on_timer (evutil_socket_t fd, short what, void *context)
+{
+  (void)fd;
+  (void)what;
+  (void)context;
+  bb_platform_source.poke (t.source, bb_clock_boot ());
+}
+
+/* Runs SCRIPT until the call after its last answer.  */
+static void
+run (const struct step *script)
+{
+  struct timeval tick = { .tv_usec = 10000 };
+  memset (&t, 0, sizeof t);
+  t.script = script;
+  t.loop = event_base_new ();
+  t.random = g_rand_new_with_seed (1);
+  t.server = evhttp_new (t.loop);
+  struct evhttp_bound_socket *bound
+      = evhttp_bind_socket_with_handle (t.server, "127.0.0.1", 0);
+  struct sockaddr_in address;
+  socklen_t size = sizeof address;
+  getsockname (evhttp_bound_socket_get_fd (bound), (struct sockaddr *)&address,
+               &size);
+  t.endpoint
+      = (struct bb_endpoint){ INADDR_LOOPBACK, ntohs (address.sin_port) };
+  evhttp_set_gencb (t.server, on_call, NULL);
+  t.source
+      = bb_platform_source.start (t.loop, &t.endpoint, t.random, &sink, NULL);
+  struct event *timer = event_new (t.loop, -1, EV_PERSIST, on_timer, NULL);
+  event_add (timer, &tick);
+  event_base_dispatch (t.loop);
+  event_free (timer);
+  bb_platform_source.stop (t.source);
+  evhttp_free (t.server);
+  event_base_free (t.loop);
+  g_rand_free (t.random);
+  ck_assert (t.finished);
+}
+
+#define END                                                                   \
+  {                                                                           \
+    -1, NULL                                                                  \
+  }
+
+/* {"service":"a","address":"10.0.0.1:80","zone":"z","state":"ready"} */
+#define SERVER                                                                \
+  "eyJzZXJ2aWNlIjoiYSIsImFkZHJlc3MiOiIxMC4wLjAuMTo4MCIsInpvbmUiOiJ6Iiwic3Rh"  \
+  "dGUiOiJyZWFkeSJ9"
+/* {"version":7,"routes":[{"host":"198.18.0.1","prefix":"/80/","service":"a"}]}
+ */
+#define CONFIGURATION                                                         \
+  "eyJ2ZXJzaW9uIjo3LCJyb3V0ZXMiOlt7Imhvc3QiOiIxOTguMTguMC4xIiwicHJlZml4Ijoi"  \
+  "LzgwLyIsInNlcnZpY2UiOiJhIn1dfQ=="
+#define ITEM(key, value, revision)                                            \
+  "{\"key\":\"" key "\",\"value\":\"" value "\",\"revision\":" revision       \
+  ",\"created-at\":1,\"lease-id\":0}"
+
+static const struct step pages[] = {
+  { 200,
+    "{\"items\":[" ITEM ("op/config", CONFIGURATION, "4") "," ITEM (
+        "other/key", "eA==",
+        "5") "," ITEM ("servers/i-01", SERVER,
+                       "6") "],\"has-more\":true,\"store-revision\":20}" },
+  { 200,
+    "{\"items\":[" ITEM ("servers/i-02", SERVER, "22") "," ITEM (
+        "servers/i-03", "e30=",
+        "9") "," ITEM ("servers/i-04", "%%",
+                       "9") "],\"has-more\":false,\"store-revision\":25}" },
+  END
+};
+
+/* Guards against changes between two pages that nobody tells of: the watch
+   goes on from the first one.  Entries that name no server harm no other.  */
+START_TEST (pages_are_no_snapshot)
+{
+  run (pages);
+  ck_assert_uint_eq (t.revision, 20);
+  ck_assert_uint_eq (t.servers, 2);
+  ck_assert_uint_eq (t.configurations, 1);
+  ck_assert_uint_eq (t.refused, 2);
+  ck_assert_uint_eq (t.listed, 1);
+  ck_assert_uint_eq (t.names, 2);
+  ck_assert_str_eq (t.paths[1], "/api/kv-range?prefix=&after=servers%2Fi-01");
+  ck_assert_str_eq (t.paths[2], "/api/kv-watch?prefix=&after=20&wait-ms=1000");
+}
+END_TEST
+
+#define ALL                                                                   \
+  {                                                                           \
+    200, "{\"items\":[" ITEM (                                                \
+             "servers/i-01", SERVER,                                          \
+             "6") "],\"has-more\":false,\"store-revision\":20}"               \
+  }
+
+static const struct step watched[]
+    = { ALL,
+        { 200, "{\"events\":[{\"key\":\"servers/i-01\",\"revision\":21,"
+               "\"deleted\":true}," ITEM (
+                   "servers/i-02", SERVER,
+                   "22") ",{\"revision\":23},7],\"store-revision\":30}" },
+        END };
+
+START_TEST (events_are_taken)
+{
+  run (watched);
+  ck_assert_uint_eq (t.revision, 30);
+  ck_assert_uint_eq (t.servers, 2);
+  ck_assert_uint_eq (t.gone, 1);
+}
+END_TEST
+
+static const struct step lost_history[] = { ALL, { 410, NULL }, ALL, END };
+
+/* Guards against a client that goes on from a history that is not there.  */
+START_TEST (lost_history_is_read_anew)
+{
+  run (lost_history);
+  ck_assert_uint_eq (t.listed, 2);
+  ck_assert (g_str_has_prefix (t.paths[2], "/api/kv-range?"));
+  ck_assert (g_str_has_prefix (t.paths[3], "/api/kv-watch?"));
+}
+END_TEST
+
+/* Answers that are no state; the client has to ask again.  */
+static const struct
+{
+  const char *guards;
+  struct step step;
+  enum bb_source_outcome outcome;
+} faults[] = {
+  { "a busy store", { 503, NULL }, BB_SOURCE_REFUSED },
+  { "a store above its rate", { 429, NULL }, BB_SOURCE_REFUSED },
+  { "an answer that is lost", { 0, NULL }, BB_SOURCE_TIMEOUT },
+  { "an empty answer", { 200, NULL }, BB_SOURCE_UNREADABLE },
+  { "half an answer", { 200, "{\"items\":[" }, BB_SOURCE_UNREADABLE },
+  { "an answer of another call",
+    { 200, "{\"events\":[]}" },
+    BB_SOURCE_UNREADABLE },
+  { "an answer without a revision",
+    { 200, "{\"items\":[],\"has-more\":false}" },
+    BB_SOURCE_UNREADABLE },
+};
+
+START_TEST (fault_is_retried)
+{
+  const struct step script[] = { faults[_i].step, ALL, END };
+  run (script);
+  ck_assert_uint_eq (t.failures[faults[_i].outcome], 1);
+  ck_assert_uint_eq (t.listed, 1);
+  ck_assert_uint_eq (t.revision, 20);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("store");
+  TCase *tc = tcase_create ("client");
+  tcase_set_timeout (tc, 30);
+  tcase_add_test (tc, pages_are_no_snapshot);
+  tcase_add_test (tc, events_are_taken);
+  tcase_add_test (tc, lost_history_is_read_anew);
+  tcase_add_loop_test (tc, fault_is_retried, 0, G_N_ELEMENTS (faults));
+  suite_add_tcase (suite, tc);
+  return run_suite (suite);
+}
