bbctl explain: what became of a flow, and what its balancers knew

From the two ends of a flow, or its id, to the decisions on it in the logs of all balancers, what each means for the caller, and what the balancer and the server went through around it. An age that was never known is left out of log lines.

--- /dev/null
+++ b/bbctl/explain.c
@@ -0,0 +1,212 @@
+#include "bbctl/timeline.h"
+#include "core/engine.h"
+#include <inttypes.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Around the decisions on a flow, what the balancer and the server went
+   through is shown.  */
+enum
+{
+  AROUND_S = 10,
+  CORRECTION_MS = 1000, /* of clocks, at most */
+};
+
+static char *flow_text;
+
+static const GOptionEntry entries[] = {
+  { "flow", 'f', 0, G_OPTION_ARG_STRING, &flow_text,
+    "The flow's id, in place of CALLER and SERVICE", "HEX" },
+  G_OPTION_ENTRY_NULL,
+};
+
+static const struct bb_ctl_options options = {
+  .entries = entries,
+  .usage = "CALLER SERVICE LOG... | --flow HEX LOG...",
+  .summary = "Shows what balancers decided on a flow, and what they knew.\n"
+             "CALLER and SERVICE are the ADDRESS:PORT of the two ends; LOG is "
+             "a file,\n- for standard input, or ADDRESS:PORT of a balancer.",
+  .least = 1,
+  .most = -1,
+};
+
+/* What an event of a flow means for its caller.  */
+static const struct
+{
+  const char *event;
+  const char *reason; /* NULL: any */
+  const char *text;
+} meanings[] = {
+  { "flow_refused", "no_route",
+    "refused: no route led from that address in the configuration known" },
+  { "flow_refused", "route_dropped",
+    "refused: the configuration had dropped the route" },
+  { "flow_refused", "no_server",
+    "refused: no server of the service took new flows" },
+  { "flow_reset", "server_gone",
+    "reset: the server had left, or its entry had expired" },
+  { "flow_reset", "server_silent",
+    "reset: several callers had no answer from the server" },
+  { "flow_reset", "route_dropped",
+    "reset: a new request came after the route was dropped" },
+  { "mark_unknown", NULL,
+    "dropped: the mark named no server that the balancer knew" },
+  { "flow_placed", "server_silent",
+    "placed on a suspect server, as all were suspect" },
+  { "flow_placed", NULL,
+    "placed; what came after was between the caller and the server" },
+};
+
+static const char *
+meaning (const struct bb_ctl_event *e)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (meanings); i++)
+    if (strcmp (meanings[i].event, bb_ctl_text (e->line, "event")) == 0
+        && (!meanings[i].reason
+            || strcmp (meanings[i].reason, bb_ctl_text (e->line, "reason"))
+                   == 0))
+      return meanings[i].text;
+  return "see the line";
+}
+
+static void
+print_event (const struct bb_ctl_event *e, const char *indent)
+{
+  static const char *const members[]
+      = { "server", "service",  "peer",      "reason",
+          "value",  "revision", "suppressed" };
+  int64_t age = bb_ctl_number (e->line, "age_us");
+  printf ("%s%.6f %-18s %-16s", indent, (double)e->place_us / 1e6, e->run->vm,
+          bb_ctl_text (e->line, "event"));
+  for (size_t i = 0; i < G_N_ELEMENTS (members); i++)
+    {
+      const char *text = bb_ctl_text (e->line, members[i]);
+      if (*text)
+        printf (" %s=%s", members[i], text);
+    }
+  if (age > 0)
+    printf (" knowledge_age=%.3fs", (double)age / 1e6);
+  putchar ('\n');
+}
+
+/* Events that change what a balancer does with any flow.  */
+static bool
+is_state (const char *event)
+{
+  static const char *const names[]
+      = { "start",      "ready",   "version", "reader", "store_lost",
+          "store_back", "leaving", "stop",    "reload", "pause" };
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    if (strcmp (names[i], event) == 0)
+      return true;
+  return false;
+}
+
+/* Whether E tells of the server, or of the balancer, of one of FLOWS.  */
+static bool
+concerns (const struct bb_ctl_event *e, const GPtrArray *flows)
+{
+  const char *server = bb_ctl_text (e->line, "server");
+  const char *event = bb_ctl_text (e->line, "event");
+  for (guint i = 0; i < flows->len; i++)
+    {
+      const struct bb_ctl_event *f = flows->pdata[i];
+      if (ABS (e->place_us - f->place_us) > AROUND_S * BB_SEC)
+        continue;
+      bool same_server
+          = *server && g_str_has_prefix (event, "server_")
+            && strcmp (server, bb_ctl_text (f->line, "server")) == 0;
+      if (same_server || (e->run == f->run && is_state (event)))
+        return true;
+    }
+  return false;
+}
+
+static GPtrArray *
+find (const struct bb_ctl_timeline *t, const char *id)
+{
+  GPtrArray *found = g_ptr_array_new ();
+  for (guint i = 0; i < t->order->len; i++)
+    {
+      struct bb_ctl_event *e = t->order->pdata[i];
+      if (strcmp (bb_ctl_text (e->line, "flow"), id) == 0)
+        g_ptr_array_add (found, e);
+    }
+  return found;
+}
+
+static int
+print_flow (const struct bb_ctl_timeline *t, const char *id)
+{
+  GPtrArray *flows = find (t, id);
+  printf ("flow %s\n", id);
+  for (guint i = 0; i < flows->len; i++)
+    {
+      print_event (flows->pdata[i], "  ");
+      printf ("    %s\n", meaning (flows->pdata[i]));
+    }
+  if (flows->len == 0)
+    puts ("  no line tells of it: its packets reached none of these "
+          "balancers,\n  or lines were left out (see \"suppressed\")");
+  else
+    puts ("around it:");
+  for (guint i = 0; flows->len > 0 && i < t->order->len; i++)
+    if (concerns (t->order->pdata[i], flows))
+      print_event (t->order->pdata[i], "  ");
+  int status
+      = flows->len > 0 ? 0 : bb_error_answer (BB_ERROR_NOT_FOUND)->exit_status;
+  g_ptr_array_unref (flows);
+  return status;
+}
+
+/* The id under which balancers log the flow of the two ends, or NULL.  */
+static char *
+flow_id (const char *caller, const char *service)
+{
+  struct bb_endpoint from, to;
+  if (!bb_ctl_parse_endpoint (caller, &from)
+      || !bb_ctl_parse_endpoint (service, &to))
+    return NULL;
+  struct bb_packet packet = { .source = from.address,
+                              .source_port = from.port,
+                              .destination = to.address,
+                              .destination_port = to.port,
+                              .protocol = IPPROTO_TCP };
+  return g_strdup_printf ("%016" PRIx64, bb_flow_hash (&packet, 0));
+}
+
+int
+bb_ctl_run_explain (int argc, char **argv)
+{
+  int status = 0, first = 1;
+  if (!bb_ctl_parse (&options, &argc, &argv))
+    return BB_CTL_USAGE;
+  g_autofree char *id = g_strdup (flow_text);
+  if (!id && argc > 3)
+    {
+      id = flow_id (argv[1], argv[2]);
+      first = 3;
+    }
+  if (!id || first >= argc)
+    {
+      fprintf (stderr,
+               "%s: expected CALLER and SERVICE as ADDRESS:PORT, or "
+               "--flow, and a log\n",
+               g_get_prgname ());
+      return BB_CTL_USAGE;
+    }
+  struct bb_ctl_timeline *t = bb_ctl_timeline_new ();
+  for (int i = first; i < argc; i++)
+    {
+      int s = bb_ctl_timeline_read (t, argv[i]);
+      status = status ? status : s;
+    }
+  if (t->skipped)
+    fprintf (stderr, "%s: skipped %zu lines that are no events\n",
+             g_get_prgname (), t->skipped);
+  bb_ctl_timeline_sort (t, CORRECTION_MS * BB_MSEC);
+  int s = print_flow (t, id);
+  bb_ctl_timeline_free (t);
+  return status ? status : s;
+}
--- a/bbctl/timeline.c
+++ b/bbctl/timeline.c
@@ -81,8 +81,8 @@
   return true;
 }
 
-static int
-read_source (struct bb_ctl_timeline *t, char *source)
+int
+bb_ctl_timeline_read (struct bb_ctl_timeline *t, char *source)
 {
   struct bb_endpoint e;
   enum bb_error_kind kind = BB_ERROR_IO;
@@ -99,7 +99,8 @@
       kind = BB_ERROR_TIMEOUT;
       bb_ctl_answers_free (a, 1);
     }
-  else if (!g_file_get_contents (source, &text, NULL, &error))
+  else if (!g_file_get_contents (strcmp (source, "-") ? source : "/dev/stdin",
+                                 &text, NULL, &error))
     {
       why = g_strdup (error->message);
       g_clear_error (&error);
@@ -109,7 +110,7 @@
       bb_ctl_timeline_add (t, text);
       return 0;
     }
-  fprintf (stderr, "bbctl timeline: %s: %s\n", source, why);
+  fprintf (stderr, "%s: %s: %s\n", g_get_prgname (), source, why);
   return bb_error_answer (kind)->exit_status;
 }
 
@@ -223,7 +224,7 @@
   struct bb_ctl_timeline *t = bb_ctl_timeline_new ();
   for (int i = 1; i < argc; i++)
     {
-      int s = read_source (t, argv[i]);
+      int s = bb_ctl_timeline_read (t, argv[i]);
       status = status ? status : s;
     }
   if (t->skipped)
--- a/bbctl/timeline.h
+++ b/bbctl/timeline.h
@@ -41,6 +41,10 @@
    added once.  */
 void bb_ctl_timeline_add (struct bb_ctl_timeline *t, const char *text);
 
+/* Adds the events of SOURCE: ADDRESS:PORT of a balancer, a file, or - for
+   standard input.  Returns the exit status, after a message if it is not 0. */
+int bb_ctl_timeline_read (struct bb_ctl_timeline *t, char *source);
+
 /* Corrects clocks by at most LIMIT_US per VM and puts all events in order.  */
 void bb_ctl_timeline_sort (struct bb_ctl_timeline *t, int64_t limit_us);
 int64_t bb_ctl_timeline_correction (const struct bb_ctl_timeline *t,
--- a/core/core.h
+++ b/core/core.h
@@ -29,6 +29,9 @@
   BB_CHUNK_MAX = 16384,      /* bytes of a document in one message */
 };
 
+/* Age of what was never known.  */
+#define BB_AGE_UNKNOWN (INT64_MAX / 2)
+
 #define BB_MSEC ((bb_usec)1000)
 #define BB_SEC (1000 * BB_MSEC)
 
--- a/marked/sharing.c
+++ b/marked/sharing.c
@@ -212,5 +212,5 @@
 bb_usec
 bb_sharing_age (const struct bb_sharing *s, bb_usec now)
 {
-  return s->verified ? now - s->verified : INT64_MAX / 2;
+  return s->verified ? now - s->verified : BB_AGE_UNKNOWN;
 }
--- a/runtime/log.c
+++ b/runtime/log.c
@@ -203,7 +203,7 @@
     add_string (line, "reason", bb_reason_name (event->reason));
   if (event->revision)
     add_number (line, "revision", event->revision);
-  if (event->age)
+  if (event->age > 0 && event->age < BB_AGE_UNKNOWN)
     json_object_object_add (line, "age_us",
                             json_object_new_int64 (event->age));
   if (record->suppressed)
--- a/tests/bbctl_test.c
+++ b/tests/bbctl_test.c
@@ -46,6 +46,34 @@
   ck_assert (g_file_set_contents (path, edited, -1, NULL));
 }
 
+/* A flow that was placed and reset, a broken line, and a server's end as
+   another balancer saw it.  Its id is that of 100.64.0.7:40001 to
+   198.18.0.1:443.  */
+static void
+write_log (void)
+{
+  struct bb_packet packet = { .source = 0x64400007,
+                              .source_port = 40001,
+                              .destination = 0xc6120001,
+                              .destination_port = 443,
+                              .protocol = IPPROTO_TCP };
+  guint64 id = bb_flow_hash (&packet, 0);
+  g_autofree char *path = g_build_filename (directory, "log", NULL);
+  g_autofree char *text = g_strdup_printf (
+      "{\"time_us\":1000000,\"mono_us\":1,\"vm\":\"a\",\"event\":"
+      "\"flow_placed\",\"seq\":1,\"server\":\"i-1\",\"flow\":\"%"
+      "016" G_GINT64_MODIFIER "x\",\"reason\":\"own_data_centre\"}\n"
+      "{\"time_us\":10\n"
+      "{\"time_us\":2000000,\"mono_us\":2,\"vm\":\"a\",\"event\":"
+      "\"flow_reset\",\"seq\":2,\"server\":\"i-1\",\"flow\":\"%"
+      "016" G_GINT64_MODIFIER "x\",\"reason\":\"server_gone\"}\n"
+      "{\"time_us\":2100000,\"mono_us\":3,\"vm\":\"b\",\"event\":"
+      "\"server_gone\",\"seq\":1,\"server\":\"i-1\",\"reason\":"
+      "\"store\",\"age_us\":250000}\n",
+      id, id);
+  ck_assert (g_file_set_contents (path, text, -1, NULL));
+}
+
 static void
 make_directory (void)
 {
@@ -56,6 +84,7 @@
   write_base ("drain.json", "\"version\": 1,\n  \"hash_seed\": 31063",
               "\"version\": 2,\n  \"hash_seed\": 31063");
   write_base ("bad.json", "\"policy\": \"even\"", "\"policy\": \"odd\"");
+  write_log ();
   write_base ("seed.json", "\"version\": 1,\n  \"hash_seed\": 31063",
               "\"version\": 2,\n  \"hash_seed\": 31064");
   g_autofree char *vms = g_build_filename (directory, "vms.json", NULL);
@@ -144,6 +173,14 @@
   { "status 127.0.0.1:1", 6, "does not answer" },
   { "status elsewhere", 6, "expected ADDRESS:PORT" },
   { "timeline @/absent.log", 4, "absent.log" },
+  { "explain 100.64.0.7:40001 198.18.0.1:443 @/log", 0,
+    "reset: the server had left" },
+  { "explain 100.64.0.7:40001 198.18.0.1:443 @/log", 0,
+    "knowledge_age=0.250s" },
+  { "explain 100.64.0.7:40001 198.18.0.1:443 @/log", 0, "skipped 1 lines" },
+  { "explain --flow 0123456789abcdef @/log", 7, "no line tells of it" },
+  { "explain here there @/log", 1, "expected CALLER and SERVICE" },
+  { "explain --flow 01 @/absent.log", 4, "absent.log" },
   { "timeline --since noon @/o.json", 1, "is not a time" },
 };
 
