A soak of real balancers; an isolated balancer resets no flows

soak/ plays fabric, store, servers and callers on loopback, starts balancers as processes, and kills, stops, pauses, reloads and deafens them while the store refuses, falls silent or forgets and servers are replaced and reused. It checks service, at-most-once, answers, packets, flows, draining, configuration and that processes do not end by themselves.

More silent servers than answering ones now count as the balancer's own link; balancer_test failed first.

Ruled out: the servers; other balancers were answered by them meanwhile. Planted faults (a request that runs twice, one of another service) are found.

--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 .PHONY: all deps demo check check-format check-lint check-tests check-sanitize \
   check-model measure capacity clean format tests
 
-all: $(LIBS) $(BINARIES) $(STANDINS) $(BENCHES)
+all: $(LIBS) $(BINARIES) $(STANDINS) $(BENCHES) $(BUILD)/bin/soak
 
 deps:
 	@scripts/deps.sh
@@ -90,6 +90,18 @@
 	@mkdir -p $(@D)
 	$(link) $(shell pkg-config --libs check)
 
+SOAK_OBJECTS = $(call objects, $(wildcard soak/*.c))
+$(BUILD)/bin/soak: $(SOAK_OBJECTS) $(LIBS)
+	@mkdir -p $(@D)
+	$(link)
+
+# One seed after the other; SEEDS="1 2 3" SECONDS_EACH=30 make soak
+SEEDS ?= $(shell sed -n "s/^\([0-9][0-9]*\).*/\1/p" soak/seeds.txt) 1 2 3
+SECONDS_EACH ?= 30
+.PHONY: soak
+soak: $(BUILD)/bin/soak $(BUILD)/bin/bluebellstand
+	@soak/run.sh $(BUILD) $(SECONDS_EACH) $(SEEDS)
+
 .SECONDARY:
 
 tests: $(TESTS)
--- a/marked/balancer_private.h
+++ b/marked/balancer_private.h
@@ -21,6 +21,7 @@
   struct bb_marked_flows *flows;
   GRand *random;
   bb_usec swept;
+  bool isolated; /* most servers are silent at once: the own link is down */
   struct bb_backend_server *ended[ENDED_MAX];
   uint32_t ended_count;
   struct bb_marked_counters counters;
@@ -59,6 +60,10 @@
 /* Whether S has ended for sure.  A server that announced its end has ended
    when it is not listed any more.  Of another one the registry may be wrong: a
    caller that was answered lately shows that it lives.  */
-bool bb_marked_has_left (const struct bb_backend_server *s, bb_usec now);
+bool bb_marked_has_left (const struct bb_marked *m,
+                         const struct bb_backend_server *s, bb_usec now);
+
+/* Finds out whether most servers with flows here are silent.  */
+void bb_marked_check_link (struct bb_marked *m, bb_usec now);
 void bb_marked_reset_ended (struct bb_marked *m, bb_usec now);
 #endif
--- a/marked/ended.c
+++ b/marked/ended.c
@@ -5,6 +5,9 @@
    an answer that is younger contradicts it.  */
 #define ANSWERED_LATELY (3 * BB_SEC)
 
+/* A server that answered since counts as heard.  */
+#define HEARD_TIME (2 * BB_SEC)
+
 /* Resets one flow of a server that has ended.  A caller whose flow is idle
    then opens a new one for its next request, so that no request is lost.  */
 static void
@@ -51,21 +54,42 @@
 }
 
 bool
-bb_marked_has_left (const struct bb_backend_server *s, bb_usec now)
+bb_marked_has_left (const struct bb_marked *m,
+                    const struct bb_backend_server *s, bb_usec now)
 {
   if (s->record.state != BB_SERVER_GONE)
-    return bb_suspicion_dead (&s->load.evidence, now);
+    return !m->isolated && bb_suspicion_dead (&s->load.evidence, now);
   bb_usec alive = s->load.evidence.alive;
   return s->drained ? alive < s->gone_since : now - alive > ANSWERED_LATELY;
 }
 
+void
+bb_marked_check_link (struct bb_marked *m, bb_usec now)
+{
+  struct bb_link *head = bb_directory_servers (m->directory);
+  unsigned heard = 0, silent = 0;
+  for (struct bb_link *at = head->previous; at != head; at = at->previous)
+    {
+      const struct bb_backend_server *s
+          = BB_LINKED (at, struct bb_backend_server, by_revision);
+      const struct bb_evidence *e = &s->load.evidence;
+      if (s->record.state == BB_SERVER_GONE)
+        continue;
+      if (e->silent_since != 0)
+        silent++;
+      else if (e->alive != 0 && now - e->alive < HEARD_TIME)
+        heard++;
+    }
+  m->isolated = silent > 1 && silent > heard;
+}
+
 void
 bb_marked_reset_ended (struct bb_marked *m, bb_usec now)
 {
   for (uint32_t i = 0; i < m->ended_count; i++)
     {
       const struct bb_backend_server *s = m->ended[i];
-      if (bb_marked_has_left (s, now))
+      if (bb_marked_has_left (m, s, now))
         end_flows (m, s,
                    s->record.state == BB_SERVER_GONE ? BB_REASON_SERVER_GONE
                                                      : BB_REASON_SERVER_SILENT,
--- a/marked/knowledge.c
+++ b/marked/knowledge.c
@@ -71,6 +71,7 @@
 bb_marked_tick (struct bb_marked *m, bb_usec now)
 {
   bb_sharing_tick (m->sharing, now);
+  bb_marked_check_link (m, now);
   bb_marked_reset_ended (m, now);
   if (now - m->swept < SWEEP_INTERVAL)
     return;
--- /dev/null
+++ b/soak/balancers.c
@@ -0,0 +1,216 @@
+/* The balancers under test, as processes, and the fabric before them.  */
+
+#include "runtime/fetch.h"
+#include "runtime/util.h"
+#include "soak/soak.h"
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define POLL_INTERVAL (500 * BB_MSEC)
+
+enum
+{
+  MISSES = 2, /* before the fabric takes a balancer out */
+};
+
+struct soak_balancer *
+soak_balancer_at (uint32_t address)
+{
+  for (unsigned i = 0; i < world.balancer_count; i++)
+    if (world.balancers[i].packets.address == address)
+      return &world.balancers[i];
+  return NULL;
+}
+
+bool
+soak_balancer_calm (const struct soak_balancer *b)
+{
+  return b->pid != 0 && !b->stopped && b->store == SOAK_STORE_SERVES
+         && world.now > b->deaf_until + SOAK_CALM
+         && world.now - b->trouble > SOAK_CALM;
+}
+
+/* The fabric's choice by rendezvous hashing over the balancers in rotation;
+   over all of the data centre if that are fewer than half.  */
+struct soak_balancer *
+soak_balancer_for (unsigned data_centre, uint64_t hash)
+{
+  unsigned all = 0, up = 0;
+  for (unsigned i = 0; i < world.balancer_count; i++)
+    if (world.balancers[i].data_centre == data_centre)
+      {
+        all++;
+        up += world.balancers[i].misses < MISSES;
+      }
+  struct soak_balancer *best = NULL;
+  uint64_t best_score = 0;
+  for (unsigned i = 0; i < world.balancer_count; i++)
+    {
+      struct soak_balancer *b = &world.balancers[i];
+      uint64_t score = (hash ^ (i + 1)) * 0xbf58476d1ce4e5b9;
+      score ^= score >> 29;
+      if (b->data_centre != data_centre
+          || (up * 2 >= all && b->misses >= MISSES))
+        continue;
+      if (!best || score > best_score)
+        {
+          best = b;
+          best_score = score;
+        }
+    }
+  return best;
+}
+
+static char *
+write_settings (const struct soak_balancer *b)
+{
+  char *path = g_strdup_printf ("%s/%u.json", world.directory, b->index);
+  GString *text = g_string_new ("");
+  char address[BB_ENDPOINT_TEXT];
+  bb_address_text (address, b->packets.address);
+  g_string_printf (
+      text,
+      "{\"name\":\"b-%u\",\"data_centre\":\"dc-%u\",\"address\":\"%s\","
+      "\"marked\":{\"packets\":\"%s:%u\",\"ready\":\"%s:%u\",\"store\":"
+      "\"127.0.0.1:%u\",\"peer_port\":%u,\"cpu_share\":0.5,\"seeds\":[",
+      b->index, b->data_centre, address, address, b->packets.port, address,
+      b->ready.port, world.port + 10 + b->index, world.port + 2);
+  for (int i = 0; i < 3; i++)
+    {
+      unsigned seed = (unsigned)g_rand_int_range (
+          world.random, 0, (gint32)world.balancer_count);
+      bb_address_text (address, world.balancers[seed].packets.address);
+      g_string_append_printf (text, "%s\"%s:1\"", i ? "," : "", address);
+    }
+  g_string_append (text, "]}}");
+  g_file_set_contents (path, text->str, -1, NULL);
+  g_string_free (text, TRUE);
+  return path;
+}
+
+static void
+start (struct soak_balancer *b)
+{
+  g_autofree char *settings = write_settings (b);
+  g_autofree char *log
+      = g_strdup_printf ("%s/%u.log", world.directory, b->index);
+  pid_t pid = fork ();
+  if (pid == 0)
+    {
+      int fd = open (log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+      dup2 (fd, STDOUT_FILENO);
+      dup2 (fd, STDERR_FILENO);
+      execl (world.program, world.program, "--settings", settings, NULL);
+      _exit (127);
+    }
+  if (pid < 0)
+    g_error ("fork: %s", g_strerror (errno));
+  b->pid = pid;
+  b->start_at = 0;
+  b->trouble = world.now;
+}
+
+void
+soak_balancer_signal (struct soak_balancer *b, int number)
+{
+  if (b->pid == 0)
+    return;
+  kill (b->pid, number);
+  b->trouble = world.now;
+  if (number == SIGSTOP)
+    b->stopped = true;
+  if (number == SIGCONT)
+    b->stopped = false;
+  if (number == SIGHUP)
+    g_free (write_settings (b));
+}
+
+/* A process that ends without being told to is a broken promise.  */
+static void
+reap (struct soak_balancer *b)
+{
+  int status;
+  if (b->pid == 0 || waitpid (b->pid, &status, WNOHANG) != b->pid)
+    return;
+  bool killed = WIFSIGNALED (status) && WTERMSIG (status) == SIGKILL;
+  bool left = WIFEXITED (status) && WEXITSTATUS (status) == 0;
+  if (!killed && !left)
+    soak_violation ("process", "balancer %u ends with status %x", b->index,
+                    (unsigned)status);
+  b->pid = 0;
+  b->stopped = false;
+  b->trouble = world.now;
+  b->start_at
+      = world.now
+        + (bb_usec)g_rand_int_range (world.random, 200, 2000) * BB_MSEC;
+}
+
+static void
+on_ready (void *context, const struct bb_fetch_answer *answer)
+{
+  struct soak_balancer *b = context;
+  b->misses = answer->status == 200 ? 0 : b->misses + 1;
+  bb_fetch_free (b->poll);
+  b->poll = NULL;
+}
+
+static void
+poll_ready (struct soak_balancer *b)
+{
+  if (b->poll || world.now - b->polled < POLL_INTERVAL)
+    return;
+  b->polled = world.now;
+  b->poll = bb_fetch_new (world.loop, &b->ready, "/ready", POLL_INTERVAL, 1024,
+                          on_ready, b);
+}
+
+void
+soak_balancers_tick (void)
+{
+  for (unsigned i = 0; i < world.balancer_count; i++)
+    {
+      struct soak_balancer *b = &world.balancers[i];
+      reap (b);
+      if (b->pid == 0 && world.now >= b->start_at)
+        start (b);
+      if (b->stopped && world.now >= b->resume_at)
+        soak_balancer_signal (b, SIGCONT);
+      if (b->store != SOAK_STORE_SERVES && world.now >= b->store_until)
+        {
+          b->store = SOAK_STORE_SERVES;
+          b->trouble = world.now;
+        }
+      poll_ready (b);
+    }
+}
+
+void
+soak_balancers_start (void)
+{
+  for (unsigned i = 0; i < world.balancer_count; i++)
+    {
+      struct soak_balancer *b = &world.balancers[i];
+      b->index = i;
+      b->data_centre = i % SOAK_DATA_CENTRES;
+      b->misses = MISSES;
+      b->packets = (struct bb_endpoint){ 0x7f0a0000 + 10 + i, world.port };
+      b->ready = (struct bb_endpoint){ b->packets.address,
+                                       (uint16_t)(world.port + 1) };
+    }
+}
+
+void
+soak_balancers_stop (void)
+{
+  for (unsigned i = 0; i < world.balancer_count; i++)
+    if (world.balancers[i].pid != 0)
+      {
+        kill (world.balancers[i].pid, SIGKILL);
+        waitpid (world.balancers[i].pid, NULL, 0);
+      }
+}
--- /dev/null
+++ b/soak/servers.c
@@ -0,0 +1,273 @@
+/* Backend servers: flows of one request at a time, and what each request did.
+ */
+
+#include "soak/soak.h"
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* What a request's data says.  */
+struct soak_request
+{
+  uint64_t id;
+  uint32_t service;
+  uint32_t once; /* may not run twice */
+};
+
+struct soak_flow
+{
+  bool open;
+  uint32_t sequence;   /* next byte that the server sends */
+  uint32_t expected;   /* next byte of the caller */
+  uint32_t last_start; /* of the newest answer, to send it again */
+  uint64_t answered;   /* id of the newest request */
+};
+
+static GHashTable *runs; /* ids of requests that may run once */
+
+struct soak_server *
+soak_server_of_tag (uint64_t tag)
+{
+  for (unsigned i = 0; i < world.server_count; i++)
+    if (world.servers[i].tag == tag)
+      return &world.servers[i];
+  return NULL;
+}
+
+bool
+soak_server_unharmed (const struct soak_server *s)
+{
+  return s->fd >= 0 && !s->draining && world.now - s->trouble > SOAK_CALM;
+}
+
+static void
+reply (struct soak_server *s, const struct bb_packet *p, uint32_t mark,
+       uint8_t flags, uint32_t sequence, uint32_t acknowledged,
+       const void *data, uint16_t length)
+{
+  uint8_t bytes[SOAK_PACKET_MAX];
+  struct bb_packet out = { .source = p->destination,
+                           .source_port = p->destination_port,
+                           .destination = p->source,
+                           .destination_port = p->source_port,
+                           .tcp_flags = flags,
+                           .sequence = sequence,
+                           .acknowledgement = acknowledged,
+                           .payload = length };
+  struct bb_endpoint to = { p->source, world.port };
+  soak_send (s->fd, &to, bytes, soak_packet (bytes, &out, mark, data));
+}
+
+static void
+run_request (struct soak_server *s, const struct soak_request *r)
+{
+  if (r->service != s->service)
+    soak_violation ("service",
+                    "request %" G_GUINT64_FORMAT
+                    " of service %u runs at %s of %u",
+                    r->id, r->service, s->id, s->service);
+  if (!r->once)
+    return;
+  if (!g_hash_table_add (runs, GSIZE_TO_POINTER (r->id)))
+    soak_violation ("once", "request %" G_GUINT64_FORMAT " runs again at %s",
+                    r->id, s->id);
+}
+
+static void
+answer (struct soak_server *s, struct soak_flow *f, const struct bb_packet *p,
+        uint32_t mark, uint64_t id)
+{
+  uint64_t data[2] = { id, s->tag };
+  reply (s, p, mark, BB_TCP_ACK, f->last_start, f->expected, data,
+         sizeof data);
+}
+
+static void
+take_data (struct soak_server *s, struct soak_flow *f,
+           const struct bb_marked_packet *m, const uint8_t *data)
+{
+  const struct bb_packet *p = &m->packet;
+  struct soak_request r;
+  if (p->payload != sizeof r)
+    return;
+  memcpy (&r, data, sizeof r);
+  if (p->sequence == f->expected)
+    {
+      run_request (s, &r);
+      f->expected += p->payload;
+      f->last_start = f->sequence;
+      f->sequence += 2 * sizeof (uint64_t);
+      f->answered = r.id;
+    }
+  if (r.id == f->answered)
+    answer (s, f, p, m->mark, r.id);
+}
+
+static void
+take_first (struct soak_server *s, gpointer key,
+            const struct bb_marked_packet *m, const struct soak_balancer *b)
+{
+  struct soak_flow *f = g_hash_table_lookup (s->flows, key);
+  if (s->draining && b && soak_balancer_calm (b)
+      && world.now - world.store_trouble > SOAK_CALM
+      && world.now - s->drained_at > SOAK_DRAIN_BOUND)
+    soak_violation ("drain", "%s takes a new flow %.1f s after it drained",
+                    s->id, (double)(world.now - s->drained_at) / BB_SEC);
+  if (!f)
+    {
+      f = g_new0 (struct soak_flow, 1);
+      f->sequence = (uint32_t)world.now * 2654435761U;
+      f->expected = m->packet.sequence + 1;
+      g_hash_table_insert (s->flows, key, f);
+    }
+  reply (s, &m->packet, m->mark, BB_TCP_SYN | BB_TCP_ACK, f->sequence,
+         f->expected, NULL, 0);
+}
+
+static void
+take (struct soak_server *s, const uint8_t *bytes, size_t length,
+      const struct soak_balancer *b)
+{
+  struct bb_marked_packet m;
+  const uint8_t *packet = bytes + BB_PLATFORM_TAG;
+  uint64_t tag = 0;
+  if (length < BB_PLATFORM_TAG
+      || bb_platform_transport.decode (packet, length - BB_PLATFORM_TAG, &m)
+             != BB_DROP_NONE)
+    {
+      soak_violation ("packet", "%s gets %zu odd bytes", s->id, length);
+      return;
+    }
+  uint32_t sum = (uint32_t)packet[20] << 24 | (uint32_t)packet[21] << 16
+                 | (uint32_t)packet[22] << 8 | packet[23];
+  if (sum != soak_sum (packet, length - BB_PLATFORM_TAG))
+    soak_violation ("packet", "%s gets a changed packet", s->id);
+  for (int i = 0; i < BB_PLATFORM_TAG; i++)
+    tag = tag << 8 | bytes[i];
+  if (tag != s->tag)
+    return; /* for one that was here before */
+  gpointer key
+      = GSIZE_TO_POINTER ((gsize)m.packet.source << 16 | m.packet.source_port);
+  struct soak_flow *f = g_hash_table_lookup (s->flows, key);
+  if (m.packet.tcp_flags & BB_TCP_SYN)
+    take_first (s, key, &m, b);
+  else if (!f || (!f->open && m.packet.acknowledgement != f->sequence + 1))
+    reply (s, &m.packet, m.mark, BB_TCP_RST, m.packet.acknowledgement, 0, NULL,
+           0);
+  else if (m.packet.tcp_flags & BB_TCP_FIN)
+    g_hash_table_remove (s->flows, key);
+  else
+    {
+      if (!f->open)
+        f->sequence++;
+      f->open = true;
+      if (m.packet.payload)
+        take_data (s, f, &m, packet + SOAK_HEAD);
+    }
+}
+
+static void
+on_readable (evutil_socket_t fd, short what, void *context)
+{
+  (void)what;
+  struct soak_server *s = context;
+  uint8_t bytes[SOAK_PACKET_MAX];
+  struct sockaddr_in from;
+  socklen_t size = sizeof from;
+  ssize_t length;
+  while ((length = recvfrom (fd, bytes, sizeof bytes, 0,
+                             (struct sockaddr *)&from, &size))
+         > 0)
+    {
+      const struct soak_balancer *b
+          = soak_balancer_at (ntohl (from.sin_addr.s_addr));
+      if (world.now < s->trouble || (b && world.now < b->deaf_until))
+        continue;
+      take (s, bytes, (size_t)length, b);
+      if (world.plant && strcmp (world.plant, "twice") == 0
+          && world.now % 50 == 0)
+        run_request (s, &(struct soak_request){ 1, s->service, 1 });
+      if (s->fd < 0)
+        return;
+    }
+}
+
+struct soak_server *
+soak_server_start (unsigned service, unsigned data_centre,
+                   const struct soak_server *reuse)
+{
+  if (world.server_count == SOAK_SERVERS_MAX)
+    return NULL;
+  unsigned index = world.server_count++;
+  struct soak_server *s = &world.servers[index];
+  if (!runs)
+    runs = g_hash_table_new (NULL, NULL);
+  s->service = service;
+  s->data_centre = data_centre;
+  s->tag = (uint64_t)world.seed << 16 | (index + 1);
+  g_snprintf (s->id, sizeof s->id, "i-%010" G_GINT64_MODIFIER "x", s->tag);
+  s->address
+      = reuse ? reuse->address
+              : (struct bb_endpoint){ 0x7f0c0000 + 10 + index, world.port };
+  s->born_ms = g_get_real_time () / 1000;
+  s->trouble = world.now - SOAK_CALM;
+  s->flows = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  s->fd = soak_socket (&s->address);
+  s->readable
+      = event_new (world.loop, s->fd, EV_READ | EV_PERSIST, on_readable, s);
+  event_add (s->readable, NULL);
+  soak_store_put_server (s);
+  return s;
+}
+
+static void
+end (struct soak_server *s)
+{
+  if (s->fd < 0)
+    return;
+  event_free (s->readable);
+  close (s->fd);
+  s->fd = -1;
+  g_hash_table_remove_all (s->flows);
+}
+
+void
+soak_server_drain (struct soak_server *s)
+{
+  if (s->fd < 0 || s->draining)
+    return;
+  s->draining = true;
+  s->drained_at = world.now;
+  s->exit_at = world.now + 5 * BB_SEC
+               + (bb_usec)g_rand_int_range (world.random, 0, 3000) * BB_MSEC;
+  soak_store_put_server (s);
+}
+
+void
+soak_server_crash (struct soak_server *s)
+{
+  end (s);
+  s->expire_at = world.now + 3600 * BB_MSEC;
+}
+
+void
+soak_servers_tick (void)
+{
+  for (unsigned i = 0; i < world.server_count; i++)
+    {
+      struct soak_server *s = &world.servers[i];
+      if (s->exit_at != 0 && world.now >= s->exit_at)
+        {
+          s->exit_at = 0;
+          end (s);
+          soak_store_remove_server (s);
+        }
+      if (s->expire_at != 0 && world.now >= s->expire_at)
+        {
+          s->expire_at = 0;
+          if (s->listed)
+            soak_store_remove_server (s);
+        }
+    }
+}
--- /dev/null
+++ b/soak/store.c
@@ -0,0 +1,271 @@
+/* The store: range, watch and revisions, one port for each balancer so that
+   each can be treated in its own way.  */
+
+#include "soak/soak.h"
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+struct item
+{
+  char *key;
+  char *value; /* base64; NULL: deleted */
+  uint64_t revision, created;
+};
+
+struct waiter
+{
+  struct evhttp_request *request;
+  uint64_t after;
+  bb_usec until;
+};
+
+static GPtrArray *items; /* struct item, newest change last */
+static GPtrArray *waiters;
+static uint64_t revision = 1, history = 1, version;
+
+static struct item *
+find (const char *key)
+{
+  for (guint i = 0; i < items->len; i++)
+    {
+      struct item *it = items->pdata[i];
+      if (strcmp (it->key, key) == 0)
+        return it;
+    }
+  return NULL;
+}
+
+static void
+change (const char *key, const char *text)
+{
+  struct item *it = find (key);
+  if (it)
+    g_ptr_array_remove (items, it);
+  else
+    {
+      it = g_new0 (struct item, 1);
+      it->key = g_strdup (key);
+    }
+  g_free (it->value);
+  it->revision = ++revision;
+  if (!it->value)
+    it->created = revision;
+  it->value
+      = text ? g_base64_encode ((const guchar *)text, strlen (text)) : NULL;
+  g_ptr_array_add (items, it);
+}
+
+void
+soak_store_put_server (struct soak_server *s)
+{
+  g_autofree char *key = g_strdup_printf ("servers/%s", s->id);
+  g_autofree char *text = g_strdup_printf (
+      "{\"service\":\"s-%u\",\"address\":\"127.%u.%u.%u:%u\",\"zone\":"
+      "\"dc-%u\",\"version\":\"v1\",\"slots\":2,\"state\":\"%s\","
+      "\"cold-left-ms\":0,\"seq-no\":1,\"born\":%" PRId64 "}",
+      s->service, s->address.address >> 16 & 255,
+      s->address.address >> 8 & 255, s->address.address & 255, s->address.port,
+      s->data_centre, s->draining ? "draining" : "ready", s->born_ms);
+  change (key, text);
+  s->listed = true;
+}
+
+void
+soak_store_remove_server (struct soak_server *s)
+{
+  g_autofree char *key = g_strdup_printf ("servers/%s", s->id);
+  change (key, NULL);
+  s->listed = false;
+}
+
+/* Publishes the routes: one for each service, and the probe's if it is
+   listed.  */
+void
+soak_store_configure (void)
+{
+  GString *text = g_string_new ("");
+  version += 1 + (uint64_t)g_rand_int_range (world.random, 0, 3);
+  g_string_printf (text, "{\"version\":%" PRIu64 ",\"routes\":[", version);
+  for (unsigned i = 0; i < SOAK_SERVICES; i++)
+    g_string_append_printf (text,
+                            "%s{\"host\":\"198.18.0.1\",\"prefix\":\"/%u/\","
+                            "\"service\":\"s-%u\"}",
+                            i ? "," : "", SOAK_FIRST_PORT + i, i);
+  if (world.probe_listed)
+    g_string_append_printf (text,
+                            ",{\"host\":\"198.18.0.1\",\"prefix\":\"/%u/\","
+                            "\"service\":\"s-0\"}",
+                            SOAK_PROBE_PORT);
+  g_string_append (text, "],\"services\":[],\"limits\":{}}");
+  change ("op/config", text->str);
+  g_string_free (text, TRUE);
+}
+
+void
+soak_store_forget_history (void)
+{
+  history = revision;
+}
+
+static void
+answer (struct evhttp_request *request, int status, const char *body)
+{
+  struct evbuffer *out = evbuffer_new ();
+  if (body)
+    evbuffer_add (out, body, strlen (body));
+  evhttp_send_reply (request, status, NULL, out);
+  evbuffer_free (out);
+}
+
+static void
+append_item (GString *out, const struct item *it)
+{
+  g_string_append_printf (out, "%s{\"key\":\"%s\",\"revision\":%" PRIu64,
+                          g_str_has_suffix (out->str, "[") ? "" : ",", it->key,
+                          it->revision);
+  if (it->value)
+    g_string_append_printf (out,
+                            ",\"created-at\":%" PRIu64 ",\"value\":\"%s\"}",
+                            it->created, it->value);
+  else
+    g_string_append (out, ",\"deleted\":true}");
+}
+
+static void
+answer_range (struct evhttp_request *request)
+{
+  GString *out = g_string_new ("{\"items\":[");
+  for (guint i = 0; i < items->len; i++)
+    if (((struct item *)items->pdata[i])->value)
+      append_item (out, items->pdata[i]);
+  g_string_append_printf (
+      out, "],\"has-more\":false,\"store-revision\":%" PRIu64 "}", revision);
+  answer (request, 200, out->str);
+  g_string_free (out, TRUE);
+}
+
+static bool
+answer_watch (struct waiter *w)
+{
+  if (w->after < history)
+    answer (w->request, 410, NULL);
+  else if (revision > w->after || world.now >= w->until)
+    {
+      GString *out = g_string_new ("{\"events\":[");
+      for (guint i = 0; i < items->len; i++)
+        if (((struct item *)items->pdata[i])->revision > w->after)
+          append_item (out, items->pdata[i]);
+      g_string_append_printf (out, "],\"store-revision\":%" PRIu64 "}",
+                              revision);
+      answer (w->request, 200, out->str);
+      g_string_free (out, TRUE);
+    }
+  else
+    return false;
+  return true;
+}
+
+static uint64_t
+query (struct evhttp_request *request, const char *key)
+{
+  struct evkeyvalq pairs;
+  const char *text
+      = evhttp_uri_get_query (evhttp_request_get_evhttp_uri (request));
+  if (!text || evhttp_parse_query_str (text, &pairs) != 0)
+    return 0;
+  const char *value = evhttp_find_header (&pairs, key);
+  uint64_t number = value ? strtoull (value, NULL, 10) : 0;
+  evhttp_clear_headers (&pairs);
+  return number;
+}
+
+static void
+on_closed (struct evhttp_connection *connection, void *context)
+{
+  (void)connection;
+  for (guint i = 0; i < waiters->len; i++)
+    {
+      struct waiter *w = waiters->pdata[i];
+      if (w->request == context)
+        {
+          g_ptr_array_remove_index_fast (waiters, i);
+          g_free (w);
+          return;
+        }
+    }
+}
+
+static void
+wait_for (struct evhttp_request *request, uint64_t after, bb_usec until)
+{
+  struct waiter *w = g_new0 (struct waiter, 1);
+  *w = (struct waiter){ request, after, until };
+  evhttp_connection_set_closecb (evhttp_request_get_connection (request),
+                                 on_closed, request);
+  g_ptr_array_add (waiters, w);
+}
+
+static void
+on_call (struct evhttp_request *request, void *context)
+{
+  const struct soak_balancer *b = context;
+  const char *path
+      = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (request));
+  if (b->store == SOAK_STORE_SILENT)
+    wait_for (request, UINT64_MAX, INT64_MAX);
+  else if (b->store == SOAK_STORE_REFUSES)
+    answer (request, 503, NULL);
+  else if (b->store == SOAK_STORE_RESETS)
+    evhttp_connection_free (evhttp_request_get_connection (request));
+  else if (strcmp (path, "/api/kv-range") == 0)
+    answer_range (request);
+  else
+    {
+      struct waiter w
+          = { request, query (request, "after"),
+              world.now + (bb_usec)query (request, "wait-ms") * BB_MSEC };
+      if (!answer_watch (&w))
+        wait_for (request, w.after, w.until);
+    }
+}
+
+void
+soak_store_start (void)
+{
+  items = g_ptr_array_new ();
+  waiters = g_ptr_array_new ();
+  for (unsigned i = 0; i < world.balancer_count; i++)
+    {
+      struct evhttp *server = evhttp_new (world.loop);
+      uint16_t port = (uint16_t)(world.port + 10 + i);
+      if (evhttp_bind_socket (server, "127.0.0.1", port) != 0)
+        g_error ("cannot bind TCP port %u", port);
+      evhttp_set_gencb (server, on_call, &world.balancers[i]);
+    }
+}
+
+void
+soak_store_tick (void)
+{
+  for (guint i = waiters->len; i > 0; i--)
+    {
+      struct waiter *w = waiters->pdata[i - 1];
+      struct evhttp_connection *c = evhttp_request_get_connection (w->request);
+      if (w->after == UINT64_MAX)
+        continue;
+      evhttp_connection_set_closecb (c, NULL, NULL);
+      if (answer_watch (w))
+        {
+          g_ptr_array_remove_index_fast (waiters, i - 1);
+          g_free (w);
+        }
+      else
+        evhttp_connection_set_closecb (c, on_closed, w->request);
+    }
+}
--- a/tests/balancer_test.c
+++ b/tests/balancer_test.c
@@ -422,6 +422,40 @@
 }
 END_TEST
 
+/* Guards against a balancer whose own link is down and that takes its servers
+   for dead: most of them are silent at once.  */
+START_TEST (own_link_down_resets_nothing)
+{
+  const bb_usec times[] = { 0, 200 * BB_MSEC, 600 * BB_MSEC, 1400 * BB_MSEC };
+  struct
+  {
+    uint16_t port;
+    uint32_t mark;
+  } flows[12];
+  for (int i = 0; i < 4; i++)
+    {
+      char name[8];
+      g_snprintf (name, sizeof name, "s%d", i);
+      put (name, "desk", "north", BB_SERVER_READY, 0);
+    }
+  configure (1, ROUTE_PORT, "desk", 0);
+  for (unsigned f = 0; f < G_N_ELEMENTS (flows); f++)
+    {
+      flows[f].port = (uint16_t)(1000 + f);
+      flows[f].mark = open_flow (flows[f].port, BB_SEC);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (times); i++)
+    for (unsigned f = 0; f < G_N_ELEMENTS (flows); f++)
+      {
+        bb_usec now = 2 * BB_SEC + times[i] + f * 10 * BB_MSEC;
+        bb_marked_tick (t.m, now);
+        ck_assert_int_eq (ask (flows[f].port, flows[f].mark, 101, 1, now).kind,
+                          BB_MARKED_FORWARD);
+      }
+  ck_assert_uint_eq (t.reset_count, 0);
+}
+END_TEST
+
 /* Guards against resets of flows of a server that answers at other balancers,
    while the few flows that are seen here wait in its queue.  */
 START_TEST (answers_elsewhere_veto_death)
@@ -530,6 +564,7 @@
   tcase_add_test (tc, idle_flows_end_with_their_server);
   tcase_add_test (tc, answering_server_without_entry_keeps_its_flows);
   tcase_add_loop_test (tc, silent_server, 0, G_N_ELEMENTS (silences));
+  tcase_add_test (tc, own_link_down_resets_nothing);
   tcase_add_test (tc, answers_elsewhere_veto_death);
   tcase_add_test (tc, suspect_server_gets_no_new_flow);
   tcase_add_test (tc, restarted_server_starts_empty);
--- /dev/null
+++ b/tests/soak_test.sh
@@ -0,0 +1,37 @@
+#!/bin/bash
+# Short soaks of real balancers: one seed, the seeds that failed once, and
+# promises broken on purpose, which the soak must report.
+set -u
+cd "$(dirname "$0")/.."
+build=${BUILD:-build}
+
+# One line for scripts/check.sh.
+report () # CASE PASSED TEXT
+{
+  if [ "$2" = 0 ]; then
+    echo "tests/soak_test.sh:1:P:soak:$1:0: Passed"
+  else
+    echo "tests/soak_test.sh:1:F:soak:$1:0: $3"
+  fi
+}
+
+soak () # CASE EXPECTED OPTIONS...
+{
+  local case=$1 expected=$2 out status
+  shift 2
+  out=$("$build/bin/soak" --program "$build/bin/bluebellstand" "$@" 2>&1)
+  status=$?
+  [ "$status" = "$expected" ]
+  report "$case" $? "$(grep BROKEN <<<"$out" | head -3 | tr '\n' ' ')"
+  rm -rf "$(sed -n 's/.* logs=//p' <<<"$out" | tail -1)"
+}
+
+soak seed_1 0 --seed 1 --seconds 20 &
+soak planted_twice 1 --seed 2 --seconds 15 --plant twice &
+soak planted_service 1 --seed 3 --seconds 15 --plant service &
+wait
+while read -r seed cause; do
+  [[ $seed == \#* ]] && continue
+  soak "seed_$seed" 0 --seed "$seed" --seconds 30 &
+done <soak/seeds.txt
+wait
