--- /dev/null
+++ b/tests/surge_test.c
@@ -0,0 +1,200 @@
+/* Placement under the loads at which it counts, replayed without I/O.  */
+
+#include "marked/place.h"
+#include "tests/suite.h"
+#include <string.h>
+
+enum
+{
+  NEAR = 4, /* servers, as in the largest data centre of Restrepo */
+  FAR = 10,
+  BALANCERS = 3,
+  CALLERS = 72, /* 24 clients with 3 users each */
+};
+
+static struct
+{
+  struct bb_directory *directory;
+  struct bb_route *route;
+  GRand *random;
+  uint64_t revision;
+} t;
+
+static struct bb_backend_server *
+add (const char *prefix, unsigned index, const char *data_centre,
+     uint32_t cold_ms)
+{
+  struct bb_server_record r = {
+    .service = "desk",
+    .address = { 0x0a000001, 8080 },
+    .state = BB_SERVER_READY,
+    .cold_ms = cold_ms,
+    .slots = 2,
+    .revision = ++t.revision,
+    .created = t.revision,
+  };
+  struct bb_backend_server *s;
+  g_snprintf (r.name, sizeof r.name, "%s-%u", prefix, index);
+  g_strlcpy (r.data_centre, data_centre, sizeof r.data_centre);
+  bb_directory_put (t.directory, &r, 0, &s);
+  return s;
+}
+
+static void
+setup (void)
+{
+  struct bb_route_record r = { .address = { 0xc6120001, 443 },
+                               .shares = { { bb_name_key ("desk"), 1 } },
+                               .share_count = 1,
+                               .revision = 1 };
+  memset (&t, 0, sizeof t);
+  t.directory = bb_directory_new ("north");
+  t.random = g_rand_new_with_seed (5);
+  bb_directory_configure (t.directory, 1, 1, &r, 1, 0);
+  t.route = bb_directory_route (t.directory, &r.address);
+}
+
+static void
+teardown (void)
+{
+  bb_directory_free (t.directory);
+  g_rand_free (t.random);
+}
+
+static struct bb_choice
+place (bb_usec now)
+{
+  return bb_place_flow (t.directory, t.route, &bb_placing_load, t.random, now);
+}
+
+/* Load of the servers near by, and where the next flow goes.  */
+static const struct
+{
+  const char *guards;
+  int open; /* flows of each server near by */
+  int busy; /* requests under way at each */
+  int far_busy;
+  enum bb_reason reason;
+} loads[] = {
+  { "an idle data centre keeps its flows", 0, 0, 0,
+    BB_REASON_OWN_DATA_CENTRE },
+  { "many open flows are no reason to leave", 40, 1, 0,
+    BB_REASON_OWN_DATA_CENTRE },
+  { "full slots are no reason to leave", 20, 2, 0, BB_REASON_OWN_DATA_CENTRE },
+  { "a queue at each server is", 20, 4, 0, BB_REASON_OTHER_DATA_CENTRE },
+  { "a queue as long elsewhere is not", 20, 4, 4, BB_REASON_OWN_DATA_CENTRE },
+};
+
+/* Guards against flows that die with a cut between data centres: in the first
+   rounds more than half were far from their callers.  */
+START_TEST (flows_stay_in_their_data_centre)
+{
+  for (unsigned i = 0; i < NEAR; i++)
+    {
+      struct bb_backend_server *s = add ("near", i, "north", 0);
+      s->load.open = loads[_i].open;
+      s->load.busy = loads[_i].busy;
+    }
+  for (unsigned i = 0; i < FAR; i++)
+    add ("far", i, "south", 0)->load.busy = loads[_i].far_busy;
+  ck_assert_int_eq (place (BB_SEC).reason, loads[_i].reason);
+}
+END_TEST
+
+/* After a loss of power all callers come back at once, at balancers that know
+   no load yet.  Guards against servers that shed while others stand idle: each
+   balancer spreads its flows to within one, so that the servers differ by no
+   more than there are balancers.  */
+START_TEST (callers_come_back_at_once)
+{
+  int flows[NEAR] = { 0 };
+  struct bb_backend_server *servers[NEAR];
+  for (unsigned i = 0; i < NEAR; i++)
+    servers[i] = add ("near", i, "north", 0);
+  for (int b = 0; b < BALANCERS; b++)
+    {
+      for (int i = 0; i < NEAR; i++)
+        servers[i]->load = (struct bb_server_load){ 0 };
+      for (int c = 0; c < CALLERS / BALANCERS; c++)
+        place (BB_SEC).server->load.open++;
+      for (int i = 0; i < NEAR; i++)
+        flows[i] += servers[i]->load.open;
+    }
+  int least = flows[0], most = flows[0];
+  for (int i = 1; i < NEAR; i++)
+    {
+      least = MIN (least, flows[i]);
+      most = MAX (most, flows[i]);
+    }
+  ck_assert_int_le (most - least, BALANCERS);
+}
+END_TEST
+
+/* Servers are replaced while load is high.  Guards against a cold server that
+   gets as much as a warm one.  */
+START_TEST (cold_servers_get_less)
+{
+  struct bb_backend_server *warm = add ("near", 0, "north", 0);
+  struct bb_backend_server *cold = add ("near", 1, "north", 2000);
+  for (int c = 0; c < CALLERS; c++)
+    place (BB_SEC).server->load.open++;
+  ck_assert_int_lt (cold->load.open, warm->load.open);
+  ck_assert_int_gt (cold->load.open, 0);
+  for (int c = 0; c < CALLERS; c++)
+    place (3 * BB_SEC).server->load.open++;
+  ck_assert_int_le (ABS (cold->load.open - warm->load.open), 1);
+}
+END_TEST
+
+/* All servers look dead at once, with nobody there.  Guards against a service
+   that refuses everybody on suspicion, and against one that chooses a suspect
+   server while another one answers.  */
+START_TEST (suspects_are_the_last_resort)
+{
+  struct bb_backend_server *near = add ("near", 0, "north", 0);
+  struct bb_backend_server *far = add ("far", 0, "south", 0);
+  near->load.evidence.suspect_until = 10 * BB_SEC;
+  ck_assert_ptr_eq (place (BB_SEC).server, far);
+  far->load.evidence.suspect_until = 10 * BB_SEC;
+  struct bb_choice choice = place (BB_SEC);
+  ck_assert_ptr_nonnull (choice.server);
+  ck_assert_int_eq (choice.reason, BB_REASON_SERVER_SILENT);
+}
+END_TEST
+
+/* Guards against a split that is not kept, and against weights of 0.  */
+START_TEST (splits_follow_their_weights)
+{
+  struct bb_route_record r = { .address = { 0xc6120001, 444 },
+                               .shares = { { bb_name_key ("desk"), 90 },
+                                           { bb_name_key ("other"), 10 } },
+                               .share_count = 2,
+                               .revision = 5 };
+  add ("near", 0, "north", 0);
+  bb_directory_put_route (t.directory, &r, 0);
+  t.route = bb_directory_route (t.directory, &r.address);
+  int placed = 0;
+  for (int i = 0; i < 10000; i++)
+    placed += place (BB_SEC).server != NULL;
+  ck_assert_int_gt (placed, 8800);
+  ck_assert_int_lt (placed, 9200);
+  t.route->record.shares[0].weight = t.route->record.shares[1].weight = 0;
+  ck_assert_ptr_nonnull (place (BB_SEC).server);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("surge");
+  TCase *tc = tcase_create ("placement");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_loop_test (tc, flows_stay_in_their_data_centre, 0,
+                       G_N_ELEMENTS (loads));
+  tcase_add_test (tc, callers_come_back_at_once);
+  tcase_add_test (tc, cold_servers_get_less);
+  tcase_add_test (tc, suspects_are_the_last_resort);
+  tcase_add_test (tc, splits_follow_their_weights);
+  suite_add_tcase (suite, tc);
+  return run_suite (suite);
+}
