--- a/marked/share_items.c
+++ b/marked/share_items.c
@@ -131,15 +131,26 @@
   sink->event (context, &event);
 }
 
+/* This balancer knows all up to its revision, so that an older item which it
+   does not have was removed since.  Only that a server is gone may be news. */
+static bool
+is_news (const struct bb_sharing *s, uint64_t revision)
+{
+  return revision > s->revision;
+}
+
 static void
 take_items (struct bb_sharing *s, const struct bb_share_items *m, bb_usec now)
 {
   for (uint32_t i = 0; i < m->server_count; i++)
-    bb_share_take_server (s->directory, &m->servers[i], BB_REASON_PEER, m->to,
-                          (bb_usec)m->verified_ms * BB_MSEC, s->sink,
-                          s->context, now);
+    if (is_news (s, m->servers[i].revision)
+        || m->servers[i].state == BB_SERVER_GONE)
+      bb_share_take_server (s->directory, &m->servers[i], BB_REASON_PEER,
+                            m->to, (bb_usec)m->verified_ms * BB_MSEC, s->sink,
+                            s->context, now);
   for (uint32_t i = 0; i < m->route_count; i++)
-    bb_directory_put_route (s->directory, &m->routes[i], now);
+    if (is_news (s, m->routes[i].revision))
+      bb_directory_put_route (s->directory, &m->routes[i], now);
 }
 
 void
--- a/tests/sharing_test.c
+++ b/tests/sharing_test.c
@@ -489,6 +489,44 @@
 }
 END_TEST
 
+/* Guards against what was removed and comes back: a balancer that has read the
+   store is told an older state by one that asked earlier.  */
+START_TEST (older_state_brings_nothing_back)
+{
+  struct node *n = &w.nodes[0];
+  struct bb_endpoint from = endpoint_of (1);
+  struct bb_share_message m = {
+    .kind = BB_SHARE_ITEMS,
+    .from = 101,
+    .items = { .batch = 1,
+               .chunk_count = _i ? 2 : 1,
+               .to = 8,
+               .version = 8,
+               .servers = { { .name = "i-07",
+                              .service = "s",
+                              .data_centre = "dc-0",
+                              .address = { 1, 1 },
+                              .state = BB_SERVER_READY,
+                              .revision = 7,
+                              .created = 7 } },
+               .server_count = 1,
+               .routes = { { .address = { 1, 443 },
+                             .shares = { { 1, 1 } },
+                             .share_count = 1,
+                             .revision = 4 } },
+               .route_count = 1 },
+  };
+  take (n, 8);
+  bb_directory_begin (n->directory, 9, w.now);
+  bb_sharing_current (n->sharing, 9, w.now, w.now);
+  bb_sharing_receive (n->sharing, &from, &m, w.now);
+  ck_assert_ptr_null (bb_directory_find (n->directory, "i-07"));
+  ck_assert_ptr_null (
+      bb_directory_route (n->directory, &m.items.routes[0].address));
+  ck_assert_uint_eq (bb_sharing_revision (n->sharing), 9);
+}
+END_TEST
+
 /* Guards against calls to the store that grow with the fleet: one watch for
    each change, and one where nothing changes.  */
 START_TEST (calls_do_not_grow_with_the_fleet)
@@ -552,6 +590,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_set_timeout (tc, 60);
   tcase_add_loop_test (tc, trouble, 0, G_N_ELEMENTS (troubles));
+  tcase_add_loop_test (tc, older_state_brings_nothing_back, 0, 2);
   tcase_add_test (tc, calls_do_not_grow_with_the_fleet);
   tcase_add_test (tc, store_that_is_down_is_asked_seldom);
   tcase_add_test (tc, messages_twice_and_late);
