--- a/bluebellstand/main.c
+++ b/bluebellstand/main.c
@@ -1,6 +1,7 @@
 /* bluebellstand: one balancer.  */
 
 #include "bluebellstand/program.h"
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -121,6 +122,9 @@
 {
   GError *error = NULL;
   int status;
+  /* The settings may change before the loop can take the signal; they are read
+     after this.  */
+  signal (SIGHUP, SIG_IGN);
   if (!parse_options (&argc, &argv, &error))
     return fail (BB_ERROR_MISSING_KEY, error);
   if (show_version)
--- a/marked/ended.c
+++ b/marked/ended.c
@@ -5,9 +5,6 @@
    an answer that is younger contradicts it.  */
 #define ANSWERED_LATELY (3 * BB_SEC)
 
-/* A server that answered since counts as heard.  */
-#define HEARD_TIME (2 * BB_SEC)
-
 /* Resets one flow of a server that has ended.  A caller whose flow is idle
    then opens a new one for its next request, so that no request is lost.  */
 static void
@@ -63,24 +60,66 @@
   return s->drained ? alive < s->gone_since : now - alive > ANSWERED_LATELY;
 }
 
+/* Servers that live answer somebody within this time after another one fell
+   silent; no server counts as dead earlier.  */
+#define HEARD_WITHIN (300 * BB_MSEC)
+
+/* Earliest silence of a server that is listed; 0: none is silent.  */
+static bb_usec
+first_silence (struct bb_link *head)
+{
+  bb_usec first = 0;
+  for (struct bb_link *at = head->previous; at != head; at = at->previous)
+    {
+      const struct bb_backend_server *s
+          = BB_LINKED (at, struct bb_backend_server, by_revision);
+      bb_usec since = s->load.evidence.silent_since;
+      if (s->record.state != BB_SERVER_GONE && since != 0
+          && (first == 0 || since < first))
+        first = since;
+    }
+  return first;
+}
+
+/* What callers showed while the own link was down says nothing of servers.  */
+static void
+begin_evidence_anew (struct bb_link *head, bb_usec now)
+{
+  for (struct bb_link *at = head->previous; at != head; at = at->previous)
+    {
+      struct bb_evidence *e
+          = &BB_LINKED (at, struct bb_backend_server, by_revision)
+                 ->load.evidence;
+      if (e->silent_since == 0)
+        continue;
+      e->silent_since = now;
+      e->silent_flows = e->repeats = 0;
+      e->declared = false;
+    }
+}
+
 void
 bb_marked_check_link (struct bb_marked *m, bb_usec now)
 {
   struct bb_link *head = bb_directory_servers (m->directory);
+  bb_usec since = first_silence (head);
   unsigned heard = 0, silent = 0;
+  bool was_isolated = m->isolated;
+  m->isolated = false;
+  if (since == 0)
+    return;
   for (struct bb_link *at = head->previous; at != head; at = at->previous)
     {
       const struct bb_backend_server *s
           = BB_LINKED (at, struct bb_backend_server, by_revision);
-      const struct bb_evidence *e = &s->load.evidence;
       if (s->record.state == BB_SERVER_GONE)
         continue;
-      if (e->silent_since != 0)
-        silent++;
-      else if (e->alive != 0 && now - e->alive < HEARD_TIME)
-        heard++;
+      silent += s->load.evidence.silent_since != 0;
+      heard += s->load.evidence.alive > since;
     }
-  m->isolated = silent > 1 && silent > heard;
+  m->isolated = now - since >= HEARD_WITHIN && silent > heard;
+  if (was_isolated && !m->isolated)
+    begin_evidence_anew (head, now);
 }
 
 void
