--- a/config/keys_process.c
+++ b/config/keys_process.c
@@ -152,7 +152,7 @@
     "processor of the VM; those with more read the store first",
     BB_KEY_FIELD (bb_marked_settings, capacity) },
   { "settings", "marked.flow_capacity", BB_KEY_INTEGER, "flows", 64, 16777216,
-    NULL, "65536", "flows that are observed, 48 bytes each",
+    NULL, "65536", "flows that are observed, 64 bytes each",
     BB_KEY_FIELD (bb_marked_settings, flow_capacity) },
   { "settings", "marked.idle_ms", BB_KEY_INTEGER, "ms", 100, 86400000, NULL,
     "15000", "a flow without packets for so long counts as ended",
--- a/soak/callers.c
+++ b/soak/callers.c
@@ -20,13 +20,13 @@
   struct bb_endpoint address; /* its port is that of the flow */
   int fd;
   enum caller_state state;
-  bool probes;
   unsigned balancer; /* that a probe goes to */
   uint32_t sequence, acknowledged, mark;
   unsigned copies, requests_left;
+  bool probes;
+  bool once; /* the request may not run twice */
   bb_usec next, give_up, pause, started;
   uint64_t id;
-  bool once;
 };
 
 static struct caller callers[SOAK_CALLERS_MAX + SOAK_BALANCERS_MAX];
--- a/tests/adapter_test.c
+++ b/tests/adapter_test.c
@@ -40,19 +40,19 @@
 {
   const char *guards;
   size_t length;
+  enum bb_drop drop;
   uint8_t flags;
   uint8_t data_length; /* low byte of the length field */
-  enum bb_drop drop;
   bool reset;
 } odd[] = {
-  { "an empty datagram", 0, 16, 0, BB_DROP_TRUNCATED, false },
-  { "a head without its last byte", 35, 16, 0, BB_DROP_TRUNCATED, false },
-  { "less data than announced", 40, 32, 5, BB_DROP_SPOOFED, false },
-  { "more data than announced", 40, 32, 3, BB_DROP_SPOOFED, false },
-  { "a first packet with data", 40, 16, 4, BB_DROP_SPOOFED, false },
-  { "a server's answer to a first packet", 36, 48, 0, BB_DROP_SPOOFED, false },
-  { "a reset is not answered with a reset", 36, 8, 0, BB_DROP_NONE, false },
-  { "data is answered with a reset", 40, 32, 4, BB_DROP_NONE, true },
+  { "an empty datagram", 0, BB_DROP_TRUNCATED, 16, 0, false },
+  { "a head without its last byte", 35, BB_DROP_TRUNCATED, 16, 0, false },
+  { "less data than announced", 40, BB_DROP_SPOOFED, 32, 5, false },
+  { "more data than announced", 40, BB_DROP_SPOOFED, 32, 3, false },
+  { "a first packet with data", 40, BB_DROP_SPOOFED, 16, 4, false },
+  { "a server's answer to a first packet", 36, BB_DROP_SPOOFED, 48, 0, false },
+  { "a reset is not answered with a reset", 36, BB_DROP_NONE, 8, 0, false },
+  { "data is answered with a reset", 40, BB_DROP_NONE, 32, 4, true },
 };
 
 START_TEST (odd_packets)
@@ -164,27 +164,34 @@
                                         "\"weight\":10}]") "]}",
     true, 2, 0 },
   { "{\"version\":7,\"routes\":[]}", true, 0, 0 },
-  { "{\"version\":7,\"routes\":[" ROUTE ("198.18.0.1", "/8080/", "\"service\":\"a\"") "," ROUTE (
-        "198.18.0.1", "/8080/",
-        "\"service\":\"b\"") "," ROUTE ("198.18.0.1", "8080",
-                                        "\"service\":\"b\"") "," ROUTE ("198."
-                                                                        "18.0."
-                                                                        "1",
-                                                                        "/http"
-                                                                        "/",
-                                                                        "\"ser"
-                                                                        "vice"
-                                                                        "\":"
-                                                                        "\"b"
-                                                                        "\"") "," ROUTE ("here",
-                                                                                         "/80/",
-                                                                                         "\"ser"
-                                                                                         "vice"
-                                                                                         "\":"
-                                                                                         "\"b"
-                                                                                         "\"") "," ROUTE ("198.18.0.1",
-                                                                                                          "/81/",
-                                                                                                          "\"kind\":\"safe\"") ",7]}",
+  { "{\"version\":7,\"routes\":[" ROUTE ("198.18.0.1", "/8080/", "\"service\":\"a\"") "," ROUTE ("198.18.0.1", "/8080/", "\"service\":\"b\"") "," ROUTE (
+        "198.18.0.1", "8080",
+        "\"service\":\"b\"") "," ROUTE ("198."
+                                        "18.0."
+                                        "1",
+                                        "/http"
+                                        "/",
+                                        "\"ser"
+                                        "vice"
+                                        "\":"
+                                        "\"b"
+                                        "\"") "," ROUTE ("here", "/80/",
+                                                         "\"ser"
+                                                         "vice"
+                                                         "\":"
+                                                         "\"b"
+                                                         "\"") "," ROUTE ("198"
+                                                                          ".18"
+                                                                          ".0."
+                                                                          "1",
+                                                                          "/81"
+                                                                          "/",
+                                                                          "\"k"
+                                                                          "ind"
+                                                                          "\":"
+                                                                          "\"s"
+                                                                          "afe"
+                                                                          "\"") ",7]}",
     true, 1, 6 },
   { "{\"routes\":[]}", false, 0, 0 },
   { "{\"version\":0,\"routes\":[]}", false, 0, 0 },
--- a/tests/balancer_test.c
+++ b/tests/balancer_test.c
@@ -577,28 +577,29 @@
 {
   const char *guards;
   bb_usec away; /* for how long nothing was read */
-  bool failed;  /* calls to the store failed */
   enum bb_server_state before;
+  bool failed; /* calls to the store failed */
   bool returns;
   bool at_once; /* gone when its entry is */
 } lapses[] = {
-  { "a live server is used all the while", 5 * BB_SEC, true, BB_SERVER_READY,
+  { "a live server is used all the while", 5 * BB_SEC, BB_SERVER_READY, true,
     true, false },
-  { "a server that does not come back is gone", 5 * BB_SEC, true,
-    BB_SERVER_READY, false, false },
-  { "a server that announced its end is gone at once", 5 * BB_SEC, true,
-    BB_SERVER_DRAINING, false, true },
-  { "knowledge that is old for another reason", 5 * BB_SEC, false,
-    BB_SERVER_READY, false, true },
+  { "a server that does not come back is gone", 5 * BB_SEC, BB_SERVER_READY,
+    true, false, false },
+  { "a server that announced its end is gone at once", 5 * BB_SEC,
+    BB_SERVER_DRAINING, true, false, true },
+  { "knowledge that is old for another reason", 5 * BB_SEC, BB_SERVER_READY,
+    false, false, true },
   { "an entry that goes while the store is there is gone at once", BB_SEC / 2,
-    true, BB_SERVER_READY, false, true },
+    BB_SERVER_READY, true, false, true },
 };
 
 START_TEST (entry_lapses)
 {
-  struct bb_backend_server *a = put ("a", "desk", "north", BB_SERVER_READY, 0);
+  put ("a", "desk", "north", BB_SERVER_READY, 0);
   configure (1, ROUTE_PORT, "desk", 0);
-  a = put ("a", "desk", "north", lapses[_i].before, BB_SEC);
+  struct bb_backend_server *a
+      = put ("a", "desk", "north", lapses[_i].before, BB_SEC);
   bb_marked_current (t.m, t.revision, BB_SEC, BB_SEC);
   bb_usec back = BB_SEC + lapses[_i].away;
   if (lapses[_i].failed)
