--- a/Makefile
+++ b/Makefile
@@ -90,7 +90,7 @@
 	@mkdir -p $(@D)
 	$(link) $(shell pkg-config --libs check)
 
-SOAK_OBJECTS = $(call objects, $(wildcard soak/*.c))
+SOAK_OBJECTS = $(call objects, $(wildcard soak/*.c platform/standins/*.c))
 $(BUILD)/bin/soak: $(SOAK_OBJECTS) $(LIBS)
 	@mkdir -p $(@D)
 	$(link)
--- a/core/packet.c
+++ b/core/packet.c
@@ -1,6 +1,6 @@
+#include "core/bytes.h"
 #include "core/core.h"
 #include <netinet/in.h>
-#include <string.h>
 
 enum
 {
@@ -10,24 +10,6 @@
   FRAGMENT_MASK = 0x3fff, /* "more fragments" and the offset */
 };
 
-/* The private data of GUE is 4 or 20 bytes long, so nothing in a packet is
-   aligned to more than 2 bytes for certain.  */
-static uint16_t
-load16 (const uint8_t *p)
-{
-  uint16_t v;
-  memcpy (&v, p, sizeof v);
-  return ntohs (v);
-}
-
-static uint32_t
-load32 (const uint8_t *p)
-{
-  uint32_t v;
-  memcpy (&v, p, sizeof v);
-  return ntohl (v);
-}
-
 static enum bb_drop
 parse_tcp (const uint8_t *data, size_t length, struct bb_packet *packet)
 {
@@ -36,8 +18,8 @@
   size_t header = (size_t)(data[12] >> 4) * 4;
   if (header < TCP_HEADER_MIN || header > length)
     return BB_DROP_TRUNCATED;
-  packet->sequence = load32 (data + 4);
-  packet->acknowledgement = load32 (data + 8);
+  packet->sequence = bb_load32 (data + 4);
+  packet->acknowledgement = bb_load32 (data + 8);
   packet->tcp_flags = data[13];
   packet->payload = (uint16_t)(length - header);
   if ((packet->tcp_flags & BB_TCP_SYN) && packet->payload > 0)
@@ -50,7 +32,7 @@
 {
   if (length < UDP_HEADER)
     return BB_DROP_TRUNCATED;
-  size_t said = load16 (data + 4);
+  size_t said = bb_load16 (data + 4);
   if (said < UDP_HEADER || said > length)
     return BB_DROP_TRUNCATED;
   packet->sequence = 0;
@@ -69,23 +51,23 @@
   if (data[0] >> 4 != 4)
     return BB_DROP_NOT_IPV4;
   size_t header = (size_t)(data[0] & 15) * 4;
-  size_t total = load16 (data + 2);
+  size_t total = bb_load16 (data + 2);
   if (header < IPV4_HEADER_MIN || header > total || total > length)
     return BB_DROP_TRUNCATED;
-  if (load16 (data + 6) & FRAGMENT_MASK)
+  if (bb_load16 (data + 6) & FRAGMENT_MASK)
     return BB_DROP_FRAGMENT;
 
   packet->protocol = data[9];
-  packet->source = load32 (data + 12);
-  packet->destination = load32 (data + 16);
+  packet->source = bb_load32 (data + 12);
+  packet->destination = bb_load32 (data + 16);
   if (packet->protocol != IPPROTO_TCP && packet->protocol != IPPROTO_UDP)
     return BB_DROP_PROTOCOL;
   const uint8_t *transport = data + header;
   size_t rest = total - header;
   if (rest < 4)
     return BB_DROP_TRUNCATED;
-  packet->source_port = load16 (transport);
-  packet->destination_port = load16 (transport + 2);
+  packet->source_port = bb_load16 (transport);
+  packet->destination_port = bb_load16 (transport + 2);
   return packet->protocol == IPPROTO_TCP ? parse_tcp (transport, rest, packet)
                                          : parse_udp (transport, rest, packet);
 }
--- a/marked/share_beats.c
+++ b/marked/share_beats.c
@@ -106,7 +106,7 @@
 }
 
 static void
-greet (struct bb_sharing *s, const struct bb_endpoint *to, bb_usec now)
+contact (struct bb_sharing *s, const struct bb_endpoint *to, bb_usec now)
 {
   struct bb_share_message m;
   make_beat (s, &m, false, now);
@@ -115,14 +115,14 @@
 }
 
 void
-bb_share_greet_seeds (struct bb_sharing *s, bb_usec now)
+bb_share_contact_seeds (struct bb_sharing *s, bb_usec now)
 {
-  if (bb_sharing_live (s, now) > 0 && now - s->greeted < RETRY_INTERVAL)
+  if (bb_sharing_live (s, now) > 0 && now - s->contacted < RETRY_INTERVAL)
     return;
-  s->greeted = now;
+  s->contacted = now;
   for (size_t i = 0; i < s->seed_count; i++)
     if (s->seeds[i].address != s->options.self.endpoint.address)
-      greet (s, &s->seeds[i], now);
+      contact (s, &s->seeds[i], now);
 }
 
 static void
--- a/marked/share_items.c
+++ b/marked/share_items.c
@@ -86,7 +86,7 @@
 }
 
 void
-bb_share_tell (struct bb_sharing *s, uint64_t before, bb_usec now)
+bb_share_publish (struct bb_sharing *s, uint64_t before, bb_usec now)
 {
   if (!s->leads && !s->reads)
     return;
@@ -274,5 +274,5 @@
   s->revision = m->to;
   bb_share_set_verified (s, m->verified_ms, now);
   if (s->revision > before)
-    bb_share_tell (s, before, now);
+    bb_share_publish (s, before, now);
 }
--- a/marked/share_peers.c
+++ b/marked/share_peers.c
@@ -4,7 +4,7 @@
 #define FAR_SILENCE (20 * BB_SEC)
 
 /* A peer that was silent for so long is forgotten; a VM that was cut off for
-   less is still greeted.  */
+   less is still contacted.  */
 #define FORGET_AFTER (30 * BB_SEC)
 
 bool
@@ -57,9 +57,10 @@
       server->load.peer_busy
           = MAX (server->load.peer_busy + sign * load->busy, 0);
       if (sign > 0 && load->answers)
-        bb_suspicion_heard_alive (&server->load.evidence, now);
+        bb_suspicion_report_alive (&server->load.evidence, now);
       if (sign > 0 && load->suspect)
-        bb_suspicion_hearsay (&server->load.evidence, now + BB_SHARE_SILENCE);
+        bb_suspicion_report_silent (&server->load.evidence,
+                                    now + BB_SHARE_SILENCE);
     }
 }
 
--- a/marked/share_private.h
+++ b/marked/share_private.h
@@ -54,7 +54,7 @@
   bb_usec store_failed; /* 0: it answered, or was not asked */
   bb_usec beat_due;
   bb_usec wanted;
-  bb_usec greeted;
+  bb_usec contacted;
   bb_usec far_due;
   bool reads;
   bool first; /* of all readers */
@@ -89,7 +89,7 @@
                     struct bb_share_message *m);
 uint32_t bb_share_age_ms (bb_usec since, bb_usec now);
 uint32_t bb_share_own_flags (const struct bb_sharing *s, bb_usec now);
-void bb_share_greet_seeds (struct bb_sharing *s, bb_usec now);
+void bb_share_contact_seeds (struct bb_sharing *s, bb_usec now);
 void bb_share_send_beats (struct bb_sharing *s, bb_usec now);
 void bb_share_receive_beat (struct bb_sharing *s,
                             const struct bb_endpoint *from,
@@ -105,7 +105,7 @@
 
 /* Tells what is newer than BEFORE: a leader those that follow it, a reader the
    other leaders too.  */
-void bb_share_tell (struct bb_sharing *s, uint64_t before, bb_usec now);
+void bb_share_publish (struct bb_sharing *s, uint64_t before, bb_usec now);
 void bb_share_set_verified (struct bb_sharing *s, uint32_t verified_ms,
                             bb_usec now);
 #endif
--- a/marked/sharing.c
+++ b/marked/sharing.c
@@ -44,7 +44,7 @@
 {
   s->seed_count = MIN (count, G_N_ELEMENTS (s->seeds));
   memcpy (s->seeds, seeds, s->seed_count * sizeof seeds[0]);
-  s->greeted = 0;
+  s->contacted = 0;
 }
 
 void
@@ -155,7 +155,7 @@
   if (now < s->beat_due)
     return;
   s->beat_due = now + BB_SHARE_INTERVAL;
-  bb_share_greet_seeds (s, now);
+  bb_share_contact_seeds (s, now);
   bb_share_send_beats (s, now);
 }
 
@@ -191,7 +191,7 @@
     return;
   uint64_t before = s->revision;
   s->revision = revision;
-  bb_share_tell (s, before, now);
+  bb_share_publish (s, before, now);
 }
 
 void
--- a/marked/sharing.h
+++ b/marked/sharing.h
@@ -67,7 +67,7 @@
                                    void *context, bb_usec now);
 void bb_sharing_free (struct bb_sharing *s);
 
-/* Balancers to greet until one of them answers.  */
+/* Balancers to contact until one of them answers.  */
 void bb_sharing_seed (struct bb_sharing *s, const struct bb_endpoint *seeds,
                       size_t count);
 
--- a/marked/suspicion.c
+++ b/marked/suspicion.c
@@ -41,7 +41,7 @@
 }
 
 void
-bb_suspicion_hearsay (struct bb_evidence *e, bb_usec until)
+bb_suspicion_report_silent (struct bb_evidence *e, bb_usec until)
 {
   /* What callers show here is newer than what a peer's beat tells.  */
   if (until - BB_SEC > e->alive)
@@ -49,7 +49,7 @@
 }
 
 void
-bb_suspicion_heard_alive (struct bb_evidence *e, bb_usec now)
+bb_suspicion_report_alive (struct bb_evidence *e, bb_usec now)
 {
   e->alive_elsewhere = now;
 }
--- a/marked/suspicion.h
+++ b/marked/suspicion.h
@@ -33,8 +33,8 @@
 bool bb_suspicion_repeat (struct bb_evidence *e, bool first, bb_usec now);
 
 /* Another balancer finds the server suspect, or was answered by it lately.  */
-void bb_suspicion_hearsay (struct bb_evidence *e, bb_usec until);
-void bb_suspicion_heard_alive (struct bb_evidence *e, bb_usec now);
+void bb_suspicion_report_silent (struct bb_evidence *e, bb_usec until);
+void bb_suspicion_report_alive (struct bb_evidence *e, bb_usec now);
 
 /* Whether the server answered here so lately that peers are to know.  */
 bool bb_suspicion_answers (const struct bb_evidence *e, bb_usec now);
--- a/runtime/marked_private.h
+++ b/runtime/marked_private.h
@@ -51,6 +51,22 @@
   struct bb_histogram loop_delay;
 };
 
+/* marked_process.c */
+void bb_marked_add_event (struct bb_marked_process *p, enum bb_event_kind kind,
+                          uint64_t value, enum bb_reason reason);
+
+/* Reads the store at the address of P, anew if it was read before.  */
+void bb_marked_start_source (struct bb_marked_process *p);
+
+/* marked_settings.c: settings that change while the process runs.  */
+void bb_marked_set_seeds (struct bb_marked_process *p,
+                          const struct bb_marked_settings *m);
+void bb_marked_reload (struct bb_marked_process *p);
+
+/* When the settings file last changed, in microseconds; 0: not known.  */
+int64_t bb_marked_file_time (const struct bb_marked_process *p);
+void bb_marked_check_file (struct bb_marked_process *p, bb_usec now);
+
 /* marked_http.c: readiness and metrics.  */
 bool bb_marked_http_start (struct bb_marked_process *p, GError **error);
 void bb_marked_http_stop (struct bb_marked_process *p);
--- a/runtime/marked_process.c
+++ b/runtime/marked_process.c
@@ -1,13 +1,9 @@
 #include "runtime/marked_private.h"
 #include <inttypes.h>
 #include <signal.h>
-#include <sys/stat.h>
 
 #define TICK_INTERVAL (50 * BB_MSEC)
 
-/* A change of the settings file may come without a signal.  */
-#define FILE_INTERVAL (2 * BB_SEC)
-
 /* The fabric asks for readiness twice a second and takes a balancer out after
    two misses; packets that were on their way come a little later.  */
 #define LEAVE_LEAST (1300 * BB_MSEC)
@@ -62,9 +58,9 @@
   .reset = sink_reset,
 };
 
-static void
-add_event (struct bb_marked_process *p, enum bb_event_kind kind,
-           uint64_t value, enum bb_reason reason)
+void
+bb_marked_add_event (struct bb_marked_process *p, enum bb_event_kind kind,
+                     uint64_t value, enum bb_reason reason)
 {
   const struct bb_sharing *sharing = bb_marked_sharing (p->marked);
   struct bb_event event
@@ -116,8 +112,9 @@
   if (p->became_ready != 0 || !bb_marked_ready (p->marked))
     return;
   p->became_ready = bb_clock_boot ();
-  add_event (p, BB_EVENT_READY, (uint64_t)(p->became_ready - p->started),
-             BB_REASON_NONE);
+  bb_marked_add_event (p, BB_EVENT_READY,
+                       (uint64_t)(p->became_ready - p->started),
+                       BB_REASON_NONE);
 }
 
 static void
@@ -125,7 +122,7 @@
 {
   struct bb_marked_process *p = context;
   if (p->store_lost)
-    add_event (p, BB_EVENT_STORE_BACK, revision, BB_REASON_STORE);
+    bb_marked_add_event (p, BB_EVENT_STORE_BACK, revision, BB_REASON_STORE);
   p->store_lost = false;
   bb_marked_current (p->marked, revision, asked, bb_clock_boot ());
   check_ready (p);
@@ -142,7 +139,7 @@
   };
   struct bb_marked_process *p = context;
   if (!p->store_lost)
-    add_event (p, BB_EVENT_STORE_LOST, 0, reasons[outcome]);
+    bb_marked_add_event (p, BB_EVENT_STORE_LOST, 0, reasons[outcome]);
   p->store_lost = true;
   bb_sharing_store_failed (bb_marked_sharing (p->marked), bb_clock_boot ());
 }
@@ -154,7 +151,8 @@
   struct bb_marked_process *p = context;
   g_autofree char *text = g_strdup_printf ("%s, revision %" PRIu64 ": %s", key,
                                            revision, error->message);
-  add_event (p, BB_EVENT_ENTRY_REFUSED, revision, BB_REASON_UNREADABLE);
+  bb_marked_add_event (p, BB_EVENT_ENTRY_REFUSED, revision,
+                       BB_REASON_UNREADABLE);
   bb_log_text (p->log, BB_LOG_ERROR, "entry_unusable", text);
 }
 
@@ -168,8 +166,8 @@
   .refused = source_refused,
 };
 
-static void
-start_source (struct bb_marked_process *p)
+void
+bb_marked_start_source (struct bb_marked_process *p)
 {
   if (p->source)
     p->source_ops->stop (p->source);
@@ -178,87 +176,6 @@
   p->source_ops->poke (p->source, bb_clock_boot ());
 }
 
-/* Settings.  */
-
-/* Balancers hear each other at one port, which is the same on all VMs.  */
-static void
-set_seeds (struct bb_marked_process *p, const struct bb_marked_settings *m)
-{
-  struct bb_endpoint *seeds = g_new0 (struct bb_endpoint, m->seed_count + 1);
-  for (size_t i = 0; i < m->seed_count; i++)
-    seeds[i] = (struct bb_endpoint){ m->seeds[i].address,
-                                     p->settings->marked.peer_port };
-  bb_sharing_seed (bb_marked_sharing (p->marked), seeds, m->seed_count);
-  g_free (seeds);
-}
-
-static struct bb_settings *
-read_file (struct bb_marked_process *p)
-{
-  gchar *bytes;
-  gsize length;
-  GError *error = NULL;
-  if (!g_file_get_contents (p->settings_file, &bytes, &length, &error))
-    {
-      bb_log_text (p->log, BB_LOG_ERROR, "settings_unreadable",
-                   error->message);
-      g_error_free (error);
-      return NULL;
-    }
-  GPtrArray *problems = bb_problems_new ();
-  struct bb_settings *s = bb_settings_parse (
-      p->settings_file, (const uint8_t *)bytes, length, problems);
-  g_free (bb_log_problems (p->log, problems));
-  g_ptr_array_unref (problems);
-  g_free (bytes);
-  return s;
-}
-
-/* Seeds and the store's address change in a running process; anything else
-   takes a restart.  Unusable settings change nothing.  */
-static void
-reload (struct bb_marked_process *p)
-{
-  struct bb_settings *s = p->settings_file ? read_file (p) : NULL;
-  if (!s)
-    return;
-  const struct bb_marked_settings *m = &s->marked;
-  set_seeds (p, m);
-  bool moved = m->store.port != 0
-               && (m->store.address != p->store.address
-                   || m->store.port != p->store.port);
-  add_event (p, BB_EVENT_RELOAD, m->seed_count, BB_REASON_NONE);
-  if (moved)
-    {
-      p->store = m->store;
-      start_source (p);
-    }
-  bb_settings_free (s);
-}
-
-static int64_t
-file_time (const struct bb_marked_process *p)
-{
-  struct stat status;
-  if (!p->settings_file || stat (p->settings_file, &status) != 0)
-    return 0;
-  return (int64_t)status.st_mtim.tv_sec * BB_SEC
-         + status.st_mtim.tv_nsec / 1000;
-}
-
-static void
-check_file (struct bb_marked_process *p, bb_usec now)
-{
-  if (now - p->file_checked < FILE_INTERVAL)
-    return;
-  p->file_checked = now;
-  int64_t changed = file_time (p);
-  if (changed == 0 || changed == p->file_time)
-    return;
-  p->file_time = changed;
-  reload (p);
-}
-
 /* The loop.  */
 
 static void
@@ -284,7 +201,7 @@
   bb_marked_tick (p->marked, now);
   p->source_ops->poke (p->source, now);
   check_ready (p);
-  check_file (p, now);
+  bb_marked_check_file (p, now);
   bb_log_flush (p->log, p->events);
   check_stop (p, now);
 }
@@ -295,7 +212,7 @@
   if (p->leaving_since != 0)
     return;
   p->leaving_since = bb_clock_boot ();
-  add_event (p, BB_EVENT_LEAVING, 0, BB_REASON_NONE);
+  bb_marked_add_event (p, BB_EVENT_LEAVING, 0, BB_REASON_NONE);
   bb_sharing_leave (bb_marked_sharing (p->marked), p->leaving_since);
 }
 
@@ -306,8 +223,8 @@
   struct bb_marked_process *p = context;
   if (number == SIGHUP)
     {
-      p->file_time = file_time (p);
-      reload (p);
+      p->file_time = bb_marked_file_time (p);
+      bb_marked_reload (p);
     }
   else
     leave (p);
@@ -331,7 +248,7 @@
     .idle_ms = s->marked.idle_ms,
   };
   p->marked = bb_marked_new (&options, &marked_sink, p, p->started);
-  set_seeds (p, &s->marked);
+  bb_marked_set_seeds (p, &s->marked);
 }
 
 static void
@@ -368,7 +285,8 @@
   bb_names_add_vms (p->names, &settings->self, 1);
   p->started = bb_clock_boot ();
   start_marked (p);
-  add_event (p, BB_EVENT_START, settings->marked.seed_count, BB_REASON_NONE);
+  bb_marked_add_event (p, BB_EVENT_START, settings->marked.seed_count,
+                       BB_REASON_NONE);
   if (!bb_marked_data_start (p, error) || !bb_marked_http_start (p, error))
     {
       bb_marked_process_free (p);
@@ -376,7 +294,7 @@
     }
   start_timers (p);
   bb_marked_tick (p->marked, p->started);
-  start_source (p);
+  bb_marked_start_source (p);
   return p;
 }
 
@@ -407,10 +325,10 @@
 bb_marked_process_run (struct bb_marked_process *p, const char *settings_file)
 {
   p->settings_file = settings_file;
-  p->file_time = file_time (p);
+  p->file_time = bb_marked_file_time (p);
   int status = event_base_dispatch (p->loop);
   bb_usec waited = p->leaving_since ? bb_clock_boot () - p->leaving_since : 0;
-  add_event (p, BB_EVENT_STOP, (uint64_t)waited, BB_REASON_NONE);
+  bb_marked_add_event (p, BB_EVENT_STOP, (uint64_t)waited, BB_REASON_NONE);
   bb_log_flush (p->log, p->events);
   return status < 0 ? bb_error_answer (BB_ERROR_IO)->exit_status : 0;
 }
--- /dev/null
+++ b/runtime/marked_settings.c
@@ -0,0 +1,85 @@
+#include "runtime/marked_private.h"
+#include <sys/stat.h>
+
+/* A change of the settings file may come without a signal.  */
+#define FILE_INTERVAL (2 * BB_SEC)
+
+/* Balancers hear each other at one port, which is the same on all VMs.  */
+void
+bb_marked_set_seeds (struct bb_marked_process *p,
+                     const struct bb_marked_settings *m)
+{
+  struct bb_endpoint *seeds = g_new0 (struct bb_endpoint, m->seed_count + 1);
+  for (size_t i = 0; i < m->seed_count; i++)
+    seeds[i] = (struct bb_endpoint){ m->seeds[i].address,
+                                     p->settings->marked.peer_port };
+  bb_sharing_seed (bb_marked_sharing (p->marked), seeds, m->seed_count);
+  g_free (seeds);
+}
+
+static struct bb_settings *
+read_file (struct bb_marked_process *p)
+{
+  gchar *bytes;
+  gsize length;
+  GError *error = NULL;
+  if (!g_file_get_contents (p->settings_file, &bytes, &length, &error))
+    {
+      bb_log_text (p->log, BB_LOG_ERROR, "settings_unreadable",
+                   error->message);
+      g_error_free (error);
+      return NULL;
+    }
+  GPtrArray *problems = bb_problems_new ();
+  struct bb_settings *s = bb_settings_parse (
+      p->settings_file, (const uint8_t *)bytes, length, problems);
+  g_free (bb_log_problems (p->log, problems));
+  g_ptr_array_unref (problems);
+  g_free (bytes);
+  return s;
+}
+
+/* Seeds and the store's address change in a running process; anything else
+   takes a restart.  Unusable settings change nothing.  */
+void
+bb_marked_reload (struct bb_marked_process *p)
+{
+  struct bb_settings *s = p->settings_file ? read_file (p) : NULL;
+  if (!s)
+    return;
+  const struct bb_marked_settings *m = &s->marked;
+  bb_marked_set_seeds (p, m);
+  bool moved = m->store.port != 0
+               && (m->store.address != p->store.address
+                   || m->store.port != p->store.port);
+  bb_marked_add_event (p, BB_EVENT_RELOAD, m->seed_count, BB_REASON_NONE);
+  if (moved)
+    {
+      p->store = m->store;
+      bb_marked_start_source (p);
+    }
+  bb_settings_free (s);
+}
+
+int64_t
+bb_marked_file_time (const struct bb_marked_process *p)
+{
+  struct stat status;
+  if (!p->settings_file || stat (p->settings_file, &status) != 0)
+    return 0;
+  return (int64_t)status.st_mtim.tv_sec * BB_SEC
+         + status.st_mtim.tv_nsec / 1000;
+}
+
+void
+bb_marked_check_file (struct bb_marked_process *p, bb_usec now)
+{
+  if (now - p->file_checked < FILE_INTERVAL)
+    return;
+  p->file_checked = now;
+  int64_t changed = bb_marked_file_time (p);
+  if (changed == 0 || changed == p->file_time)
+    return;
+  p->file_time = changed;
+  bb_marked_reload (p);
+}
--- a/soak/balancers.c
+++ b/soak/balancers.c
@@ -31,7 +31,7 @@
 soak_balancer_calm (const struct soak_balancer *b)
 {
   return b->pid != 0 && !b->stopped && b->store == SOAK_STORE_SERVES
-         && world.now > b->deaf_until + SOAK_CALM
+         && world.now > b->cut_until + SOAK_CALM
          && world.now - b->trouble > SOAK_CALM;
 }
 
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -50,7 +50,7 @@
 }
 
 static void
-herd (void)
+kill_many (void)
 {
   int chance = draw (30, 101);
   for (unsigned i = 0; i < world.balancer_count; i++)
@@ -94,14 +94,14 @@
 }
 
 static void
-deafen (void)
+cut_one (void)
 {
   struct soak_balancer *b = any_balancer ();
-  b->deaf_until = world.now + draw (300, 3000) * BB_MSEC;
-  b->trouble = b->deaf_until;
+  b->cut_until = world.now + draw (300, 3000) * BB_MSEC;
+  b->trouble = b->cut_until;
   for (unsigned i = 0; i < world.server_count; i++)
     world.servers[i].trouble
-        = MAX (world.servers[i].trouble, b->deaf_until - SOAK_CALM);
+        = MAX (world.servers[i].trouble, b->cut_until - SOAK_CALM);
 }
 
 /* A service keeps two servers in each data centre.  */
@@ -175,11 +175,11 @@
   { "stop", 4, stop_one },
   { "pause", 4, pause_one },
   { "reload", 2, reload_one },
-  { "herd", 1, herd },
+  { "kill_many", 1, kill_many },
   { "store_refuses_some", 3, store_refuses_some },
   { "store_is_away", 2, store_is_away },
   { "forget", 1, forget },
-  { "deafen", 2, deafen },
+  { "cut_one", 2, cut_one },
   { "replace", 4, replace },
   { "crash", 2, crash },
   { "add", 2, add },
--- a/soak/servers.c
+++ b/soak/servers.c
@@ -182,7 +182,7 @@
     {
       const struct soak_balancer *b
           = soak_balancer_at (ntohl (from.sin_addr.s_addr));
-      if (world.now < s->trouble || (b && world.now < b->deaf_until))
+      if (world.now < s->trouble || (b && world.now < b->cut_until))
         continue;
       take (s, bytes, (size_t)length, b);
       if (world.plant && strcmp (world.plant, "twice") == 0
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -47,10 +47,10 @@
   struct bb_endpoint packets, ready;
   pid_t pid; /* 0: not running */
   bb_usec start_at;
-  bool stopped;       /* by SIGSTOP */
-  bb_usec resume_at;  /* 0: not stopped */
-  bb_usec trouble;    /* when the last one ended */
-  bb_usec deaf_until; /* servers do not hear it */
+  bool stopped;      /* by SIGSTOP */
+  bb_usec resume_at; /* 0: not stopped */
+  bb_usec trouble;   /* when the last one ended */
+  bb_usec cut_until; /* servers ignore it */
   unsigned misses;
   struct bb_fetch *poll;
   bb_usec polled;
@@ -113,7 +113,7 @@
 size_t soak_packet (uint8_t *bytes, const struct bb_packet *p, uint32_t mark,
                     const void *data);
 
-/* store.c */
+/* platform/standins/store.c */
 void soak_store_start (void);
 void soak_store_put_server (struct soak_server *s);
 void soak_store_remove_server (struct soak_server *s);
--- a/tests/balancer_test.c
+++ b/tests/balancer_test.c
@@ -296,7 +296,7 @@
 /* Guards against open flows that hang at a balancer which started after their
    route was led to another service: it cannot know to which ones it led
    before, until no such flow is left.  */
-START_TEST (newborn_forwards_flows_of_earlier_versions)
+START_TEST (joiner_forwards_flows_of_earlier_versions)
 {
   GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
   struct bb_backend_server *x
@@ -510,7 +510,7 @@
   for (int i = 0; i < 4; i++)
     bb_suspicion_repeat (&e, true, 2 * BB_SEC + i * 300 * BB_MSEC);
   ck_assert (bb_suspicion_dead (&e, 3 * BB_SEC));
-  bb_suspicion_heard_alive (&e, 2500 * BB_MSEC);
+  bb_suspicion_report_alive (&e, 2500 * BB_MSEC);
   ck_assert (bb_suspicion_suspects (&e, 3 * BB_SEC));
   ck_assert (!bb_suspicion_dead (&e, 3 * BB_SEC));
 }
@@ -645,7 +645,7 @@
   tcase_add_test (tc, copies_go_where_the_first_went);
   tcase_add_test (tc, copies_leave_a_dead_server);
   tcase_add_test (tc, leaving_servers_get_no_new_flow);
-  tcase_add_test (tc, newborn_forwards_flows_of_earlier_versions);
+  tcase_add_test (tc, joiner_forwards_flows_of_earlier_versions);
   tcase_add_test (tc, dropped_route_takes_no_new_request);
   tcase_add_test (tc, flood_is_bounded);
   suite_add_tcase (suite, tc);
--- a/tests/sharing_test.c
+++ b/tests/sharing_test.c
@@ -430,7 +430,7 @@
 /* Balancers that started after servers were removed tell those that could not
    read the store meanwhile.  */
 static void
-learn_from_newborn (void)
+learn_from_joiners (void)
 {
   for (unsigned i = 0; i < NODES; i++)
     {
@@ -474,7 +474,7 @@
   { "a balancer with stale seeds finds the rest", kill_seeds_and_restart_one,
     1 },
   { "two readers lost one after the other", kill_two_readers, 1 },
-  { "what was removed is told by those who never knew it", learn_from_newborn,
+  { "what was removed is told by those who never knew it", learn_from_joiners,
     NODES },
 };
 
--- a/wire/gue.c
+++ b/wire/gue.c
@@ -1,3 +1,4 @@
+#include "core/bytes.h"
 #include "wire/wire.h"
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -12,51 +13,21 @@
   TCP_HEADER = 20
 };
 
-static void
-put16 (uint8_t *data, uint16_t value)
-{
-  uint16_t n = htons (value);
-  memcpy (data, &n, sizeof n);
-}
-
-static void
-put32 (uint8_t *data, uint32_t value)
-{
-  uint32_t n = htonl (value);
-  memcpy (data, &n, sizeof n);
-}
-
-static uint16_t
-get16 (const uint8_t *data)
-{
-  uint16_t n;
-  memcpy (&n, data, sizeof n);
-  return ntohs (n);
-}
-
-static uint32_t
-get32 (const uint8_t *data)
-{
-  uint32_t n;
-  memcpy (&n, data, sizeof n);
-  return ntohl (n);
-}
-
 size_t
 bb_gue_encode (uint8_t *data, const struct bb_handover *handover)
 {
   data[0] = handover ? BB_GUE_HANDOVER / 4 : 0;
   data[1] = BB_GUE_PROTO_IPV4;
-  put16 (data + 2, 0);
+  bb_store16 (data + 2, 0);
   if (!handover)
     return BB_GUE_HEADER;
   uint8_t *p = data + BB_GUE_HEADER;
   p[0] = handover->hops;
   p[1] = handover->flags;
-  put16 (p + 2, 0);
-  put32 (p + 4, handover->server);
+  bb_store16 (p + 2, 0);
+  bb_store32 (p + 4, handover->server);
   for (int i = 0; i < BB_HOPS_MAX; i++)
-    put16 (p + 8 + 2 * i, handover->visited[i]);
+    bb_store16 (p + 8 + 2 * i, handover->visited[i]);
   return BB_GUE_HEADER + BB_GUE_HANDOVER;
 }
 
@@ -65,9 +36,9 @@
 {
   handover->hops = p[0];
   handover->flags = p[1];
-  handover->server = get32 (p + 4);
+  handover->server = bb_load32 (p + 4);
   for (int i = 0; i < BB_HOPS_MAX; i++)
-    handover->visited[i] = get16 (p + 8 + 2 * i);
+    handover->visited[i] = bb_load16 (p + 8 + 2 * i);
 }
 
 /* Section 3.2 of the draft has packets with unknown flags dropped, and none
@@ -81,7 +52,7 @@
   *handed = false;
   if (length < BB_GUE_HEADER)
     return BB_DROP_TRUNCATED;
-  if (get32 (data) == BB_GUE_PROTO_IPV4 << 16)
+  if (bb_load32 (data) == BB_GUE_PROTO_IPV4 << 16)
     {
       /* As the fabric sends it: no private data, no flags.  */
       *header = BB_GUE_HEADER;
@@ -89,7 +60,7 @@
     }
   if (data[0] >> GUE_VERSION_SHIFT != 0)
     return BB_DROP_GUE_VERSION;
-  if (data[0] & GUE_CONTROL || get16 (data + 2) != 0)
+  if (data[0] & GUE_CONTROL || bb_load16 (data + 2) != 0)
     return BB_DROP_PROTOCOL;
   if (data[1] != BB_GUE_PROTO_IPV4)
     return BB_DROP_NOT_IPV4;
@@ -109,7 +80,7 @@
 sum16 (const uint8_t *data, size_t length, uint32_t sum)
 {
   for (size_t i = 0; i + 1 < length; i += 2)
-    sum += get16 (data + i);
+    sum += bb_load16 (data + i);
   return sum;
 }
 
@@ -125,9 +96,9 @@
 finish_checksums (uint8_t *ip)
 {
   uint8_t *tcp = ip + IPV4_HEADER;
-  put16 (ip + 10, checksum (sum16 (ip, IPV4_HEADER, 0)));
+  bb_store16 (ip + 10, checksum (sum16 (ip, IPV4_HEADER, 0)));
   uint32_t pseudo = sum16 (ip + 12, 8, IPPROTO_TCP + TCP_HEADER);
-  put16 (tcp + 16, checksum (sum16 (tcp, TCP_HEADER, pseudo)));
+  bb_store16 (tcp + 16, checksum (sum16 (tcp, TCP_HEADER, pseudo)));
 }
 
 /* The numbers that the receiver accepts.  Towards the caller they follow RFC
@@ -154,8 +125,8 @@
       sequence = 0;
       flags = BB_TCP_RST | BB_TCP_ACK;
     }
-  put32 (tcp + 4, sequence);
-  put32 (tcp + 8, acknowledgement);
+  bb_store32 (tcp + 4, sequence);
+  bb_store32 (tcp + 8, acknowledgement);
   tcp[13] = flags;
 }
 
@@ -168,14 +139,15 @@
   uint8_t *tcp = data + IPV4_HEADER;
   memset (data, 0, IPV4_HEADER + TCP_HEADER);
   data[0] = 0x45; /* version 4, 5 words */
-  put16 (data + 2, IPV4_HEADER + TCP_HEADER);
+  bb_store16 (data + 2, IPV4_HEADER + TCP_HEADER);
   data[6] = 0x40; /* don't fragment */
   data[8] = 64;   /* hops */
   data[9] = IPPROTO_TCP;
-  put32 (data + 12, to_caller ? packet->destination : packet->source);
-  put32 (data + 16, to_caller ? packet->source : packet->destination);
-  put16 (tcp, to_caller ? packet->destination_port : packet->source_port);
-  put16 (tcp + 2, to_caller ? packet->source_port : packet->destination_port);
+  bb_store32 (data + 12, to_caller ? packet->destination : packet->source);
+  bb_store32 (data + 16, to_caller ? packet->source : packet->destination);
+  bb_store16 (tcp, to_caller ? packet->destination_port : packet->source_port);
+  bb_store16 (tcp + 2,
+              to_caller ? packet->source_port : packet->destination_port);
   tcp[12] = TCP_HEADER / 4 << 4;
   reset_numbers (tcp, packet, to_caller);
   finish_checksums (data);
