Judge the own link for each silent server

A balancer that servers did not hear for 0.4 s reset flows of a server that lives. Its callers pause for 400 ms after their first repetition, so that their next packet came after the cut; by then callers of other servers had been answered, and the silence counted as that of the server. A second case was found by a test: a server that crashed earlier and is still listed made the first silence of all old, so that answers from before the cut counted as life of the link.

Ruled out: the end of the isolation itself; the log shows that isolation was never noticed, since answers came before 0.3 s of silence were over.

Now silence counts only from repetitions that came after other servers were heard since this one fell silent, and only after time for an answer.

Figures: tests end_of_a_short_cut_resets_nothing and own_link_down_after_a_crash_resets_nothing fail before and pass after.

--- a/core/core.h
+++ b/core/core.h
@@ -324,6 +324,8 @@
   BB_EVENT_STORE_BACK,
   BB_EVENT_READER,
   BB_EVENT_RELOAD,
+  BB_EVENT_LINK_SUSPECT, /* most servers are silent at once */
+  BB_EVENT_LINK_TRUSTED,
   BB_EVENT_KINDS
 };
 
--- a/core/strings.c
+++ b/core/strings.c
@@ -65,6 +65,8 @@
   [BB_EVENT_STORE_BACK] = "store_back",
   [BB_EVENT_READER] = "reader",
   [BB_EVENT_RELOAD] = "reload",
+  [BB_EVENT_LINK_SUSPECT] = "link_suspect",
+  [BB_EVENT_LINK_TRUSTED] = "link_trusted",
 };
 
 static const char *const reasons[BB_REASONS] = {
--- a/marked/balancer.c
+++ b/marked/balancer.c
@@ -156,13 +156,12 @@
 
 /* Whether the server of a flow that sends data cannot answer.  */
 static bool
-has_ended (const struct bb_marked *m, const struct bb_marked_flow *f,
-           const struct bb_backend_server *s, const struct bb_packet *p,
-           bb_usec now)
+has_ended (const struct bb_marked_flow *f, const struct bb_backend_server *s,
+           const struct bb_packet *p, bb_usec now)
 {
   if (p->payload == 0)
     return false;
-  return bb_marked_has_left (m, s, now)
+  return bb_marked_has_left (s, now)
          || (s->record.state == BB_SERVER_GONE && f->repeats > 0);
 }
 
@@ -204,7 +203,7 @@
       return;
     }
   bb_marked_observe (m, f, s, p, now);
-  if (has_ended (m, f, s, p, now))
+  if (has_ended (f, s, p, now))
     {
       reset (m, hash, s,
              s->record.state == BB_SERVER_GONE ? BB_REASON_SERVER_GONE
--- a/marked/balancer_private.h
+++ b/marked/balancer_private.h
@@ -22,7 +22,8 @@
   GRand *random;
   bb_usec swept;
   bb_usec lapse_until; /* entries that expired may come back before */
-  bool isolated; /* most servers are silent at once: the own link is down */
+  bool isolated;       /* most servers are silent: the own link may be down */
+  GArray *heard;       /* bb_usec; when servers were heard, for one tick */
   struct bb_backend_server *ended[ENDED_MAX];
   uint32_t ended_count;
   struct bb_marked_counters counters;
@@ -61,10 +62,11 @@
 /* Whether S has ended for sure.  A server that announced its end has ended
    when it is not listed any more.  Of another one the registry may be wrong: a
    caller that was answered lately shows that it lives.  */
-bool bb_marked_has_left (const struct bb_marked *m,
-                         const struct bb_backend_server *s, bb_usec now);
+bool bb_marked_has_left (const struct bb_backend_server *s, bb_usec now);
 
-/* Finds out whether most servers with flows here are silent.  */
-void bb_marked_check_link (struct bb_marked *m, bb_usec now);
 void bb_marked_reset_ended (struct bb_marked *m, bb_usec now);
+
+/* link.c: tells the silence of servers from that of the own link.  Notes the
+   servers that are dead for sure.  */
+void bb_marked_check_link (struct bb_marked *m, bb_usec now);
 #endif
--- a/marked/knowledge.c
+++ b/marked/knowledge.c
@@ -208,6 +208,7 @@
       = bb_sharing_new (&options->share, m->directory, &share_sink, m, now);
   m->flows
       = bb_marked_flows_new (options->flow_capacity, bb_marked_forget_flow, m);
+  m->heard = g_array_new (FALSE, FALSE, sizeof (bb_usec));
   m->random = g_rand_new_with_seed (options->share.seed);
   return m;
 }
@@ -220,6 +221,7 @@
   bb_marked_flows_free (m->flows);
   bb_sharing_free (m->sharing);
   bb_directory_free (m->directory);
+  g_array_free (m->heard, TRUE);
   g_rand_free (m->random);
   g_free (m);
 }
--- a/marked/observe.c
+++ b/marked/observe.c
@@ -36,11 +36,6 @@
   if (flow->repeats < UINT8_MAX)
     flow->repeats++;
   bool suspect = bb_suspicion_repeat (e, flow->repeats == 1, now);
-  if (!e->declared && bb_suspicion_dead (e, now))
-    {
-      e->declared = true;
-      bb_marked_note_ended (m, s);
-    }
   if (!suspect)
     return;
   m->counters.suspects++;
--- a/marked/suspicion.c
+++ b/marked/suspicion.c
@@ -7,6 +7,10 @@
 #define DEAD_AFTER_FEW (900 * BB_MSEC)
 #define SUSPECT_TIME (1500 * BB_MSEC)
 
+/* A packet to a server and its answer to the caller, and the caller's next
+   packet, with room for a request in its queue.  */
+#define ANSWER_TIME (200 * BB_MSEC)
+
 /* Time between two beats of a peer.  */
 #define ANSWERS_TIME (300 * BB_MSEC)
 
@@ -15,6 +19,7 @@
   SUSPECT_REPEATS = 2,
   DEAD_FLOWS = 3,
   DEAD_FLOWS_FEW = 2, /* for a server with few flows here */
+  PROVEN_REPEATS = 2, /* one may be a packet that was lost */
 };
 
 bool
@@ -34,6 +39,12 @@
     e->silent_since = now;
   e->repeats++;
   e->silent_flows += first;
+  if (e->link_proven != 0)
+    {
+      e->repeats_since++;
+      if (e->repeated_since == 0)
+        e->repeated_since = now;
+    }
   if (e->repeats < SUSPECT_REPEATS || now - e->silent_since < SUSPECT_AFTER)
     return false;
   e->suspect_until = now + SUSPECT_TIME;
@@ -77,3 +88,21 @@
   return (e->silent_flows >= DEAD_FLOWS && silent >= DEAD_AFTER)
          || (e->silent_flows >= DEAD_FLOWS_FEW && silent >= DEAD_AFTER_FEW);
 }
+
+bool
+bb_suspicion_proven (const struct bb_evidence *e, bb_usec now)
+{
+  return e->repeats_since >= PROVEN_REPEATS
+         && now - e->repeated_since >= ANSWER_TIME
+         && bb_suspicion_dead (e, now);
+}
+
+void
+bb_suspicion_report_link (struct bb_evidence *e, bool works, bb_usec now)
+{
+  if (works && e->link_proven != 0)
+    return;
+  e->link_proven = works ? now : 0;
+  e->repeated_since = 0;
+  e->repeats_since = 0;
+}
--- a/marked/suspicion.h
+++ b/marked/suspicion.h
@@ -3,8 +3,9 @@
 
    Suspicion keeps new flows away and costs little when it is wrong.  A server
    counts as dead, so that its flows are reset and callers can go elsewhere,
-   only when several callers agree for longer than a request takes, and no
-   balancer of the data centre was answered meanwhile.  */
+   only when several callers agree for longer than a request takes, no balancer
+   of the data centre was answered meanwhile, and the silence is not that of
+   the balancer's own link.  */
 
 #ifndef BB_MARKED_SUSPICION_H
 #define BB_MARKED_SUSPICION_H
@@ -20,7 +21,11 @@
   uint32_t silent_flows;   /* flows that repeat themselves since then */
   bb_usec suspect_until;   /* gets no new flows before */
   bb_usec alive_elsewhere; /* a peer told that it answers; 0: never */
-  bool declared;           /* dead, and its flows were reset */
+  /* Silence counts against the server only while the own link works.  */
+  bb_usec link_proven;    /* when that was first seen; 0: not yet */
+  bb_usec repeated_since; /* first repetition after that; 0: none */
+  uint32_t repeats_since; /* after that */
+  bool declared;          /* dead, and its flows were reset */
 };
 
 /* A caller acknowledged something new.  Returns whether the server was
@@ -40,5 +45,14 @@
 bool bb_suspicion_answers (const struct bb_evidence *e, bb_usec now);
 
 bool bb_suspicion_suspects (const struct bb_evidence *e, bb_usec now);
+
+/* Whether the callers here agree that it is dead.  It may be the own link.  */
 bool bb_suspicion_dead (const struct bb_evidence *e, bb_usec now);
+
+/* Whether it is dead although the own link works: callers repeated themselves
+   after that was seen, and had time to be answered.  */
+bool bb_suspicion_proven (const struct bb_evidence *e, bb_usec now);
+
+/* Tells of a silent server whether the own link works.  */
+void bb_suspicion_report_link (struct bb_evidence *e, bool works, bb_usec now);
 #endif
--- a/tests/balancer_test.c
+++ b/tests/balancer_test.c
@@ -501,6 +501,74 @@
 }
 END_TEST
 
+/* Guards against resets after a cut of the own link that is shorter than the
+   callers' pauses (soak seed 148): the servers whose callers came back first
+   have answered, those of the last one repeat themselves for the first time
+   since the cut.  */
+START_TEST (end_of_a_short_cut_resets_nothing)
+{
+  uint32_t marks[3];
+  for (int i = 0; i < 3; i++)
+    {
+      char name[8];
+      g_snprintf (name, sizeof name, "s%d", i);
+      marks[i] = put (name, "desk", "north", BB_SERVER_READY, 0)->mark;
+    }
+  configure (1, ROUTE_PORT, "desk", 0);
+  for (int i = 0; i < 12; i++)
+    ask ((uint16_t)(1000 + i), marks[i % 3], 101, 1, 2000 * BB_MSEC);
+  for (int i = 0; i < 12; i++)
+    ask ((uint16_t)(1000 + i), marks[i % 3], 101, 1, 2200 * BB_MSEC);
+  bb_marked_tick (t.m, 2250 * BB_MSEC);
+  for (uint16_t port = 1000; port < 1002; port++)
+    ask (port, marks[port - 1000], 151, 900, 2430 * BB_MSEC);
+  bb_marked_tick (t.m, 2450 * BB_MSEC);
+  bb_marked_tick (t.m, 2580 * BB_MSEC);
+  for (int i = 2; i < 12; i += 3)
+    {
+      bb_usec now = (2620 + i) * BB_MSEC;
+      ck_assert_int_eq (ask ((uint16_t)(1000 + i), marks[2], 101, 1, now).kind,
+                        BB_MARKED_FORWARD);
+      bb_marked_tick (t.m, now);
+    }
+  ck_assert_uint_eq (t.reset_count, 0);
+}
+END_TEST
+
+/* Guards against an old silence, of a server that crashed and is still listed,
+   that makes answers from before the own cut count as life of the link.  */
+START_TEST (own_link_down_after_a_crash_resets_nothing)
+{
+  uint32_t marks[5];
+  for (int i = 0; i < 5; i++)
+    {
+      char name[8];
+      g_snprintf (name, sizeof name, "s%d", i);
+      marks[i] = put (name, "desk", "north", BB_SERVER_READY, 0)->mark;
+    }
+  configure (1, ROUTE_PORT, "desk", 0);
+  for (unsigned i = 0; i < 10; i++)
+    ask ((uint16_t)(1000 + i), marks[i % 5], 101, 1, BB_SEC);
+  ask (1000, marks[0], 101, 1, 1200 * BB_MSEC);
+  for (unsigned i = 0; i < 10; i++)
+    if (i % 5 != 0)
+      ask ((uint16_t)(1000 + i), marks[i % 5], 151, 900, 1900 * BB_MSEC);
+  /* The cut begins at 2 s.  Only one server has many flows under way.  */
+  for (uint16_t port = 1010; port < 1013; port++)
+    ask (port, marks[1], 101, 1, 1990 * BB_MSEC);
+  for (int round = 0; round < 9; round++)
+    for (uint16_t port = 1010; port < 1013; port++)
+      {
+        bb_usec now = 2200 * BB_MSEC + round * 100 * BB_MSEC;
+        bb_marked_tick (t.m, now);
+        ck_assert_int_eq (ask (port, marks[1], 101, 1, now).kind,
+                          BB_MARKED_FORWARD);
+        bb_marked_tick (t.m, now);
+      }
+  ck_assert_uint_eq (t.reset_count, 0);
+}
+END_TEST
+
 /* Guards against resets of flows of a server that answers at other balancers,
    while the few flows that are seen here wait in its queue.  */
 START_TEST (answers_elsewhere_veto_death)
@@ -656,6 +724,8 @@
   tcase_add_loop_test (tc, silent_server, 0, G_N_ELEMENTS (silences));
   tcase_add_test (tc, own_link_down_resets_nothing);
   tcase_add_test (tc, end_of_isolation_resets_nothing);
+  tcase_add_test (tc, end_of_a_short_cut_resets_nothing);
+  tcase_add_test (tc, own_link_down_after_a_crash_resets_nothing);
   tcase_add_test (tc, answers_elsewhere_veto_death);
   tcase_add_test (tc, suspect_server_gets_no_new_flow);
   tcase_add_test (tc, restarted_server_starts_empty);
