Let suspicions end: peers' reports are no evidence, dead servers are tried

Balancers told each other that a server was silent because the other one had told them, so that suspicion never ended; and a server that counted as dead got no packet at all, so that no answer could show that it was back.

Ruled out: entries that lapsed; the log shows the reason server_silent, not server_gone.

Now a beat tells what callers showed here, a silence without repetitions ends after 1.5 s, and a flow at a listed server is reset only if its own packet was not answered.

Figures: tests suspicion_of_peers_is_no_evidence and dead_server_is_tried fail before and pass after.

--- a/marked/balancer.c
+++ b/marked/balancer.c
@@ -154,15 +154,18 @@
   return f;
 }
 
-/* Whether the server of a flow that sends data cannot answer.  */
+/* Whether the server of a flow that sends data cannot answer.  One that is
+   listed is always given the chance: otherwise a server that was cut off would
+   stay dead, since nobody could be answered.  */
 static bool
 has_ended (const struct bb_marked_flow *f, const struct bb_backend_server *s,
            const struct bb_packet *p, bb_usec now)
 {
   if (p->payload == 0)
     return false;
-  return bb_marked_has_left (s, now)
-         || (s->record.state == BB_SERVER_GONE && f->repeats > 0);
+  if (f->repeats > 0)
+    return s->record.state == BB_SERVER_GONE || bb_marked_has_left (s, now);
+  return s->record.state == BB_SERVER_GONE && bb_marked_has_left (s, now);
 }
 
 /* Whether a flow of ROUTE may be at S.  Which services the route led to before
--- a/marked/link.c
+++ b/marked/link.c
@@ -13,7 +13,7 @@
 /* Collects when each listed server was last heard, latest first.  Returns how
    many are silent.  */
 static unsigned
-survey (struct bb_marked *m, struct bb_link *head)
+survey (struct bb_marked *m, struct bb_link *head, bb_usec now)
 {
   unsigned silent = 0;
   g_array_set_size (m->heard, 0);
@@ -23,7 +23,7 @@
           = BB_LINKED (at, struct bb_backend_server, by_revision);
       if (s->record.state == BB_SERVER_GONE)
         continue;
-      silent += s->load.evidence.silent_since != 0;
+      silent += bb_suspicion_silent (&s->load.evidence, now);
       if (s->load.evidence.alive != 0)
         g_array_append_val (m->heard, s->load.evidence.alive);
     }
@@ -69,7 +69,7 @@
 bb_marked_check_link (struct bb_marked *m, bb_usec now)
 {
   struct bb_link *head = bb_directory_servers (m->directory);
-  unsigned silent = survey (m, head);
+  unsigned silent = survey (m, head, now);
   bool isolated = false;
   for (struct bb_link *at = head->previous; silent > 0 && at != head;
        at = at->previous)
@@ -77,7 +77,7 @@
       struct bb_backend_server *s
           = BB_LINKED (at, struct bb_backend_server, by_revision);
       if (s->record.state != BB_SERVER_GONE
-          && s->load.evidence.silent_since != 0)
+          && bb_suspicion_silent (&s->load.evidence, now))
         isolated |= !judge (m, s, silent, now);
     }
   if (isolated == m->isolated)
--- a/marked/share_beats.c
+++ b/marked/share_beats.c
@@ -73,8 +73,7 @@
       const struct bb_backend_server *server
           = BB_LINKED (at, struct bb_backend_server, by_revision);
       const struct bb_server_load *load = &server->load;
-      bool suspect = load->evidence.silent_since != 0
-                     && bb_suspicion_suspects (&load->evidence, now);
+      bool suspect = bb_suspicion_tells (&load->evidence, now);
       if (load->open <= 0 && load->busy <= 0 && !suspect)
         continue;
       b->loads[b->load_count++] = (struct bb_share_load){
--- a/marked/suspicion.c
+++ b/marked/suspicion.c
@@ -5,6 +5,9 @@
 #define SUSPECT_AFTER (150 * BB_MSEC)
 #define DEAD_AFTER (400 * BB_MSEC)
 #define DEAD_AFTER_FEW (900 * BB_MSEC)
+
+/* Callers pause for 1.6 s at most; a silence without repetitions for about so
+   long is over, as far as it can be known.  */
 #define SUSPECT_TIME (1500 * BB_MSEC)
 
 /* A packet to a server and its answer to the caller, and the caller's next
@@ -31,12 +34,22 @@
   return suspect;
 }
 
+static void
+begin_silence (struct bb_evidence *e, bb_usec now)
+{
+  *e = (struct bb_evidence){ .alive = e->alive,
+                             .alive_elsewhere = e->alive_elsewhere,
+                             .suspected_until = e->suspected_until,
+                             .silent_since = now };
+}
+
 bool
 bb_suspicion_repeat (struct bb_evidence *e, bool first, bb_usec now)
 {
   bool suspect = bb_suspicion_suspects (e, now);
-  if (e->silent_since == 0)
-    e->silent_since = now;
+  if (!bb_suspicion_silent (e, now))
+    begin_silence (e, now);
+  e->repeated = now;
   e->repeats++;
   e->silent_flows += first;
   if (e->link_proven != 0)
@@ -56,7 +69,7 @@
 {
   /* What callers show here is newer than what a peer's beat tells.  */
   if (until - BB_SEC > e->alive)
-    e->suspect_until = MAX (e->suspect_until, until);
+    e->suspected_until = MAX (e->suspected_until, until);
 }
 
 void
@@ -73,14 +86,26 @@
 
 bool
 bb_suspicion_suspects (const struct bb_evidence *e, bb_usec now)
+{
+  return e->suspect_until > now || e->suspected_until > now;
+}
+
+bool
+bb_suspicion_tells (const struct bb_evidence *e, bb_usec now)
 {
   return e->suspect_until > now;
 }
 
+bool
+bb_suspicion_silent (const struct bb_evidence *e, bb_usec now)
+{
+  return e->silent_since != 0 && now - e->repeated < SUSPECT_TIME;
+}
+
 bool
 bb_suspicion_dead (const struct bb_evidence *e, bb_usec now)
 {
-  if (e->silent_since == 0 || !bb_suspicion_suspects (e, now))
+  if (!bb_suspicion_silent (e, now) || !bb_suspicion_tells (e, now))
     return false;
   if (e->alive_elsewhere >= e->silent_since)
     return false;
--- a/marked/suspicion.h
+++ b/marked/suspicion.h
@@ -17,9 +17,11 @@
 {
   bb_usec alive;           /* last sign of life */
   bb_usec silent_since;    /* first repetition after it; 0: none */
-  uint32_t repeats;        /* since then */
+  bb_usec repeated;        /* last repetition */
+  uint32_t repeats;        /* since silent_since */
   uint32_t silent_flows;   /* flows that repeat themselves since then */
-  bb_usec suspect_until;   /* gets no new flows before */
+  bb_usec suspect_until;   /* by what callers show here */
+  bb_usec suspected_until; /* by what peers tell */
   bb_usec alive_elsewhere; /* a peer told that it answers; 0: never */
   /* Silence counts against the server only while the own link works.  */
   bb_usec link_proven;    /* when that was first seen; 0: not yet */
@@ -44,8 +46,16 @@
 /* Whether the server answered here so lately that peers are to know.  */
 bool bb_suspicion_answers (const struct bb_evidence *e, bb_usec now);
 
+/* Whether the server gets no new flows.  */
 bool bb_suspicion_suspects (const struct bb_evidence *e, bb_usec now);
 
+/* Whether peers are to know that callers here find it silent.  What peers told
+   does not count, or they would confirm each other for ever.  */
+bool bb_suspicion_tells (const struct bb_evidence *e, bb_usec now);
+
+/* Whether callers repeated themselves lately without an answer.  */
+bool bb_suspicion_silent (const struct bb_evidence *e, bb_usec now);
+
 /* Whether the callers here agree that it is dead.  It may be the own link.  */
 bool bb_suspicion_dead (const struct bb_evidence *e, bb_usec now);
 
--- a/tests/balancer_test.c
+++ b/tests/balancer_test.c
@@ -584,6 +584,56 @@
 }
 END_TEST
 
+/* Guards against balancers that tell each other for ever what one of them saw
+   once: peers report the server as silent all the while.  */
+START_TEST (suspicion_of_peers_is_no_evidence)
+{
+  struct bb_evidence e = { 0 };
+  for (int i = 0; i < 4; i++)
+    bb_suspicion_repeat (&e, true, BB_SEC + i * 300 * BB_MSEC);
+  bb_suspicion_report_link (&e, true, 2 * BB_SEC);
+  for (int i = 0; i < 4; i++)
+    bb_suspicion_repeat (&e, false, 2100 * BB_MSEC + i * 100 * BB_MSEC);
+  ck_assert (bb_suspicion_tells (&e, 2500 * BB_MSEC));
+  ck_assert (bb_suspicion_proven (&e, 2500 * BB_MSEC));
+  for (bb_usec now = 2600 * BB_MSEC; now < 6 * BB_SEC; now += 300 * BB_MSEC)
+    bb_suspicion_report_silent (&e, now + BB_SEC);
+  ck_assert (bb_suspicion_suspects (&e, 6 * BB_SEC));
+  ck_assert (!bb_suspicion_tells (&e, 6 * BB_SEC));
+  ck_assert (!bb_suspicion_dead (&e, 6 * BB_SEC));
+  /* Another silence is judged by its own repetitions.  */
+  bb_suspicion_repeat (&e, true, 6 * BB_SEC);
+  ck_assert (!bb_suspicion_dead (&e, 6 * BB_SEC));
+}
+END_TEST
+
+/* Guards against a verdict that keeps itself: if no packet reaches a server
+   that was cut off, no answer can show that it is back.  */
+START_TEST (dead_server_is_tried)
+{
+  uint32_t dead = put ("a", "desk", "north", BB_SERVER_READY, 0)->mark;
+  uint32_t live = put ("live", "desk", "north", BB_SERVER_READY, 0)->mark;
+  configure (1, ROUTE_PORT, "desk", 0);
+  unsigned resets = 0;
+  for (int step = 0; step < 12; step++)
+    {
+      bb_usec now = 2 * BB_SEC + step * 100 * BB_MSEC;
+      ask (3000, live, 101 + (uint32_t)step, 1 + (uint32_t)step, now);
+      bb_marked_tick (t.m, now);
+      for (uint16_t port = 1000; port < 1004; port++)
+        resets += ask (port, dead, 101, 1, now + 10 * BB_MSEC).kind
+                  == BB_MARKED_RESET;
+      bb_marked_tick (t.m, now + 20 * BB_MSEC);
+    }
+  ck_assert_uint_gt (resets + t.reset_count, 0);
+  /* A flow that other balancers carried before.  */
+  ck_assert_int_eq (ask (1500, dead, 101, 1, 3200 * BB_MSEC).kind,
+                    BB_MARKED_FORWARD);
+  ck_assert_int_eq (ask (1500, dead, 101, 1, 3400 * BB_MSEC).kind,
+                    BB_MARKED_RESET);
+}
+END_TEST
+
 /* Guards against new flows for a server that is silent but still listed.  */
 START_TEST (suspect_server_gets_no_new_flow)
 {
@@ -727,6 +777,8 @@
   tcase_add_test (tc, end_of_a_short_cut_resets_nothing);
   tcase_add_test (tc, own_link_down_after_a_crash_resets_nothing);
   tcase_add_test (tc, answers_elsewhere_veto_death);
+  tcase_add_test (tc, suspicion_of_peers_is_no_evidence);
+  tcase_add_test (tc, dead_server_is_tried);
   tcase_add_test (tc, suspect_server_gets_no_new_flow);
   tcase_add_test (tc, restarted_server_starts_empty);
   tcase_add_test (tc, whole_reading_removes_what_it_lacks);
