soak: harm the links between balancers, for each direction apart

Each balancer now knows the others by an address of the soak's proxy, which cuts, delays and doubles datagrams.

--- a/soak/balancers.c
+++ b/soak/balancers.c
@@ -84,7 +84,7 @@
     {
       unsigned seed = (unsigned)g_rand_int_range (
           world.random, 0, (gint32)world.balancer_count);
-      bb_address_text (address, world.balancers[seed].packets.address);
+      bb_address_text (address, soak_link_address (seed).address);
       g_string_append_printf (text, "%s\"%s:1\"", i ? "," : "", address);
     }
   g_string_append (text, "]}}");
--- /dev/null
+++ b/soak/links.c
@@ -0,0 +1,153 @@
+/* The network between balancers: each one knows the others by an address of
+   this proxy, which loses, delays and doubles their datagrams, for each
+   direction apart.  */
+
+#include "soak/soak.h"
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+
+enum
+{
+  DATAGRAM_MAX = 2048,
+  DELAYED_MAX = 20000, /* datagrams under way; more are lost */
+};
+
+/* From one balancer to another.  */
+struct direction
+{
+  bb_usec cut_until, slow_until, twice_until;
+  bb_usec delay; /* while slow */
+};
+
+struct delayed
+{
+  bb_usec due;
+  unsigned from, to;
+  size_t length;
+  uint8_t bytes[];
+};
+
+static struct direction directions[SOAK_BALANCERS_MAX][SOAK_BALANCERS_MAX];
+static int sockets[SOAK_BALANCERS_MAX];
+static GQueue *delayed;
+
+struct bb_endpoint
+soak_link_address (unsigned balancer)
+{
+  return (struct bb_endpoint){ 0x7f140000 + 10 + balancer,
+                               (uint16_t)(world.port + 2) };
+}
+
+static void
+deliver (unsigned from, unsigned to, const uint8_t *bytes, size_t length)
+{
+  const struct bb_endpoint target
+      = { world.balancers[to].packets.address, (uint16_t)(world.port + 2) };
+  soak_send (sockets[from], &target, bytes, length);
+}
+
+static void
+delay (unsigned from, unsigned to, const uint8_t *bytes, size_t length,
+       bb_usec time)
+{
+  if (g_queue_get_length (delayed) >= DELAYED_MAX)
+    return;
+  struct delayed *d = g_malloc (sizeof *d + length);
+  *d = (struct delayed){
+    .due = world.now + time, .from = from, .to = to, .length = length
+  };
+  memcpy (d->bytes, bytes, length);
+  g_queue_push_tail (delayed, d);
+}
+
+static void
+carry (unsigned from, unsigned to, const uint8_t *bytes, size_t length)
+{
+  const struct direction *d = &directions[from][to];
+  if (world.now < d->cut_until)
+    return;
+  if (world.now < d->twice_until)
+    delay (from, to, bytes, length, 30 * BB_MSEC);
+  if (world.now < d->slow_until)
+    delay (from, to, bytes, length, d->delay);
+  else
+    deliver (from, to, bytes, length);
+}
+
+static void
+on_readable (evutil_socket_t fd, short what, void *context)
+{
+  (void)what;
+  unsigned to = GPOINTER_TO_UINT (context);
+  uint8_t bytes[DATAGRAM_MAX];
+  struct sockaddr_in from;
+  socklen_t size = sizeof from;
+  ssize_t length;
+  while ((length = recvfrom (fd, bytes, sizeof bytes, 0,
+                             (struct sockaddr *)&from, &size))
+         > 0)
+    {
+      const struct soak_balancer *b
+          = soak_balancer_at (ntohl (from.sin_addr.s_addr));
+      if (b)
+        carry (b->index, to, bytes, (size_t)length);
+    }
+}
+
+void
+soak_links_tick (void)
+{
+  for (guint left = g_queue_get_length (delayed); left > 0; left--)
+    {
+      struct delayed *d = g_queue_pop_head (delayed);
+      if (d->due > world.now)
+        {
+          g_queue_push_tail (delayed, d);
+          continue;
+        }
+      deliver (d->from, d->to, d->bytes, d->length);
+      g_free (d);
+    }
+}
+
+void
+soak_links_cut (soak_link_pick pick, bb_usec until)
+{
+  for (unsigned i = 0; i < world.balancer_count; i++)
+    for (unsigned j = 0; j < world.balancer_count; j++)
+      if (pick (&world.balancers[i], &world.balancers[j]))
+        directions[i][j].cut_until = MAX (directions[i][j].cut_until, until);
+}
+
+void
+soak_links_slow (unsigned balancer, bb_usec time, bb_usec until)
+{
+  for (unsigned i = 0; i < world.balancer_count; i++)
+    {
+      struct direction *d = &directions[balancer][i];
+      d->delay = time;
+      d->slow_until = until;
+    }
+}
+
+void
+soak_links_double (unsigned balancer, bb_usec until)
+{
+  for (unsigned i = 0; i < world.balancer_count; i++)
+    directions[balancer][i].twice_until = until;
+}
+
+void
+soak_links_start (void)
+{
+  delayed = g_queue_new ();
+  for (unsigned i = 0; i < world.balancer_count; i++)
+    {
+      struct bb_endpoint e = soak_link_address (i);
+      sockets[i] = soak_socket (&e);
+      event_add (event_new (world.loop, sockets[i], EV_READ | EV_PERSIST,
+                            on_readable, GUINT_TO_POINTER (i)),
+                 NULL);
+    }
+}
--- a/soak/main.c
+++ b/soak/main.c
@@ -56,10 +56,12 @@
   (void)context;
   world.now = bb_clock_boot ();
   soak_faults_tick ();
+  soak_link_faults_tick ();
   soak_servers_tick ();
   soak_balancers_tick ();
   soak_callers_tick ();
   soak_store_tick ();
+  soak_links_tick ();
   if (world.now >= world.end)
     event_base_loopbreak (world.loop);
 }
@@ -124,6 +126,7 @@
   setvbuf (stdout, NULL, _IOLBF, 0);
   prepare ();
   soak_balancers_start ();
+  soak_links_start ();
   soak_store_start ();
   soak_store_configure ();
   start_servers ();
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -22,8 +22,9 @@
   SOAK_CALLERS_MAX = 512,
   SOAK_HEAD = BB_PLATFORM_HEAD,
   SOAK_PACKET_MAX = 256,
-  SOAK_FIRST_PORT = 443, /* of the routes: one port a service */
-  SOAK_PROBE_PORT = 900, /* of the routes that come and go */
+  SOAK_FIRST_PORT = 443,  /* of the routes: one port a service */
+  SOAK_LINK_SEEDS = 1000, /* from this seed on links are harmed too */
+  SOAK_PROBE_PORT = 900,  /* of the routes that come and go */
 };
 
 /* Bounds of the users' settings, and a margin for a busy machine.  */
@@ -143,6 +144,24 @@
 bool soak_balancer_calm (const struct soak_balancer *b);
 void soak_balancer_signal (struct soak_balancer *b, int number);
 
-/* faults.c */
+/* links.c */
+
+/* Whether datagrams from FROM to TO are meant.  */
+typedef bool (*soak_link_pick) (const struct soak_balancer *from,
+                                const struct soak_balancer *to);
+
+void soak_links_start (void);
+void soak_links_tick (void);
+void soak_links_cut (soak_link_pick pick, bb_usec until);
+
+/* Datagrams from BALANCER take TIME longer, or come twice.  */
+void soak_links_slow (unsigned balancer, bb_usec time, bb_usec until);
+void soak_links_double (unsigned balancer, bb_usec until);
+
+/* Where the others reach BALANCER.  */
+struct bb_endpoint soak_link_address (unsigned balancer);
+
+/* faults.c, link_faults.c */
 void soak_faults_tick (void);
+void soak_link_faults_tick (void);
 #endif
