One reading of datagrams and of lists of VMs

No change of behaviour: config, message, share_message, intake, fleet, sharing, store and platform tests pass before and after.

--- a/config/fleet_check.h
+++ b/config/fleet_check.h
@@ -19,6 +19,18 @@
 const char *bb_claims_add (struct bb_claims *claims, const char *path,
                            const char *format, ...) G_GNUC_PRINTF (3, 4);
 
+/* Checks one VM of a list; PATH is that of VM.  Returns whether the list keeps
+   it.  */
+typedef bool (*bb_vm_check) (const struct bb_source *source, const char *path,
+                             const struct bb_vm *vm, struct bb_claims *claims,
+                             const void *context);
+
+/* Reads ARRAY, the member LIST of a DOCUMENT, into *VMS, which the caller
+   frees.  Returns their number.  */
+size_t bb_vms_read (const struct bb_source *source, const char *document,
+                    const char *list, json_object *array, bb_vm_check check,
+                    const void *context, struct bb_vm **vms);
+
 /* Smallest prime that is at least N.  */
 uint32_t bb_prime_at_least (uint32_t n);
 
--- a/config/settings.c
+++ b/config/settings.c
@@ -31,43 +31,21 @@
   g_free (keys.path);
 }
 
-static void
+/* One list of peers can serve all VMs, so the own name is allowed; that entry
+   is left out.  */
+static bool
 check_peer (const struct bb_source *source, const char *path,
-            const struct bb_vm *vm, struct bb_claims *claims)
+            const struct bb_vm *vm, struct bb_claims *claims,
+            const void *context)
 {
+  const struct bb_settings *s = context;
   const char *earlier = bb_claims_add (claims, path, "%u", vm->id);
 
   if (earlier && *vm->name)
     bb_source_fault (source, BB_ERROR_CONFLICT, path,
                      "%s is named by %s already; expected it once", vm->name,
                      earlier);
-}
-
-static void
-read_peers (const struct bb_source *source, json_object *array,
-            struct bb_settings *s)
-{
-  size_t count = array ? json_object_array_length (array) : 0;
-  struct bb_claims claims;
-
-  bb_claims_init (&claims);
-  s->peers = g_new0 (struct bb_vm, count);
-  for (size_t i = 0; i < count; i++)
-    {
-      json_object *object = json_object_array_get_idx (array, i);
-      struct bb_vm *vm = &s->peers[s->peer_count];
-      g_autofree char *path = g_strdup_printf ("/peers/%zu", i);
-      if (!json_object_is_type (object, json_type_object))
-        continue;
-      bb_schema_read (source, "settings", "peers[]", path, object, vm);
-      vm->id = bb_name_key (vm->name);
-      vm->control.address = vm->data.address;
-      check_peer (source, path, vm, &claims);
-      /* One list of peers can serve all VMs, so the own name is allowed.  */
-      if (strcmp (vm->name, s->self.name) != 0)
-        s->peer_count++;
-    }
-  bb_claims_clear (&claims);
+  return strcmp (vm->name, s->self.name) != 0;
 }
 
 static void
@@ -122,7 +100,9 @@
   else if (!platform)
     bb_source_fault (source, BB_ERROR_MISSING_KEY, "/platform",
                      "missing; expected an object, or \"marked\"");
-  read_peers (source, bb_json_member (root, "peers", json_type_array), s);
+  s->peer_count = bb_vms_read (source, "settings", "peers",
+                               bb_json_member (root, "peers", json_type_array),
+                               check_peer, s, &s->peers);
 }
 
 struct bb_settings *
--- a/config/vms.c
+++ b/config/vms.c
@@ -3,10 +3,14 @@
 
 /* Identifiers come from the name; a list may be stale, so only what would
    confuse two VMs is refused.  */
-static void
+static bool
 check_vm (const struct bb_source *source, const char *path,
-          const struct bb_vm *vm, struct bb_claims *claims)
+          const struct bb_vm *vm, struct bb_claims *claims,
+          const void *context)
 {
+  (void)context;
+  if (!*vm->name || !vm->data.address)
+    return true; /* a fault of that is told already */
   g_autofree char *data = bb_endpoint_format (vm->data);
   const char *earlier = bb_claims_add (claims, path, "%u", vm->id);
 
@@ -21,32 +25,34 @@
                      "%s is also the address of %s; expected one VM per "
                      "address and data port",
                      data, earlier);
+  return true;
 }
 
-static void
-read_vms (const struct bb_source *source, json_object *array,
-          struct bb_vm_list *list)
+size_t
+bb_vms_read (const struct bb_source *source, const char *document,
+             const char *list, json_object *array, bb_vm_check check,
+             const void *context, struct bb_vm **vms)
 {
-  size_t count = array ? json_object_array_length (array) : 0;
+  size_t count = array ? json_object_array_length (array) : 0, used = 0;
+  g_autofree char *key = g_strdup_printf ("%s[]", list);
   struct bb_claims claims;
 
   bb_claims_init (&claims);
-  list->vms = g_new0 (struct bb_vm, count);
+  *vms = g_new0 (struct bb_vm, count);
   for (size_t i = 0; i < count; i++)
     {
       json_object *object = json_object_array_get_idx (array, i);
-      struct bb_vm *vm = &list->vms[list->vm_count];
-      g_autofree char *path = g_strdup_printf ("/vms/%zu", i);
+      struct bb_vm *vm = &(*vms)[used];
+      g_autofree char *path = g_strdup_printf ("/%s/%zu", list, i);
       if (!json_object_is_type (object, json_type_object))
         continue;
-      bb_schema_read (source, "vms", "vms[]", path, object, vm);
+      bb_schema_read (source, document, key, path, object, vm);
       vm->id = bb_name_key (vm->name);
       vm->control.address = vm->data.address;
-      if (*vm->name && vm->data.address)
-        check_vm (source, path, vm, &claims);
-      list->vm_count++;
+      used += check (source, path, vm, &claims, context);
     }
   bb_claims_clear (&claims);
+  return used;
 }
 
 static void
@@ -84,8 +90,10 @@
       struct bb_source source = { NULL, d, problems };
       bb_schema_check (d, "vms", problems);
       bb_schema_read (&source, "vms", "", "", d->root, list);
-      read_vms (&source, bb_json_member (d->root, "vms", json_type_array),
-                list);
+      list->vm_count
+          = bb_vms_read (&source, "vms", "vms",
+                         bb_json_member (d->root, "vms", json_type_array),
+                         check_vm, NULL, &list->vms);
       read_servers (
           &source, bb_json_member (d->root, "servers", json_type_array), list);
       bb_config_document_free (d);
--- a/wire/message_decode.c
+++ b/wire/message_decode.c
@@ -195,26 +195,16 @@
     }
 }
 
-/* Reads the object tree in UNPACKED.  Returns what is wrong with it, or
-   NULL.  */
-static const char *
-read_message (const msgpack_unpacked *unpacked, struct bb_message *m)
+static bool
+take_message (void *context, uint64_t kind, struct bb_reader *fields)
 {
-  struct bb_reader r = { .at = &unpacked->data, .left = 1 };
-  r.zone = unpacked->zone;
-  struct bb_reader fields = bb_take_array (&r);
-  uint64_t version = bb_take_uint (&fields, UINT64_MAX);
-  if (r.bad || fields.bad)
-    return "no array that starts with a version";
-  if (version != BB_WIRE_VERSION)
-    return "unknown protocol version";
-  uint64_t kind = bb_take_uint (&fields, UINT32_MAX);
-  if (fields.bad || kind < BB_MESSAGE_HEARTBEAT || kind >= BB_MESSAGE_KINDS)
-    return "unknown message kind";
+  struct bb_message *m = context;
+  if (kind < BB_MESSAGE_HEARTBEAT || kind >= BB_MESSAGE_KINDS)
+    return false;
   m->kind = (enum bb_message_kind)kind;
-  m->from = bb_take_u32 (&fields);
-  take_body (&fields, m);
-  return fields.bad ? "missing or unfit element" : NULL;
+  m->from = bb_take_u32 (fields);
+  take_body (fields, m);
+  return true;
 }
 
 bool
@@ -222,26 +212,13 @@
                 GError **error)
 {
   memset (decoded, 0, sizeof *decoded);
-  if (length > BB_WIRE_MESSAGE_MAX)
-    {
-      g_set_error (error, BB_ERROR, BB_ERROR_TOO_LARGE,
-                   "message of %zu bytes, at most %d are accepted", length,
-                   BB_WIRE_MESSAGE_MAX);
-      return false;
-    }
-  msgpack_unpacked unpacked;
-  msgpack_unpacked_init (&unpacked);
-  const char *fault = "not msgpack";
-  if (bb_wire_sizes_fit (data, length)
-      && msgpack_unpack_next (&unpacked, (const char *)data, length, NULL)
-             == MSGPACK_UNPACK_SUCCESS)
-    fault = read_message (&unpacked, &decoded->message);
-  decoded->arena = msgpack_unpacked_release_zone (&unpacked);
-  if (!fault)
-    return true;
-  g_set_error (error, BB_ERROR, BB_ERROR_PROTOCOL, "%s", fault);
-  bb_wire_decoded_clear (decoded);
-  return false;
+  msgpack_zone *arena = NULL;
+  bool ok = bb_wire_read (data, length, take_message, &decoded->message,
+                          &arena, error);
+  decoded->arena = arena;
+  if (!ok)
+    bb_wire_decoded_clear (decoded);
+  return ok;
 }
 
 void
--- a/wire/reader.c
+++ b/wire/reader.c
@@ -1,4 +1,6 @@
 #include "wire/reader.h"
+#include "wire/message.h"
+#include "wire/wire.h"
 #include <string.h>
 
 const msgpack_object *
@@ -88,3 +90,48 @@
   endpoint->address = bb_take_u32 (r);
   endpoint->port = (uint16_t)bb_take_uint (r, UINT16_MAX);
 }
+
+/* Returns what is wrong, or NULL.  */
+static const char *
+read_message (const msgpack_unpacked *unpacked, bb_wire_take take,
+              void *context)
+{
+  struct bb_reader r
+      = { .at = &unpacked->data, .left = 1, .zone = unpacked->zone };
+  struct bb_reader fields = bb_take_array (&r);
+  uint64_t version = bb_take_uint (&fields, UINT64_MAX);
+  if (r.bad || fields.bad)
+    return "no array that starts with a version";
+  if (version != BB_WIRE_VERSION)
+    return "unknown protocol version";
+  uint64_t kind = bb_take_uint (&fields, UINT32_MAX);
+  if (fields.bad || !take (context, kind, &fields))
+    return "unknown message kind";
+  return fields.bad ? "missing or unfit element" : NULL;
+}
+
+bool
+bb_wire_read (const uint8_t *data, size_t length, bb_wire_take take,
+              void *context, msgpack_zone **arena, GError **error)
+{
+  if (length > BB_WIRE_MESSAGE_MAX)
+    {
+      g_set_error (error, BB_ERROR, BB_ERROR_TOO_LARGE,
+                   "message of %zu bytes, at most %d are accepted", length,
+                   BB_WIRE_MESSAGE_MAX);
+      return false;
+    }
+  msgpack_unpacked unpacked;
+  msgpack_unpacked_init (&unpacked);
+  const char *fault = "not msgpack";
+  if (bb_wire_sizes_fit (data, length)
+      && msgpack_unpack_next (&unpacked, (const char *)data, length, NULL)
+             == MSGPACK_UNPACK_SUCCESS)
+    fault = read_message (&unpacked, take, context);
+  if (arena)
+    *arena = msgpack_unpacked_release_zone (&unpacked);
+  msgpack_unpacked_destroy (&unpacked);
+  if (fault)
+    g_set_error (error, BB_ERROR, BB_ERROR_PROTOCOL, "%s", fault);
+  return !fault;
+}
--- a/wire/reader.h
+++ b/wire/reader.h
@@ -32,4 +32,16 @@
 /* A text of 1 to BB_NAME_MAX - 1 bytes without NUL.  */
 void bb_take_name (struct bb_reader *r, char name[BB_NAME_MAX]);
 void bb_take_endpoint (struct bb_reader *r, struct bb_endpoint *endpoint);
+
+/* Reads the fields of a message of KIND into CONTEXT.  Returns false if the
+   kind is unknown.  */
+typedef bool (*bb_wire_take) (void *context, uint64_t kind,
+                              struct bb_reader *fields);
+
+/* Reads one message, an array that starts with the protocol version and the
+   kind.  What TAKE has reserved lives as long as *ARENA, which the caller
+   frees, on failure too; with ARENA NULL nothing may be reserved.  Errors:
+   BB_ERROR_TOO_LARGE, BB_ERROR_PROTOCOL.  */
+bool bb_wire_read (const uint8_t *data, size_t length, bb_wire_take take,
+                   void *context, msgpack_zone **arena, GError **error);
 #endif
--- a/wire/share.c
+++ b/wire/share.c
@@ -261,25 +261,17 @@
     }
 }
 
-/* Returns what is wrong, or NULL.  */
-static const char *
-read_message (const msgpack_unpacked *unpacked, struct bb_share_message *m)
+static bool
+take_message (void *context, uint64_t kind, struct bb_reader *fields)
 {
-  struct bb_reader r = { .at = &unpacked->data, .left = 1 };
-  struct bb_reader fields = bb_take_array (&r);
-  uint64_t version = bb_take_uint (&fields, UINT64_MAX);
-  if (r.bad || fields.bad)
-    return "no array that starts with a version";
-  if (version != BB_WIRE_VERSION)
-    return "unknown protocol version";
-  uint64_t kind = bb_take_uint (&fields, UINT32_MAX);
-  if (fields.bad || kind >= BB_SHARE_KINDS)
-    return "unknown message kind";
+  struct bb_share_message *m = context;
+  if (kind >= BB_SHARE_KINDS)
+    return false;
   m->kind = (enum bb_share_kind)kind;
-  m->from = bb_take_u32 (&fields);
-  m->incarnation = bb_take_uint (&fields, UINT64_MAX);
-  take_body (&fields, m);
-  return fields.bad ? "missing or unfit element" : NULL;
+  m->from = bb_take_u32 (fields);
+  m->incarnation = bb_take_uint (fields, UINT64_MAX);
+  take_body (fields, m);
+  return true;
 }
 
 bool
@@ -287,22 +279,5 @@
                  struct bb_share_message *message, GError **error)
 {
   memset (message, 0, sizeof *message);
-  if (length > BB_WIRE_MESSAGE_MAX)
-    {
-      g_set_error (error, BB_ERROR, BB_ERROR_TOO_LARGE,
-                   "message of %zu bytes, at most %d are accepted", length,
-                   BB_WIRE_MESSAGE_MAX);
-      return false;
-    }
-  msgpack_unpacked unpacked;
-  msgpack_unpacked_init (&unpacked);
-  const char *fault = "not msgpack";
-  if (bb_wire_sizes_fit (data, length)
-      && msgpack_unpack_next (&unpacked, (const char *)data, length, NULL)
-             == MSGPACK_UNPACK_SUCCESS)
-    fault = read_message (&unpacked, message);
-  msgpack_unpacked_destroy (&unpacked);
-  if (fault)
-    g_set_error (error, BB_ERROR, BB_ERROR_PROTOCOL, "%s", fault);
-  return !fault;
+  return bb_wire_read (data, length, take_message, message, NULL, error);
 }
