Refuse new flows at once while servers are full and slow

Cause: in a burst beyond what the servers can run, each server's queue stays full: what it rejects comes back within milliseconds as a new flow, and is placed again. All answers are then late, the first tries on open flows too; 324 of 2,593 requests in two seconds of a burst of three times the usual load were in time.

Ruled out: placement; busiest to mean was 1.04 to 1.15. Open flows cannot be refused. Tried (trials): refusing by requests for each slot alone, after 100 ms of full slots, and by the median of answer times, which rejections pull down.

Now balancers estimate how long most answers take, near and far, and refuse a new flow while that is more than 0.6 of the route's objective in both places and no server near by has a free slot. Routes carry the objective; a message of the version before, without it, is still read.

--- a/marked/directory.c
+++ b/marked/directory.c
@@ -2,12 +2,6 @@
 #include "marked/directory_private.h"
 #include <string.h>
 
-struct service_list
-{
-  uint32_t service;
-  struct bb_link servers;
-};
-
 const char *
 bb_server_state_name (enum bb_server_state state)
 {
@@ -118,25 +112,23 @@
     g_hash_table_remove (d->marks, GUINT_TO_POINTER (s->mark));
 }
 
-struct bb_link *
+struct bb_server_group *
 bb_directory_service (const struct bb_directory *d, uint32_t service)
 {
-  struct service_list *list
-      = g_hash_table_lookup (d->services, GUINT_TO_POINTER (service));
-  return list ? &list->servers : NULL;
+  return g_hash_table_lookup (d->services, GUINT_TO_POINTER (service));
 }
 
-static struct bb_link *
+static struct bb_server_group *
 service_get (struct bb_directory *d, uint32_t service)
 {
-  struct bb_link *head = bb_directory_service (d, service);
-  if (head)
-    return head;
-  struct service_list *list = g_new0 (struct service_list, 1);
-  list->service = service;
-  bb_list_init (&list->servers);
-  g_hash_table_insert (d->services, GUINT_TO_POINTER (service), list);
-  return &list->servers;
+  struct bb_server_group *group = bb_directory_service (d, service);
+  if (group)
+    return group;
+  group = g_new0 (struct bb_server_group, 1);
+  group->service = service;
+  bb_list_init (&group->servers);
+  g_hash_table_insert (d->services, GUINT_TO_POINTER (service), group);
+  return group;
 }
 
 /* Whether RECORD tells of a removal, which names the server only.  */
@@ -169,7 +161,10 @@
   s->gone_since
       = unlisted (record) ? MAX (now - record->gone_ms * BB_MSEC, 1) : 0;
   if (record->state != BB_SERVER_GONE)
-    bb_list_append (service_get (d, s->service), &s->of_service);
+    {
+      s->group = service_get (d, s->service);
+      bb_list_append (&s->group->servers, &s->of_service);
+    }
   place_server (d, s);
 }
 
--- a/marked/directory.h
+++ b/marked/directory.h
@@ -9,6 +9,7 @@
 #define BB_MARKED_DIRECTORY_H
 
 #include "core/core.h"
+#include "marked/admission.h"
 #include "marked/list.h"
 #include "marked/suspicion.h"
 
@@ -66,11 +67,21 @@
   bb_usec answer_time; /* smoothed time to the start of an answer */
 };
 
+/* The servers of one service, and how long their answers take as seen here. */
+struct bb_server_group
+{
+  uint32_t service;
+  struct bb_link servers;     /* those not gone, linked by of_service */
+  struct bb_answer_time near; /* in the own data centre */
+  struct bb_answer_time far;
+};
+
 struct bb_backend_server
 {
   struct bb_server_record record;
   uint32_t key; /* bb_server_key of service and name, for logs */
   uint32_t service;
+  struct bb_server_group *group; /* NULL: it was gone when it became known */
   uint32_t mark;
   bool drained;       /* it announced its end before it was gone */
   bool local;         /* in the data centre of this balancer */
@@ -93,6 +104,7 @@
   struct bb_endpoint address; /* what callers connect to */
   struct bb_route_share shares[BB_ROUTE_SERVICES];
   uint32_t share_count;               /* 0: the route was dropped */
+  uint32_t objective_ms;              /* latency it aims at; 0: none */
   uint32_t allowed[BB_ROUTE_ALLOWED]; /* services that it ever led to */
   uint32_t allowed_count;
   uint64_t revision;
@@ -178,10 +190,9 @@
 struct bb_backend_server *bb_directory_find (const struct bb_directory *d,
                                              const char *name);
 
-/* Head of the servers of SERVICE that are not gone, linked by of_service;
-   NULL: none.  */
-struct bb_link *bb_directory_service (const struct bb_directory *d,
-                                      uint32_t service);
+/* The servers of SERVICE, or NULL if none was ever known.  */
+struct bb_server_group *bb_directory_service (const struct bb_directory *d,
+                                              uint32_t service);
 
 /* Heads of all servers and routes, oldest revision first, linked by
    by_revision.  */
--- a/marked/directory_private.h
+++ b/marked/directory_private.h
@@ -13,7 +13,7 @@
   bb_usec begun;
   GHashTable *names;    /* to struct bb_backend_server, which it owns */
   GHashTable *marks;    /* to struct bb_backend_server */
-  GHashTable *services; /* to struct service_list, which it owns */
+  GHashTable *services; /* to struct bb_server_group, which it owns */
   GHashTable *routes;   /* address and port to struct bb_route, owned */
   struct bb_link servers_by_revision;
   struct bb_link routes_by_revision;
--- a/marked/observe.c
+++ b/marked/observe.c
@@ -52,10 +52,14 @@
 
 static void
 answer_seen (struct bb_marked *m, struct bb_marked_flow *f,
-             struct bb_backend_server *s, uint32_t now_ms)
+             struct bb_backend_server *s, bb_usec now)
 {
+  uint32_t now_ms = bb_marked_stamp (now);
   bb_usec took = (bb_usec)(now_ms - f->asked_ms) * BB_MSEC;
   s->load.answer_time += (took - s->load.answer_time) / (ANSWER_SMOOTHING + 1);
+  if (s->group)
+    bb_answer_time_add (s->local ? &s->group->near : &s->group->far, took,
+                        now);
   s->load.busy = MAX (s->load.busy - 1, 0);
   f->asked_ms = 0;
   m->counters.answers++;
@@ -75,7 +79,7 @@
       f->repeats = 0;
       bb_marked_server_alive (m, s, now);
       if (f->asked_ms != 0)
-        answer_seen (m, f, s, now_ms);
+        answer_seen (m, f, s, now);
     }
   if (p->payload == 0)
     return;
--- a/marked/place.c
+++ b/marked/place.c
@@ -13,6 +13,9 @@
 #define SPILL_PRESSURE 2.0
 #define SPILL_RATIO 0.5
 
+/* Requests for each slot from which on a server has no free slot.  */
+#define FULL_PRESSURE 1.0
+
 static double
 slots_of (const struct bb_backend_server *s)
 {
@@ -71,6 +74,7 @@
 struct picks
 {
   struct pick near;
+  struct pick freest; /* near by, of least pressure */
   struct pick far;
   struct pick suspect;
 };
@@ -90,6 +94,8 @@
         continue;
       if (bb_suspicion_suspects (&s->load.evidence, now))
         pick = &picks.suspect;
+      else if (s->local)
+        consider (&picks.freest, s, pressure (s), random);
       consider (pick, s, placing->cost (s, now), random);
     }
   return picks;
@@ -103,13 +109,32 @@
   return here >= SPILL_PRESSURE && pressure (far) < here * SPILL_RATIO;
 }
 
+/* Where new flows may go, and whether answers come in time there.  */
+static bool
+has_room (const struct pick *p, const struct bb_answer_time *t,
+          bb_usec objective, bb_usec now)
+{
+  return p->server && !bb_answer_time_exceeds (t, objective, now);
+}
+
 static struct bb_choice
-choose (const struct bb_link *servers, const struct bb_placing *placing,
-        GRand *random, bb_usec now)
+choose (const struct bb_server_group *group, const struct bb_placing *placing,
+        bb_usec objective, GRand *random, bb_usec now)
 {
-  struct picks p = survey (servers, placing, random, now);
+  struct picks p = survey (&group->servers, placing, random, now);
   struct bb_backend_server *near = p.near.server, *far = p.far.server;
-  if (near && !(far && spills (near, far)))
+  bool near_room = has_room (&p.near, &group->near, objective, now);
+  bool far_room = has_room (&p.far, &group->far, objective, now);
+  /* Answers that take long are no reason to refuse while a slot is free:
+     servers may be slow, and requests of the route long.  */
+  if ((near || far) && !near_room && !far_room)
+    {
+      if (p.freest.server && p.freest.cost < FULL_PRESSURE)
+        return (struct bb_choice){ p.freest.server,
+                                   BB_REASON_OWN_DATA_CENTRE };
+      return (struct bb_choice){ NULL, BB_REASON_ALL_BUSY };
+    }
+  if (near && !(far_room && (!near_room || spills (near, far))))
     return (struct bb_choice){ near, BB_REASON_OWN_DATA_CENTRE };
   if (far)
     return (struct bb_choice){ far, BB_REASON_OTHER_DATA_CENTRE };
@@ -150,10 +175,11 @@
     none.reason = BB_REASON_ROUTE_DROPPED;
   else
     {
-      const struct bb_link *servers = bb_directory_service (
+      const struct bb_server_group *group = bb_directory_service (
           directory, draw_service (&route->record, random));
-      if (servers)
-        return choose (servers, placing, random, now);
+      if (group)
+        return choose (group, placing, route->record.objective_ms * BB_MSEC,
+                       random, now);
     }
   return none;
 }
--- a/marked/routes.c
+++ b/marked/routes.c
@@ -55,9 +55,9 @@
 }
 
 static bool
-same_shares (const struct bb_route_record *a, const struct bb_route_record *b)
+same_route (const struct bb_route_record *a, const struct bb_route_record *b)
 {
-  if (a->share_count != b->share_count)
+  if (a->share_count != b->share_count || a->objective_ms != b->objective_ms)
     return false;
   for (uint32_t i = 0; i < a->share_count; i++)
     if (a->shares[i].service != b->shares[i].service
@@ -86,7 +86,7 @@
   if (record->revision <= route->record.revision)
     return BB_VIEW_STALE;
   bool known = route->record.revision != 0;
-  bool same = known && same_shares (&route->record, record);
+  bool same = known && same_route (&route->record, record);
   struct bb_route_record before = route->record;
   route->record = *record;
   if (!same)
@@ -143,7 +143,7 @@
     {
       const struct bb_route *route
           = bb_directory_route (d, &routes[i].address);
-      if (route && same_shares (&route->record, &routes[i]))
+      if (route && same_route (&route->record, &routes[i]))
         continue;
       enum bb_view_change change = bb_directory_put_route (d, &routes[i], now);
       if (change != BB_VIEW_STALE)
--- a/tests/adapter_test.c
+++ b/tests/adapter_test.c
@@ -144,8 +144,30 @@
 }
 END_TEST
 
-#define ROUTE(host, prefix, rest)                                             \
-  "{\"host\":\"" host "\",\"prefix\":\"" prefix "\"," rest "}"
+/* Configurations, with ' in place of ".  */
+static const char two_routes[]
+    = "{'version':7,'routes':["
+      "{'host':'198.18.0.1','prefix':'/8080/','service':'a'},"
+      "{'host':'198.18.0.1','prefix':'/8443/','target-latency-ms':150,"
+      "'traffic-split':[{'service':'a','weight':90},"
+      "{'service':'b','weight':10}]}]}";
+static const char one_good_route[]
+    = "{'version':7,'routes':["
+      "{'host':'198.18.0.1','prefix':'/8080/','service':'a'},"
+      "{'host':'198.18.0.1','prefix':'/8080/','service':'b'},"
+      "{'host':'198.18.0.1','prefix':'8080','service':'b'},"
+      "{'host':'198.18.0.1','prefix':'/http/','service':'b'},"
+      "{'host':'here','prefix':'/80/','service':'b'},"
+      "{'host':'198.18.0.1','prefix':'/81/','kind':'safe'},7]}";
+static const char odd_objectives[]
+    = "{'version':7,'routes':["
+      "{'host':'198.18.0.1','prefix':'/8080/','service':'a',"
+      "'target-latency-ms':-5},"
+      "{'host':'198.18.0.1','prefix':'/8443/','target-latency-ms':150,"
+      "'traffic-split':[{'service':'a','weight':90},"
+      "{'service':'b','weight':10}]},"
+      "{'host':'198.18.0.1','prefix':'/8081/','service':'a',"
+      "'target-latency-ms':'soon'}]}";
 
 static const struct
 {
@@ -154,51 +176,16 @@
   size_t count;
   size_t unusable;
 } configurations[] = {
-  { "{\"version\":7,\"routes\":[" ROUTE (
-        "198.18.0.1", "/8080/",
-        "\"service\":\"a\"") "," ROUTE ("198.18.0.1", "/8443/",
-                                        "\"traffic-split\":[{"
-                                        "\"service\":\"a\","
-                                        "\"weight\":90},"
-                                        "{\"service\":\"b\","
-                                        "\"weight\":10}]") "]}",
-    true, 2, 0 },
-  { "{\"version\":7,\"routes\":[]}", true, 0, 0 },
-  { "{\"version\":7,\"routes\":[" ROUTE ("198.18.0.1", "/8080/", "\"service\":\"a\"") "," ROUTE ("198.18.0.1", "/8080/", "\"service\":\"b\"") "," ROUTE (
-        "198.18.0.1", "8080",
-        "\"service\":\"b\"") "," ROUTE ("198."
-                                        "18.0."
-                                        "1",
-                                        "/http"
-                                        "/",
-                                        "\"ser"
-                                        "vice"
-                                        "\":"
-                                        "\"b"
-                                        "\"") "," ROUTE ("here", "/80/",
-                                                         "\"ser"
-                                                         "vice"
-                                                         "\":"
-                                                         "\"b"
-                                                         "\"") "," ROUTE ("198"
-                                                                          ".18"
-                                                                          ".0."
-                                                                          "1",
-                                                                          "/81"
-                                                                          "/",
-                                                                          "\"k"
-                                                                          "ind"
-                                                                          "\":"
-                                                                          "\"s"
-                                                                          "afe"
-                                                                          "\"") ",7]}",
-    true, 1, 6 },
-  { "{\"routes\":[]}", false, 0, 0 },
-  { "{\"version\":0,\"routes\":[]}", false, 0, 0 },
-  { "{\"version\":\"7\",\"routes\":[]}", false, 0, 0 },
-  { "{\"version\":7}", false, 0, 0 },
-  { "{\"version\":7,\"routes\":{}}", false, 0, 0 },
-  { "{\"version\":7,\"routes\":[", false, 0, 0 },
+  { two_routes, true, 2, 0 },
+  { "{'version':7,'routes':[]}", true, 0, 0 },
+  { one_good_route, true, 1, 6 },
+  { odd_objectives, true, 3, 0 },
+  { "{'routes':[]}", false, 0, 0 },
+  { "{'version':0,'routes':[]}", false, 0, 0 },
+  { "{'version':'7','routes':[]}", false, 0, 0 },
+  { "{'version':7}", false, 0, 0 },
+  { "{'version':7,'routes':{}}", false, 0, 0 },
+  { "{'version':7,'routes':[", false, 0, 0 },
 };
 
 /* Guards against one bad route that keeps the rest of a configuration out of
@@ -209,7 +196,8 @@
   struct bb_route_record *routes;
   size_t count, unusable;
   GError *error = NULL;
-  const char *value = configurations[_i].value;
+  g_autofree char *value
+      = g_strdelimit (g_strdup (configurations[_i].value), "'", '"');
   bool usable = bb_platform_configuration ((const uint8_t *)value,
                                            strlen (value), &version, &routes,
                                            &count, &unusable, &error);
@@ -226,6 +214,8 @@
       ck_assert_uint_eq (routes[1].address.port, 8443);
       ck_assert_uint_eq (routes[1].shares[1].service, bb_name_key ("b"));
       ck_assert_uint_eq (routes[1].shares[0].weight, 90);
+      ck_assert_uint_eq (routes[1].objective_ms, 150);
+      ck_assert_uint_eq (routes[0].objective_ms, 0);
     }
   g_free (routes);
 }
--- a/tests/directory_test.c
+++ b/tests/directory_test.c
@@ -95,7 +95,7 @@
   struct bb_server_record gone
       = { .name = "i-01", .state = BB_SERVER_GONE, .revision = 6 };
   put (&gone, BB_SEC, BB_VIEW_GONE);
-  ck_assert (bb_list_empty (bb_directory_service (d, s->service)));
+  ck_assert (bb_list_empty (&bb_directory_service (d, s->service)->servers));
   bb_directory_sweep (d, BB_SEC + BB_VIEW_RETENTION - 1);
   ck_assert_ptr_eq (bb_directory_marked (d, mark), s);
   bb_directory_sweep (d, BB_SEC + BB_VIEW_RETENTION);
