Metrics of each service: answer times and the estimate that refuses

The page of metrics moves to runtime/marked_metrics.c. One histogram a service, not a server: at 54,000 servers it would have 810,000 lines.

The runtime of the marked transport had no test without the soak: tests/marked_process_test.c plays readiness, packets, refusals and metrics of a whole process over a scripted store.

--- a/marked/directory.c
+++ b/marked/directory.c
@@ -119,18 +119,32 @@
 }
 
 static struct bb_server_group *
-service_get (struct bb_directory *d, uint32_t service)
+service_get (struct bb_directory *d, uint32_t service, const char *name)
 {
   struct bb_server_group *group = bb_directory_service (d, service);
   if (group)
     return group;
   group = g_new0 (struct bb_server_group, 1);
   group->service = service;
+  g_strlcpy (group->name, name, sizeof group->name);
   bb_list_init (&group->servers);
   g_hash_table_insert (d->services, GUINT_TO_POINTER (service), group);
   return group;
 }
 
+void
+bb_directory_each_service (const struct bb_directory *d,
+                           void (*each) (void *context,
+                                         const struct bb_server_group *group),
+                           void *context)
+{
+  GHashTableIter iter;
+  gpointer group;
+  g_hash_table_iter_init (&iter, d->services);
+  while (g_hash_table_iter_next (&iter, NULL, &group))
+    each (context, group);
+}
+
 /* Whether RECORD tells of a removal, which names the server only.  */
 static bool
 unlisted (const struct bb_server_record *record)
@@ -162,7 +176,7 @@
       = unlisted (record) ? MAX (now - record->gone_ms * BB_MSEC, 1) : 0;
   if (record->state != BB_SERVER_GONE)
     {
-      s->group = service_get (d, s->service);
+      s->group = service_get (d, s->service, s->record.service);
       bb_list_append (&s->group->servers, &s->of_service);
     }
   place_server (d, s);
--- a/marked/directory.h
+++ b/marked/directory.h
@@ -8,7 +8,7 @@
 #ifndef BB_MARKED_DIRECTORY_H
 #define BB_MARKED_DIRECTORY_H
 
-#include "core/core.h"
+#include "core/histogram.h"
 #include "marked/admission.h"
 #include "marked/list.h"
 #include "marked/suspicion.h"
@@ -74,6 +74,8 @@
   struct bb_link servers;     /* those not gone, linked by of_service */
   struct bb_answer_time near; /* in the own data centre */
   struct bb_answer_time far;
+  struct bb_histogram answers; /* of both */
+  char name[BB_NAME_MAX];
 };
 
 struct bb_backend_server
@@ -194,6 +196,11 @@
 struct bb_server_group *bb_directory_service (const struct bb_directory *d,
                                               uint32_t service);
 
+void bb_directory_each_service (
+    const struct bb_directory *d,
+    void (*each) (void *context, const struct bb_server_group *group),
+    void *context);
+
 /* Heads of all servers and routes, oldest revision first, linked by
    by_revision.  */
 struct bb_link *bb_directory_servers (struct bb_directory *d);
--- a/marked/observe.c
+++ b/marked/observe.c
@@ -58,8 +58,11 @@
   bb_usec took = (bb_usec)(now_ms - f->asked_ms) * BB_MSEC;
   s->load.answer_time += (took - s->load.answer_time) / (ANSWER_SMOOTHING + 1);
   if (s->group)
-    bb_answer_time_add (s->local ? &s->group->near : &s->group->far, took,
-                        now);
+    {
+      bb_answer_time_add (s->local ? &s->group->near : &s->group->far, took,
+                          now);
+      bb_histogram_add (&s->group->answers, took);
+    }
   s->load.busy = MAX (s->load.busy - 1, 0);
   f->asked_ms = 0;
   m->counters.answers++;
--- /dev/null
+++ b/runtime/marked_metrics.c
@@ -0,0 +1,321 @@
+/* The page of metrics, made from one table.  */
+
+#include "runtime/marked_private.h"
+#include <event2/buffer.h>
+#include <inttypes.h>
+#include <string.h>
+
+enum source
+{
+  COUNTERS,
+  PACKETS,
+  SOURCE,
+  GAUGES,
+  SOURCES
+};
+
+struct gauges
+{
+  uint64_t ready;
+  uint64_t uptime;
+  uint64_t version;
+  uint64_t revision;
+  uint64_t age;
+  uint64_t reads;
+  uint64_t peers_live;
+  uint64_t flows;
+  uint64_t peer_faults;
+  uint64_t events_suppressed;
+  uint64_t log_lost;
+};
+
+struct metric
+{
+  const char *name;
+  const char *unit; /* "seconds": the value is in microseconds */
+  const char *help;
+  bool gauge;
+  enum source source;
+  size_t offset;
+};
+
+#define OF(type, field) offsetof (struct type, field)
+#define CALLS(outcome)                                                        \
+  OF (bb_source_counters, calls) + (outcome) * sizeof (uint64_t)
+
+static const struct metric table[] = {
+  { "ready", "", "1 if the fabric may send flows.", true, GAUGES,
+    OF (gauges, ready) },
+  { "uptime", "seconds", "Time since the start.", true, GAUGES,
+    OF (gauges, uptime) },
+  { "configuration_version", "", "Configuration in force.", true, GAUGES,
+    OF (gauges, version) },
+  { "store_revision", "", "Revision of the store that is known.", true, GAUGES,
+    OF (gauges, revision) },
+  { "knowledge_age", "seconds", "Time since the knowledge was current.", true,
+    GAUGES, OF (gauges, age) },
+  { "reads_store", "", "1 if this balancer reads the store itself.", true,
+    GAUGES, OF (gauges, reads) },
+  { "peers_live", "", "Balancers heard of lately.", true, GAUGES,
+    OF (gauges, peers_live) },
+  { "flows", "", "Flows observed.", true, GAUGES, OF (gauges, flows) },
+  { "packets_forwarded", "", "Packets sent to servers.", false, COUNTERS,
+    OF (bb_marked_counters, forwarded) },
+  { "flows_placed", "", "New flows.", false, COUNTERS,
+    OF (bb_marked_counters, placed) },
+  { "flows_placed_far", "", "New flows in other data centres.", false,
+    COUNTERS, OF (bb_marked_counters, placed_far) },
+  { "first_packet_copies", "", "Copies of first packets.", false, COUNTERS,
+    OF (bb_marked_counters, copies) },
+  { "resets", "", "Open flows that were reset.", false, COUNTERS,
+    OF (bb_marked_counters, resets) },
+  { "server_suspicions", "", "Servers found silent.", false, COUNTERS,
+    OF (bb_marked_counters, suspects) },
+  { "answers", "", "Answers of which a caller acknowledged the start.", false,
+    COUNTERS, OF (bb_marked_counters, answers) },
+  { "caller_repeats", "", "Packets that callers sent again.", false, COUNTERS,
+    OF (bb_marked_counters, repeats) },
+  { "data_sent_packets", "", "Datagrams written to the data socket.", false,
+    PACKETS, OF (bb_batch_counters, sent_packets) },
+  { "data_sent", "bytes", "Bytes written to the data socket.", false, PACKETS,
+    OF (bb_batch_counters, sent_bytes) },
+  { "data_send_drops", "", "Datagrams that the data socket refused.", false,
+    PACKETS, OF (bb_batch_counters, send_drops) },
+  { "store_calls_ok", "", "Calls that the store answered.", false, SOURCE,
+    CALLS (BB_SOURCE_OK) },
+  { "store_calls_timeout", "", "Calls without an answer.", false, SOURCE,
+    CALLS (BB_SOURCE_TIMEOUT) },
+  { "store_calls_refused", "", "Calls that the store refused.", false, SOURCE,
+    CALLS (BB_SOURCE_REFUSED) },
+  { "store_calls_unreadable", "", "Answers that are none.", false, SOURCE,
+    CALLS (BB_SOURCE_UNREADABLE) },
+  { "store_history_lost", "", "Watches that had to start anew.", false, SOURCE,
+    CALLS (BB_SOURCE_HISTORY_LOST) },
+  { "store_entries_refused", "", "Entries that cannot be used.", false, SOURCE,
+    OF (bb_source_counters, entries_refused) },
+  { "store_received", "bytes", "Bytes that the store sent.", false, SOURCE,
+    OF (bb_source_counters, received_bytes) },
+  { "peer_faults", "", "Datagrams of peers that are no messages.", false,
+    GAUGES, OF (gauges, peer_faults) },
+  { "events_suppressed", "", "Events over the rate limit.", false, GAUGES,
+    OF (gauges, events_suppressed) },
+  { "log_lines_lost", "", "Lines that standard output did not take.", false,
+    GAUGES, OF (gauges, log_lost) },
+};
+
+static void
+fill_gauges (struct bb_marked_process *p, bb_usec now, struct gauges *g)
+{
+  struct bb_sharing *sharing = bb_marked_sharing (p->marked);
+  *g = (struct gauges){
+    .ready = bb_marked_process_ready (p),
+    .uptime = (uint64_t)(now - p->started),
+    .version = bb_directory_version (bb_marked_directory (p->marked)),
+    .revision = bb_sharing_revision (sharing),
+    .age = (uint64_t)bb_sharing_age (sharing, now),
+    .reads = bb_sharing_reads (sharing),
+    .peers_live = bb_sharing_live (sharing, now),
+    .flows = bb_marked_flow_count (p->marked),
+    .peer_faults = p->peer_faults,
+    .events_suppressed = bb_events_suppressed (p->events),
+    .log_lost = bb_log_lost (p->log),
+  };
+}
+
+static void
+write_metric (struct evbuffer *out, const struct metric *m, uint64_t value)
+{
+  char name[80];
+  g_snprintf (name, sizeof name, "%s%s%s%s", m->name, *m->unit ? "_" : "",
+              m->unit, m->gauge ? "" : "_total");
+  evbuffer_add_printf (out,
+                       "# HELP bluebellstand_%s %s\n"
+                       "# TYPE bluebellstand_%s %s\n",
+                       name, m->help, name, m->gauge ? "gauge" : "counter");
+  if (strcmp (m->unit, "seconds") == 0)
+    evbuffer_add_printf (out, "bluebellstand_%s %.6f\n", name,
+                         (double)value / BB_SEC);
+  else
+    evbuffer_add_printf (out, "bluebellstand_%s %" PRIu64 "\n", name, value);
+}
+
+/* LABELS is empty or ends in a comma.  */
+static void
+write_buckets (const struct bb_histogram *h, const char *name,
+               const char *labels, struct evbuffer *out)
+{
+  uint64_t total = 0;
+  for (size_t i = 0; i < BB_HISTOGRAM_BOUNDS; i++)
+    {
+      total += h->counts[i];
+      evbuffer_add_printf (
+          out, "bluebellstand_%s_bucket{%sle=\"%g\"} %" PRIu64 "\n", name,
+          labels, (double)bb_histogram_bounds_ms[i] / 1000, total);
+    }
+  total += h->counts[BB_HISTOGRAM_BOUNDS];
+  evbuffer_add_printf (out,
+                       "bluebellstand_%s_bucket{%sle=\"+Inf\"} %" PRIu64 "\n"
+                       "bluebellstand_%s_sum{%s} %.6f\n"
+                       "bluebellstand_%s_count{%s} %" PRIu64 "\n",
+                       name, labels, total, name, labels,
+                       (double)h->sum / BB_SEC, name, labels, total);
+}
+
+static void
+write_head (const char *name, const char *type, const char *help,
+            struct evbuffer *out)
+{
+  evbuffer_add_printf (out,
+                       "# HELP bluebellstand_%s %s\n"
+                       "# TYPE bluebellstand_%s %s\n",
+                       name, help, name, type);
+}
+
+static void
+write_histogram (const struct bb_histogram *h, const char *name,
+                 const char *help, struct evbuffer *out)
+{
+  write_head (name, "histogram", help, out);
+  write_buckets (h, name, "", out);
+}
+
+/* One histogram a service: one a server would be 15 lines for each of the
+   54,000 servers of two years.  */
+static void
+write_service (void *context, const struct bb_server_group *group)
+{
+  g_autofree char *labels = g_strdup_printf ("service=\"%s\",", group->name);
+  write_buckets (&group->answers, "service_answer_time_seconds", labels,
+                 context);
+}
+
+static void
+write_estimate (void *context, const struct bb_server_group *group)
+{
+  const struct bb_answer_time *times[] = { &group->near, &group->far };
+  static const char *const places[] = { "near", "far" };
+  for (size_t i = 0; i < G_N_ELEMENTS (times); i++)
+    evbuffer_add_printf (
+        context,
+        "bluebellstand_service_answer_estimate_seconds{service=\"%s\","
+        "place=\"%s\"} %.6f\n",
+        group->name, places[i], (double)times[i]->estimate / BB_SEC);
+}
+
+static void
+write_kinds (const struct bb_marked_counters *c, struct evbuffer *out)
+{
+  write_head ("dropped_packets_total", "counter",
+              "Packets dropped, by reason.", out);
+  for (int i = BB_DROP_NONE + 1; i < BB_DROP_KINDS; i++)
+    evbuffer_add_printf (
+        out,
+        "bluebellstand_dropped_packets_total{reason=\"%s\"} %" PRIu64 "\n",
+        bb_drop_name ((enum bb_drop)i), c->drops[i]);
+  write_head ("flows_refused_total", "counter",
+              "New flows refused, by reason.", out);
+  for (int i = BB_REASON_NONE + 1; i < BB_REASONS; i++)
+    if (c->refused[i] > 0)
+      evbuffer_add_printf (
+          out,
+          "bluebellstand_flows_refused_total{reason=\"%s\"} %" PRIu64 "\n",
+          bb_reason_name ((enum bb_reason)i), c->refused[i]);
+}
+
+static int64_t
+server_open (const struct bb_backend_server *s)
+{
+  return s->load.open;
+}
+
+static int64_t
+server_busy (const struct bb_backend_server *s)
+{
+  return s->load.busy;
+}
+
+static int64_t
+server_answer (const struct bb_backend_server *s)
+{
+  return s->load.answer_time;
+}
+
+static int64_t
+server_state (const struct bb_backend_server *s)
+{
+  return s->record.state;
+}
+
+static const struct
+{
+  const char *name;
+  const char *help;
+  int64_t (*value) (const struct bb_backend_server *s);
+} server_table[] = {
+  { "server_flows", "Open flows seen here.", server_open },
+  { "server_requests", "Requests under way seen here.", server_busy },
+  { "server_answer_microseconds", "Smoothed time to the start of an answer.",
+    server_answer },
+  { "server_state", "0 ready, 1 draining, 2 gone.", server_state },
+};
+
+static void
+write_servers (struct bb_marked_process *p, struct evbuffer *out)
+{
+  struct bb_link *head
+      = bb_directory_servers (bb_marked_directory (p->marked));
+  for (size_t i = 0; i < G_N_ELEMENTS (server_table); i++)
+    {
+      const char *name = server_table[i].name;
+      write_head (name, "gauge", server_table[i].help, out);
+      for (struct bb_link *at = head->next; at != head; at = at->next)
+        {
+          const struct bb_backend_server *s
+              = BB_LINKED (at, struct bb_backend_server, by_revision);
+          evbuffer_add_printf (
+              out,
+              "bluebellstand_%s{service=\"%s\",server=\"%s\"} %" PRId64 "\n",
+              name, s->record.service, s->record.name,
+              server_table[i].value (s));
+        }
+    }
+}
+
+void
+bb_marked_write_metrics (struct bb_marked_process *p, struct evbuffer *out)
+{
+  struct gauges gauges;
+  const struct bb_marked_counters *counters
+      = bb_marked_get_counters (p->marked);
+  fill_gauges (p, bb_clock_boot (), &gauges);
+  const char *sources[SOURCES] = {
+    [COUNTERS] = (const char *)counters,
+    [PACKETS] = (const char *)bb_batch_get_counters (p->packets),
+    [SOURCE] = (const char *)p->source_ops->counters (p->source),
+    [GAUGES] = (const char *)&gauges,
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (table); i++)
+    {
+      uint64_t value;
+      memcpy (&value, sources[table[i].source] + table[i].offset,
+              sizeof value);
+      write_metric (out, &table[i], value);
+    }
+  write_kinds (counters, out);
+  write_histogram (&p->loop_delay, "loop_delay_seconds",
+                   "Lateness of the timer of the loop.", out);
+  write_histogram (bb_marked_answer_times (p->marked), "answer_time_seconds",
+                   "Time from a request to the start of its answer.", out);
+  write_histogram (bb_marked_open_times (p->marked), "open_time_seconds",
+                   "Time from a first packet to the caller's next.", out);
+  write_head ("service_answer_time_seconds", "histogram",
+              "Time from a request to the start of its answer.", out);
+  bb_directory_each_service (bb_marked_directory (p->marked), write_service,
+                             out);
+  write_head ("service_answer_estimate_seconds", "gauge",
+              "Time that most answers take; new flows are refused by it.",
+              out);
+  bb_directory_each_service (bb_marked_directory (p->marked), write_estimate,
+                             out);
+  write_servers (p, out);
+}
--- a/runtime/marked_private.h
+++ b/runtime/marked_private.h
@@ -74,6 +74,10 @@
 /* Whether the fabric is to send flows here.  */
 bool bb_marked_process_ready (const struct bb_marked_process *p);
 
+/* marked_metrics.c */
+void bb_marked_write_metrics (struct bb_marked_process *p,
+                              struct evbuffer *out);
+
 /* marked_data.c: packets of callers and messages of peers.  */
 bool bb_marked_data_start (struct bb_marked_process *p, GError **error);
 void bb_marked_data_stop (struct bb_marked_process *p);
--- /dev/null
+++ b/tests/marked_process_test.c
@@ -0,0 +1,257 @@
+/* A whole balancer of a marked transport on loopback; its store is a script
+   of the test.  */
+
+#include "platform/platform.h"
+#include "runtime/fetch.h"
+#include "runtime/marked_private.h"
+#include "tests/sockets.h"
+#include "tests/suite.h"
+
+enum
+{
+  LOOPBACK = 0x7f000001,
+  CALLER = 0x7f000006,
+  ROUTE = 0xc6120001,
+  ROUTE_PORT = 443,
+};
+
+static struct
+{
+  struct bb_settings settings;
+  struct bb_marked_process *p;
+  const struct bb_source_sink *sink;
+  void *context;
+  int server;
+  int caller;
+  int status;
+  char *body;
+} t;
+
+static struct bb_source_counters counters;
+
+static void *
+source_start (struct event_base *loop, const struct bb_endpoint *endpoint,
+              GRand *random, const struct bb_source_sink *sink, void *context)
+{
+  (void)loop;
+  (void)endpoint;
+  (void)random;
+  t.sink = sink;
+  t.context = context;
+  return &t;
+}
+
+static void
+source_poke (void *state, bb_usec now)
+{
+  (void)state;
+  (void)now;
+}
+
+static const struct bb_source_counters *
+source_counters (const void *state)
+{
+  (void)state;
+  return &counters;
+}
+
+static void
+source_stop (void *state)
+{
+  (void)state;
+}
+
+static const struct bb_source_ops source = {
+  .name = "script",
+  .start = source_start,
+  .poke = source_poke,
+  .counters = source_counters,
+  .stop = source_stop,
+};
+
+static void
+set_up (void)
+{
+  GError *error = NULL;
+  memset (&t, 0, sizeof t);
+  t.server = socket_open (LOOPBACK, SOCK_DGRAM);
+  t.settings = (struct bb_settings){
+    .self = { .name = "e1",
+              .id = bb_name_key ("e1"),
+              .data_centre = "north",
+              .data = { LOOPBACK, 0 } },
+    .metrics = socket_free_endpoint (LOOPBACK, SOCK_STREAM),
+    .log_level = "error",
+    .marked = { .packets = socket_free_endpoint (LOOPBACK, SOCK_DGRAM),
+                .ready = socket_free_endpoint (LOOPBACK, SOCK_STREAM),
+                .peer_port = socket_free_endpoint (LOOPBACK, SOCK_DGRAM).port,
+                .capacity = 1000,
+                .flow_capacity = 1024,
+                .idle_ms = 15000,
+                .drain_ms = 3000 },
+  };
+  t.p = bb_marked_process_new (&t.settings, &bb_platform_transport, &source,
+                               &error);
+  ck_assert_msg (t.p != NULL, "%s", error ? error->message : "");
+  /* Answers go to the caller's address at the port of the packets.  */
+  struct sockaddr_in in
+      = { .sin_family = AF_INET,
+          .sin_addr.s_addr = htonl (CALLER),
+          .sin_port = htons (t.settings.marked.packets.port) };
+  t.caller = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
+  ck_assert_int_eq (bind (t.caller, (struct sockaddr *)&in, sizeof in), 0);
+}
+
+static void
+tear_down (void)
+{
+  bb_marked_process_free (t.p);
+  close (t.server);
+  close (t.caller);
+  g_free (t.body);
+}
+
+/* The store tells of one server and one route.  */
+static void
+tell (void)
+{
+  struct bb_server_record s = { .name = "i-7f",
+                                .service = "desk",
+                                .data_centre = "north",
+                                .address = socket_endpoint (t.server),
+                                .tag = 0x7f,
+                                .slots = 2,
+                                .created = 1,
+                                .revision = 1 };
+  struct bb_route_record r = { .address = { ROUTE, ROUTE_PORT },
+                               .shares = { { bb_name_key ("desk"), 1 } },
+                               .share_count = 1,
+                               .revision = 2 };
+  t.sink->server (t.context, &s);
+  t.sink->configuration (t.context, 7, 2, &r, 1);
+  t.sink->current (t.context, 2, bb_clock_boot ());
+}
+
+static void
+on_fetched (void *context, const struct bb_fetch_answer *answer)
+{
+  (void)context;
+  t.status = answer->status;
+  g_free (t.body);
+  t.body = g_strndup ((const char *)answer->body, answer->length);
+}
+
+static int
+get (const struct bb_endpoint *endpoint, const char *path)
+{
+  t.status = 0;
+  struct bb_fetch *fetch = bb_fetch_new (t.p->loop, endpoint, path, BB_SEC,
+                                         1 << 20, on_fetched, NULL);
+  while (t.status == 0)
+    event_base_loop (t.p->loop, EVLOOP_ONCE);
+  bb_fetch_free (fetch);
+  return t.status;
+}
+
+/* Sends a first packet to PORT of the route; its checksum is 1.  */
+static void
+send_first (uint16_t port)
+{
+  uint8_t bytes[BB_PLATFORM_HEAD] = { 0 };
+  const struct bb_endpoint *to = &t.settings.marked.packets;
+  struct sockaddr_in in = { .sin_family = AF_INET,
+                            .sin_addr.s_addr = htonl (to->address),
+                            .sin_port = htons (to->port) };
+  const uint8_t head[]
+      = { 0x7f, 0,    0, 6, (uint8_t)(port >> 8), (uint8_t)port, 0x9c, 0x41,
+          0xc6, 0x12, 0, 1 };
+  memcpy (bytes, head, sizeof head);
+  bytes[23] = 1;
+  bytes[30] = 16;
+  ck_assert_int_eq (sendto (t.caller, bytes, sizeof bytes, 0,
+                            (struct sockaddr *)&in, sizeof in),
+                    (ssize_t)sizeof bytes);
+}
+
+static ssize_t
+receive (int fd, uint8_t *bytes, size_t size)
+{
+  ssize_t length = -1;
+  bb_usec end = bb_clock_boot () + 2 * BB_SEC;
+  while ((length = recv (fd, bytes, size, 0)) < 0 && bb_clock_boot () < end)
+    event_base_loop (t.p->loop, EVLOOP_ONCE);
+  return length;
+}
+
+/* Guards against flows that are sent here before a configuration is known,
+   or while the process leaves.  */
+START_TEST (readiness)
+{
+  ck_assert_int_eq (get (&t.settings.marked.ready, "/ready"), 503);
+  tell ();
+  ck_assert_int_eq (get (&t.settings.marked.ready, "/ready"), 200);
+  raise (SIGTERM);
+  event_base_loop (t.p->loop, EVLOOP_ONCE);
+  ck_assert_int_eq (get (&t.settings.marked.ready, "/ready"), 503);
+}
+END_TEST
+
+/* Guards against packets that change on their way, and against a caller that
+   waits where no route leads.  */
+START_TEST (packets)
+{
+  uint8_t bytes[256];
+  tell ();
+  send_first (ROUTE_PORT);
+  ck_assert_int_eq (receive (t.server, bytes, sizeof bytes),
+                    BB_PLATFORM_TAG + BB_PLATFORM_HEAD);
+  ck_assert_uint_eq (bytes[7], 0x7f);
+  ck_assert_uint_eq (bytes[BB_PLATFORM_TAG + 23], 1);
+  uint32_t mark = bb_mark_try ("i-7f", 0);
+  ck_assert_uint_eq (bytes[BB_PLATFORM_TAG + 27], (uint8_t)mark);
+  send_first (ROUTE_PORT + 1);
+  ck_assert_int_eq (receive (t.caller, bytes, sizeof bytes), BB_PLATFORM_HEAD);
+  ck_assert_uint_eq (bytes[30], 8);
+  ck_assert_uint_eq (bytes[23], 0);
+}
+END_TEST
+
+/* Guards against a metric that the page lacks or that has another value.  */
+static const char *const lines[] = {
+  "\nbluebellstand_ready 1\n",
+  "\nbluebellstand_configuration_version 7\n",
+  "\nbluebellstand_flows_placed_total 1\n",
+  "\nbluebellstand_flows_refused_total{reason=\"no_route\"} 1\n",
+  "\n# TYPE bluebellstand_service_answer_time_seconds histogram\n",
+  "\nbluebellstand_service_answer_time_seconds_bucket{service=\"desk\","
+  "le=\"+Inf\"} 0\n",
+  "\nbluebellstand_service_answer_estimate_seconds{service=\"desk\","
+  "place=\"near\"} 0.000000\n",
+  "\nbluebellstand_server_flows{service=\"desk\",server=\"i-7f\"} 1\n",
+};
+
+START_TEST (metrics)
+{
+  uint8_t bytes[256];
+  tell ();
+  send_first (ROUTE_PORT);
+  ck_assert_int_gt (receive (t.server, bytes, sizeof bytes), 0);
+  send_first (ROUTE_PORT + 1);
+  ck_assert_int_gt (receive (t.caller, bytes, sizeof bytes), 0);
+  ck_assert_int_eq (get (&t.settings.metrics, "/metrics"), 200);
+  ck_assert_msg (strstr (t.body, lines[_i]), "no line%s", lines[_i]);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("marked process");
+  TCase *tc = tcase_create ("marked process");
+  tcase_add_checked_fixture (tc, set_up, tear_down);
+  tcase_add_test (tc, readiness);
+  tcase_add_test (tc, packets);
+  tcase_add_loop_test (tc, metrics, 0, G_N_ELEMENTS (lines));
+  suite_add_tcase (suite, tc);
+  return run_suite (suite);
+}
