bbctl report: what balancers did, summed from their logs

Flows placed, refused and reset over time, by cause and by server, and how long each version took to be in force, as text and as SVG. Lines that were left out count with the line that tells of them. timeline, explain and report read their sources by one function. explain knows all_busy.

--- a/bbctl/bbctl.h
+++ b/bbctl/bbctl.h
@@ -20,6 +20,7 @@
 int bb_ctl_run_status (int argc, char **argv);
 int bb_ctl_run_timeline (int argc, char **argv);
 int bb_ctl_run_explain (int argc, char **argv);
+int bb_ctl_run_report (int argc, char **argv);
 
 /* Options of one command.  */
 struct bb_ctl_options
--- a/bbctl/explain.c
+++ b/bbctl/explain.c
@@ -44,6 +44,8 @@
     "refused: the configuration had dropped the route" },
   { "flow_refused", "no_server",
     "refused: no server of the service took new flows" },
+  { "flow_refused", "all_busy",
+    "refused: all servers were full and their answers slow" },
   { "flow_reset", "server_gone",
     "reset: the server had left, or its entry had expired" },
   { "flow_reset", "server_silent",
@@ -196,16 +198,8 @@
                g_get_prgname ());
       return BB_CTL_USAGE;
     }
-  struct bb_ctl_timeline *t = bb_ctl_timeline_new ();
-  for (int i = first; i < argc; i++)
-    {
-      int s = bb_ctl_timeline_read (t, argv[i]);
-      status = status ? status : s;
-    }
-  if (t->skipped)
-    fprintf (stderr, "%s: skipped %zu lines that are no events\n",
-             g_get_prgname (), t->skipped);
-  bb_ctl_timeline_sort (t, CORRECTION_MS * BB_MSEC);
+  struct bb_ctl_timeline *t
+      = bb_ctl_timeline_load (argv + first, CORRECTION_MS * BB_MSEC, &status);
   int s = print_flow (t, id);
   bb_ctl_timeline_free (t);
   return status ? status : s;
--- a/bbctl/main.c
+++ b/bbctl/main.c
@@ -15,6 +15,7 @@
   { "keys", bb_ctl_run_keys, "print the reference of all keys" },
   { "status", bb_ctl_run_status, "show the state of running balancers" },
   { "timeline", bb_ctl_run_timeline, "merge the events of balancers" },
+  { "report", bb_ctl_run_report, "sum what balancers did over time" },
   { "explain", bb_ctl_run_explain, "show what became of a flow, and why" },
 };
 
--- /dev/null
+++ b/bbctl/report_sums.c
@@ -0,0 +1,119 @@
+#include "bbctl/report.h"
+#include <string.h>
+
+static struct bb_ctl_interval *
+interval_at (struct bb_ctl_report *r, int64_t time_us)
+{
+  guint i = (guint)((time_us - r->from_us) / r->interval_us);
+  if (i >= r->intervals->len)
+    g_array_set_size (r->intervals, i + 1);
+  return &g_array_index (r->intervals, struct bb_ctl_interval, i);
+}
+
+static void
+count (GHashTable *table, const char *first, const char *second, uint64_t n)
+{
+  char *key = g_strdup_printf ("%s %s", first, second);
+  uint64_t sum = GPOINTER_TO_SIZE (g_hash_table_lookup (table, key)) + n;
+  g_hash_table_replace (table, key, GSIZE_TO_POINTER (sum));
+}
+
+static void
+adopt (struct bb_ctl_report *r, int64_t version, int64_t time_us)
+{
+  for (guint i = 0; i < r->adoptions->len; i++)
+    {
+      struct bb_ctl_adoption *a
+          = &g_array_index (r->adoptions, struct bb_ctl_adoption, i);
+      if (a->version != version)
+        continue;
+      a->last_us = MAX (a->last_us, time_us);
+      a->balancers++;
+      return;
+    }
+  struct bb_ctl_adoption a = {
+    .version = version, .first_us = time_us, .last_us = time_us, .balancers = 1
+  };
+  g_array_append_val (r->adoptions, a);
+}
+
+/* Where an event is counted; the offset is in an interval.  */
+static const struct
+{
+  const char *event;
+  size_t offset;
+  bool cause;  /* by reason */
+  bool server; /* by server */
+} kinds[] = {
+  { "flow_placed", offsetof (struct bb_ctl_interval, placed), false, true },
+  { "flow_refused", offsetof (struct bb_ctl_interval, refused), true, false },
+  { "flow_reset", offsetof (struct bb_ctl_interval, reset), true, false },
+  { "server_suspect", offsetof (struct bb_ctl_interval, suspected), false,
+    false },
+  { "start", offsetof (struct bb_ctl_interval, started), false, false },
+};
+
+/* A line about several flows at once has their number as its value.  */
+static uint64_t
+events_of (const struct bb_ctl_event *e, const char *name)
+{
+  int64_t left_out = bb_ctl_number (e->line, "suppressed");
+  int64_t value = bb_ctl_number (e->line, "value");
+  bool several = strcmp (name, "flow_reset") == 0
+                 && *bb_ctl_text (e->line, "flow") == 0;
+  return (uint64_t)(MAX (left_out, 0) + (several ? MAX (value, 1) : 1));
+}
+
+static void
+add (struct bb_ctl_report *r, const struct bb_ctl_event *e)
+{
+  const char *name = bb_ctl_text (e->line, "event");
+  const char *reason = bb_ctl_text (e->line, "reason");
+  struct bb_ctl_interval *at = interval_at (r, e->place_us);
+  uint64_t n = events_of (e, name);
+  if (strcmp (name, "version") == 0)
+    adopt (r, bb_ctl_number (e->line, "value"), e->place_us);
+  for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      if (strcmp (name, kinds[i].event) != 0)
+        continue;
+      *(uint64_t *)(void *)((char *)at + kinds[i].offset) += n;
+      if (kinds[i].cause)
+        count (r->causes, name, *reason ? reason : "unknown", n);
+      if (kinds[i].server)
+        count (r->servers, bb_ctl_text (e->line, "service"),
+               bb_ctl_text (e->line, "server"), n);
+    }
+}
+
+struct bb_ctl_report *
+bb_ctl_report_new (const struct bb_ctl_timeline *t, int64_t interval_us)
+{
+  if (t->order->len == 0)
+    return NULL;
+  const struct bb_ctl_event *first = t->order->pdata[0];
+  const struct bb_ctl_event *last = t->order->pdata[t->order->len - 1];
+  struct bb_ctl_report *r = g_new0 (struct bb_ctl_report, 1);
+  r->from_us = first->place_us;
+  r->to_us = last->place_us;
+  r->interval_us = interval_us;
+  r->intervals = g_array_new (FALSE, TRUE, sizeof (struct bb_ctl_interval));
+  r->adoptions = g_array_new (FALSE, TRUE, sizeof (struct bb_ctl_adoption));
+  r->causes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  r->servers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (guint i = 0; i < t->order->len; i++)
+    add (r, t->order->pdata[i]);
+  return r;
+}
+
+void
+bb_ctl_report_free (struct bb_ctl_report *r)
+{
+  if (!r)
+    return;
+  g_array_unref (r->intervals);
+  g_array_unref (r->adoptions);
+  g_hash_table_unref (r->causes);
+  g_hash_table_unref (r->servers);
+  g_free (r);
+}
--- a/bbctl/timeline.c
+++ b/bbctl/timeline.c
@@ -114,6 +114,23 @@
   return bb_error_answer (kind)->exit_status;
 }
 
+struct bb_ctl_timeline *
+bb_ctl_timeline_load (char **sources, int64_t limit_us, int *status)
+{
+  struct bb_ctl_timeline *t = bb_ctl_timeline_new ();
+  *status = 0;
+  for (; *sources; sources++)
+    {
+      int s = bb_ctl_timeline_read (t, *sources);
+      *status = *status ? *status : s;
+    }
+  if (t->skipped)
+    fprintf (stderr, "%s: skipped %zu lines that are no events\n",
+             g_get_prgname (), t->skipped);
+  bb_ctl_timeline_sort (t, limit_us);
+  return t;
+}
+
 static bool
 matches (const struct bb_ctl_event *e, int64_t from, int64_t to)
 {
@@ -215,22 +232,14 @@
 {
   int64_t from;
   int64_t to;
-  int status = 0;
+  int status;
 
   if (!bb_ctl_parse (&options, &argc, &argv)
       || !parse_time (since, INT64_MIN, &from)
       || !parse_time (until, INT64_MAX, &to))
     return BB_CTL_USAGE;
-  struct bb_ctl_timeline *t = bb_ctl_timeline_new ();
-  for (int i = 1; i < argc; i++)
-    {
-      int s = bb_ctl_timeline_read (t, argv[i]);
-      status = status ? status : s;
-    }
-  if (t->skipped)
-    fprintf (stderr, "bbctl timeline: skipped %zu lines that are no events\n",
-             t->skipped);
-  bb_ctl_timeline_sort (t, (int64_t)MAX (correction_ms, 0) * 1000);
+  struct bb_ctl_timeline *t = bb_ctl_timeline_load (
+      argv + 1, (int64_t)MAX (correction_ms, 0) * 1000, &status);
   int s = print_timeline (t, from, to);
   bb_ctl_timeline_free (t);
   return status ? status : s;
--- a/bbctl/timeline.h
+++ b/bbctl/timeline.h
@@ -45,6 +45,12 @@
    standard input.  Returns the exit status, after a message if it is not 0. */
 int bb_ctl_timeline_read (struct bb_ctl_timeline *t, char *source);
 
+/* Reads SOURCES, up to a NULL, and sorts.  Tells on standard error how many
+   lines are no events.  *STATUS is the exit status of the first source that
+   cannot be read, or 0; the others are used.  */
+struct bb_ctl_timeline *bb_ctl_timeline_load (char **sources, int64_t limit_us,
+                                              int *status);
+
 /* Corrects clocks by at most LIMIT_US per VM and puts all events in order.  */
 void bb_ctl_timeline_sort (struct bb_ctl_timeline *t, int64_t limit_us);
 int64_t bb_ctl_timeline_correction (const struct bb_ctl_timeline *t,
--- a/tests/bbctl_test.c
+++ b/tests/bbctl_test.c
@@ -182,6 +182,13 @@
   { "explain here there @/log", 1, "expected CALLER and SERVICE" },
   { "explain --flow 01 @/absent.log", 4, "absent.log" },
   { "timeline --since noon @/o.json", 1, "is not a time" },
+  { "report @/log", 0, "1 flow_reset server_gone" },
+  { "report @/log", 0, "flows placed, by service and server" },
+  { "report @/log", 0, "skipped 1 lines" },
+  { "report --interval 0 @/log", 1, "at least 0.001 s" },
+  { "report --interval 0.001 @/log", 0, "from s" },
+  { "report --svg @/no/file.svg @/log", 4, "No such file" },
+  { "report @/absent.log", 4, "absent.log" },
 };
 
 /* Guards against a wrong exit status, on which scripts rely, and against a
