--- a/marked/balancer.c
+++ b/marked/balancer.c
@@ -163,9 +163,9 @@
 {
   if (p->payload == 0)
     return false;
-  if (f->repeats > 0)
-    return s->record.state == BB_SERVER_GONE || bb_marked_has_left (s, now);
-  return s->record.state == BB_SERVER_GONE && bb_marked_has_left (s, now);
+  bool repeats = f->repeats > 0;
+  bool left = bb_marked_has_left (s, now);
+  return s->record.state == BB_SERVER_GONE ? left || repeats : left && repeats;
 }
 
 /* Whether a flow of ROUTE may be at S.  Which services the route led to before
