--- a/tests/admission_test.c
+++ b/tests/admission_test.c
@@ -171,14 +171,15 @@
   double chance = load / 100.0 * SERVERS * SLOTS / WORK_MS;
   for (bb_usec now = 0; now < LENGTH_MS * BB_MSEC; now += BB_MSEC)
     {
-      for (double left = chance; left > 0; left--)
-        if (g_rand_double (t.random) < left)
-          {
-            struct request q = { .first = now };
-            int at = g_rand_int_range (t.random, 0, SERVERS);
-            t.asked += now >= WARM_MS * BB_MSEC;
-            arrive (&t.stations[at], q, now);
-          }
+      int arrivals = (int)chance;
+      arrivals += g_rand_double (t.random) < chance - arrivals;
+      while (arrivals-- > 0)
+        {
+          struct request q = { .first = now };
+          int at = g_rand_int_range (t.random, 0, SERVERS);
+          t.asked += now >= WARM_MS * BB_MSEC;
+          arrive (&t.stations[at], q, now);
+        }
       for (int i = 0; i < t.pending_count; i++)
         if (t.pending[i].due <= now)
           {
@@ -248,15 +249,15 @@
 static const struct
 {
   const char *guards;
-  int answers;
   bb_usec took, later;
+  int answers;
   bool exceeds;
 } estimates[] = {
   { "nothing is known", 0, 0, 0, false },
-  { "a few answers are no evidence", 4, 300 * BB_MSEC, 0, false },
-  { "slow answers are", 20, 300 * BB_MSEC, 0, true },
-  { "quick ones are not", 20, 30 * BB_MSEC, 0, false },
-  { "old answers are no evidence", 20, 300 * BB_MSEC, BB_SEC, false },
+  { "a few answers are no evidence", 300 * BB_MSEC, 0, 4, false },
+  { "slow answers are", 300 * BB_MSEC, 0, 20, true },
+  { "quick ones are not", 30 * BB_MSEC, 0, 20, false },
+  { "old answers are no evidence", 300 * BB_MSEC, BB_SEC, 20, false },
 };
 
 START_TEST (estimate)
