bbctl report: bound the number of intervals where they are made

The command derived the span of the logs a second time to bound the intervals; bb_ctl_report_new knows it.

--- a/bbctl/report.c
+++ b/bbctl/report.c
@@ -7,7 +7,6 @@
 enum
 {
   CORRECTION_MS = 1000, /* of clocks, at most */
-  INTERVALS_MAX = 3600,
 };
 
 static double interval_s = 1;
@@ -123,13 +122,6 @@
     }
   struct bb_ctl_timeline *t
       = bb_ctl_timeline_load (argv + 1, CORRECTION_MS * BB_MSEC, &status);
-  int64_t span = 0;
-  if (t->order->len > 0)
-    span
-        = ((struct bb_ctl_event *)t->order->pdata[t->order->len - 1])->place_us
-          - ((struct bb_ctl_event *)t->order->pdata[0])->place_us;
-  /* Logs of weeks would have millions of lines.  */
-  interval_s = MAX (interval_s, (double)span / INTERVALS_MAX / BB_SEC);
   int s = print_report (t);
   bb_ctl_timeline_free (t);
   return status ? status : s;
--- a/bbctl/report.h
+++ b/bbctl/report.h
@@ -28,7 +28,8 @@
 };
 
 /* Sums the events of T, which is sorted.  Lines that balancers left out count
-   with the line that tells of them.  Returns NULL if there are no events.  */
+   with the line that tells of them.  An interval is INTERVAL_US long, or more
+   if there would be too many.  Returns NULL if there are no events.  */
 struct bb_ctl_report *bb_ctl_report_new (const struct bb_ctl_timeline *t,
                                          int64_t interval_us);
 void bb_ctl_report_free (struct bb_ctl_report *r);
--- a/bbctl/report_sums.c
+++ b/bbctl/report_sums.c
@@ -1,6 +1,11 @@
 #include "bbctl/report.h"
 #include <string.h>
 
+enum
+{
+  INTERVALS_MAX = 3600, /* logs of weeks would fill millions */
+};
+
 static struct bb_ctl_interval *
 interval_at (struct bb_ctl_report *r, int64_t time_us)
 {
@@ -96,7 +101,7 @@
   struct bb_ctl_report *r = g_new0 (struct bb_ctl_report, 1);
   r->from_us = first->place_us;
   r->to_us = last->place_us;
-  r->interval_us = interval_us;
+  r->interval_us = MAX (interval_us, (r->to_us - r->from_us) / INTERVALS_MAX);
   r->intervals = g_array_new (FALSE, TRUE, sizeof (struct bb_ctl_interval));
   r->adoptions = g_array_new (FALSE, TRUE, sizeof (struct bb_ctl_adoption));
   r->causes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
