Tell slow links from dead servers when callers upload

A balancer with a link of 10 Mbit/s queues uploads for more than 200 ms, callers repeat, and the only sign of life was an advancing acknowledgement, of which an upload has none before its answer. New data reset the count of repeats of a flow, so that one flow passed for three.

Now data beyond what a caller may have under way (16 packets of 1,200 bytes) shows that its server acknowledged; a flow counts once for each silence; repeated data that was acknowledged counts for nothing; and servers are judged as of the time until which answers have shown, by the time of handshakes and by silences that servers outlived.

--- a/marked/balancer.c
+++ b/marked/balancer.c
@@ -50,7 +50,7 @@
     return NULL;
   struct bb_backend_server *s = bb_directory_marked (m->directory, flow->mark);
   if (!s || s->record.state == BB_SERVER_GONE
-      || bb_suspicion_dead (&s->load.evidence, now))
+      || bb_suspicion_dead (&s->load.evidence, bb_marked_seen_until (m, now)))
     return NULL;
   return s;
 }
@@ -88,7 +88,7 @@
   f->mark = s->mark;
   set_ends (f, p);
   f->asked_ms = bb_marked_stamp (now);
-  f->sent = p->sequence + 1;
+  f->sent = f->confirmed = p->sequence + 1;
   s->load.open++;
   m->counters.placed++;
   if (!s->local)
@@ -135,7 +135,7 @@
       f->mark = s->mark;
       set_ends (f, p);
       f->state = BB_FLOW_OPEN;
-      f->sent = p->sequence;
+      f->sent = f->confirmed = p->sequence;
       f->acknowledged = p->acknowledgement;
       s->load.open++;
       return f;
@@ -143,13 +143,13 @@
   bb_marked_flows_touch (m->flows, f, bb_marked_stamp (now));
   if (f->state == BB_FLOW_OPENING)
     {
+      bb_usec took = (bb_usec)(bb_marked_stamp (now) - f->asked_ms) * BB_MSEC;
       f->state = BB_FLOW_OPEN;
       f->acknowledged = p->acknowledgement;
-      bb_histogram_add (&m->open_times,
-                        (bb_usec)(bb_marked_stamp (now) - f->asked_ms)
-                            * BB_MSEC);
+      bb_histogram_add (&m->open_times, took);
+      bb_path_delay_add (&m->path_delay, took, now);
       f->asked_ms = 0;
-      bb_marked_server_alive (m, s, now);
+      bb_marked_server_alive (m, s, f, now);
     }
   return f;
 }
@@ -158,13 +158,14 @@
    listed is always given the chance: otherwise a server that was cut off would
    stay dead, since nobody could be answered.  */
 static bool
-has_ended (const struct bb_marked_flow *f, const struct bb_backend_server *s,
-           const struct bb_packet *p, bb_usec now)
+has_ended (const struct bb_marked *m, const struct bb_marked_flow *f,
+           const struct bb_backend_server *s, const struct bb_packet *p,
+           bb_usec now)
 {
   if (p->payload == 0)
     return false;
   bool repeats = f->repeats > 0;
-  bool left = bb_marked_has_left (s, now);
+  bool left = bb_marked_has_left (m, s, now);
   return s->record.state == BB_SERVER_GONE ? left || repeats : left && repeats;
 }
 
@@ -206,7 +207,7 @@
       return;
     }
   bb_marked_observe (m, f, s, p, now);
-  if (has_ended (f, s, p, now))
+  if (has_ended (m, f, s, p, now))
     {
       reset (m, hash, s,
              s->record.state == BB_SERVER_GONE ? BB_REASON_SERVER_GONE
--- a/marked/balancer_private.h
+++ b/marked/balancer_private.h
@@ -11,6 +11,16 @@
   ENDED_MAX = 64, /* servers that ended since the last tick */
 };
 
+/* How long it took lately until an answer showed here: from a first packet
+   that was forwarded to the caller's next one, through both links and their
+   queues, or the silence of a server that lived.  */
+struct bb_path_delay
+{
+  bb_usec begun;   /* of the window under way */
+  bb_usec longest; /* in it */
+  bb_usec before;  /* in the window before */
+};
+
 struct bb_marked
 {
   struct bb_marked_options options;
@@ -23,7 +33,8 @@
   bb_usec swept;
   bb_usec lapse_until; /* entries that expired may come back before */
   bool isolated;       /* most servers are silent: the own link may be down */
-  GArray *heard;       /* bb_usec; when servers were heard, for one tick */
+  struct bb_path_delay path_delay;
+  GArray *heard; /* bb_usec; when servers were heard, for one tick */
   struct bb_backend_server *ended[ENDED_MAX];
   uint32_t ended_count;
   struct bb_marked_counters counters;
@@ -41,8 +52,9 @@
 
 /* observe.c: what packets show of servers.  */
 void bb_marked_forget_flow (void *context, const struct bb_marked_flow *flow);
+/* FLOW was answered.  */
 void bb_marked_server_alive (struct bb_marked *m, struct bb_backend_server *s,
-                             bb_usec now);
+                             const struct bb_marked_flow *flow, bb_usec now);
 
 /* FLOW repeats itself.  */
 void bb_marked_server_silent (struct bb_marked *m, struct bb_backend_server *s,
@@ -62,11 +74,21 @@
 /* Whether S has ended for sure.  A server that announced its end has ended
    when it is not listed any more.  Of another one the registry may be wrong: a
    caller that was answered lately shows that it lives.  */
-bool bb_marked_has_left (const struct bb_backend_server *s, bb_usec now);
+bool bb_marked_has_left (const struct bb_marked *m,
+                         const struct bb_backend_server *s, bb_usec now);
 
 void bb_marked_reset_ended (struct bb_marked *m, bb_usec now);
 
 /* link.c: tells the silence of servers from that of the own link.  Notes the
    servers that are dead for sure.  */
 void bb_marked_check_link (struct bb_marked *m, bb_usec now);
+
+void bb_path_delay_add (struct bb_path_delay *d, bb_usec took, bb_usec now);
+
+/* Longest of the last one to two windows; 0 without a recent one.  */
+bb_usec bb_path_delay_get (const struct bb_path_delay *d, bb_usec now);
+
+/* The time until which answers have shown here: what callers send after they
+   were answered may still wait at a link.  Servers are judged as of then.  */
+bb_usec bb_marked_seen_until (const struct bb_marked *m, bb_usec now);
 #endif
--- a/marked/ended.c
+++ b/marked/ended.c
@@ -51,10 +51,12 @@
 }
 
 bool
-bb_marked_has_left (const struct bb_backend_server *s, bb_usec now)
+bb_marked_has_left (const struct bb_marked *m,
+                    const struct bb_backend_server *s, bb_usec now)
 {
   if (s->record.state != BB_SERVER_GONE)
-    return bb_suspicion_proven (&s->load.evidence, now);
+    return bb_suspicion_proven (&s->load.evidence,
+                                bb_marked_seen_until (m, now));
   bb_usec alive = s->load.evidence.alive;
   return s->drained ? alive < s->gone_since : now - alive > ANSWERED_LATELY;
 }
@@ -65,7 +67,7 @@
   for (uint32_t i = 0; i < m->ended_count; i++)
     {
       const struct bb_backend_server *s = m->ended[i];
-      if (bb_marked_has_left (s, now))
+      if (bb_marked_has_left (m, s, now))
         end_flows (m, s,
                    s->record.state == BB_SERVER_GONE ? BB_REASON_SERVER_GONE
                                                      : BB_REASON_SERVER_SILENT,
--- a/marked/flows.h
+++ b/marked/flows.h
@@ -25,10 +25,12 @@
   uint32_t seen_ms;
   uint32_t asked_ms;     /* when the request under way passed; 0: none */
   uint32_t sent;         /* end of the newest data of the caller */
+  uint32_t confirmed;    /* the server acknowledged the data up to here */
   uint32_t acknowledged; /* newest answer byte that the caller has */
   uint32_t chain;        /* next of the same hash slot */
   uint32_t older;        /* by seen_ms */
   uint32_t newer;
+  uint32_t silence; /* of its server in which it was counted; 0: none */
   uint8_t state;
   uint8_t repeats; /* of the same data, without an answer */
 };
--- a/marked/link.c
+++ b/marked/link.c
@@ -3,6 +3,36 @@
 /* Servers that live answer somebody within this time if the own link works. */
 #define HEARD_WITHIN (300 * BB_MSEC)
 
+/* A queue at a link lasts for longer than the pause between two first packets
+   of a balancer with little traffic.  */
+#define PATH_WINDOW BB_SEC
+
+void
+bb_path_delay_add (struct bb_path_delay *d, bb_usec took, bb_usec now)
+{
+  if (now - d->begun >= PATH_WINDOW)
+    *d = (struct bb_path_delay){
+      .begun = now,
+      .before = now - d->begun < 2 * PATH_WINDOW ? d->longest : 0,
+    };
+  d->longest = MAX (d->longest, took);
+}
+
+bb_usec
+bb_path_delay_get (const struct bb_path_delay *d, bb_usec now)
+{
+  bb_usec age = now - d->begun;
+  if (age >= 2 * PATH_WINDOW)
+    return 0;
+  return age >= PATH_WINDOW ? d->longest : MAX (d->longest, d->before);
+}
+
+bb_usec
+bb_marked_seen_until (const struct bb_marked *m, bb_usec now)
+{
+  return now - bb_path_delay_get (&m->path_delay, now);
+}
+
 static int
 later_first (gconstpointer a, gconstpointer b)
 {
@@ -57,7 +87,7 @@
   struct bb_evidence *e = &s->load.evidence;
   bool works = heard_after (m->heard, e->silent_since) >= silent;
   bb_suspicion_report_link (e, works, now);
-  if (!e->declared && bb_suspicion_proven (e, now))
+  if (!e->declared && bb_suspicion_proven (e, bb_marked_seen_until (m, now)))
     {
       e->declared = true;
       bb_marked_note_ended (m, s);
--- a/marked/observe.c
+++ b/marked/observe.c
@@ -3,6 +3,9 @@
 enum
 {
   ANSWER_SMOOTHING = 8, /* weight of the past against one new answer */
+  /* Bytes that callers have under way at most without an acknowledgement: 16
+     packets of 1,200 bytes (the platform's flows).  */
+  UNDER_WAY_MAX = 16 * 1200,
 };
 
 void
@@ -19,9 +22,14 @@
 
 void
 bb_marked_server_alive (struct bb_marked *m, struct bb_backend_server *s,
-                        bb_usec now)
+                        const struct bb_marked_flow *flow, bb_usec now)
 {
-  uint32_t repeats = s->load.evidence.repeats;
+  const struct bb_evidence *e = &s->load.evidence;
+  uint32_t repeats = e->repeats;
+  /* The flow outlived the silence, so that the server did too: packets or
+     answers took so long.  */
+  if (bb_suspicion_silent (e, now) && flow->silence == e->silence)
+    bb_path_delay_add (&m->path_delay, now - e->silent_since, now);
   if (bb_suspicion_alive (&s->load.evidence, now))
     bb_marked_send_event (m, BB_EVENT_SERVER_TRUSTED, s, 0, repeats,
                           BB_REASON_NONE, now);
@@ -35,7 +43,7 @@
   m->counters.repeats++;
   if (flow->repeats < UINT8_MAX)
     flow->repeats++;
-  bool suspect = bb_suspicion_repeat (e, flow->repeats == 1, now);
+  bool suspect = bb_suspicion_repeat (e, &flow->silence, now);
   if (!suspect)
     return;
   m->counters.suspects++;
@@ -69,33 +77,45 @@
   bb_histogram_add (&m->answer_times, took);
 }
 
+/* The caller of F sent new data up to END.  The acknowledgements of a server
+   go straight to the caller, but data beyond what a caller may have under way
+   shows that one came.  */
+static void
+data_seen (struct bb_marked *m, struct bb_marked_flow *f,
+           struct bb_backend_server *s, uint32_t end, bb_usec now)
+{
+  f->sent = end;
+  f->repeats = 0;
+  if (f->asked_ms == 0)
+    {
+      f->asked_ms = bb_marked_stamp (now);
+      s->load.busy++;
+    }
+  if (!after (end - UNDER_WAY_MAX, f->confirmed))
+    return;
+  f->confirmed = end - UNDER_WAY_MAX;
+  bb_marked_server_alive (m, s, f, now);
+}
+
 void
 bb_marked_observe (struct bb_marked *m, struct bb_marked_flow *f,
                    struct bb_backend_server *s, const struct bb_packet *p,
                    bb_usec now)
 {
   uint32_t end = p->sequence + p->payload;
-  uint32_t now_ms = bb_marked_stamp (now);
   if (after (p->acknowledgement, f->acknowledged))
     {
       f->acknowledged = p->acknowledgement;
+      f->confirmed = f->sent;
       f->repeats = 0;
-      bb_marked_server_alive (m, s, now);
+      bb_marked_server_alive (m, s, f, now);
       if (f->asked_ms != 0)
         answer_seen (m, f, s, now);
     }
   if (p->payload == 0)
     return;
   if (after (end, f->sent))
-    {
-      f->sent = end;
-      f->repeats = 0;
-      if (f->asked_ms == 0)
-        {
-          f->asked_ms = now_ms;
-          s->load.busy++;
-        }
-      return;
-    }
-  bb_marked_server_silent (m, s, f, now);
+    data_seen (m, f, s, end, now);
+  else if (after (end, f->confirmed))
+    bb_marked_server_silent (m, s, f, now);
 }
--- a/marked/suspicion.c
+++ b/marked/suspicion.c
@@ -30,7 +30,8 @@
 {
   bool suspect = bb_suspicion_suspects (e, now);
   *e = (struct bb_evidence){ .alive = now,
-                             .alive_elsewhere = e->alive_elsewhere };
+                             .alive_elsewhere = e->alive_elsewhere,
+                             .silence = e->silence };
   return suspect;
 }
 
@@ -40,18 +41,20 @@
   *e = (struct bb_evidence){ .alive = e->alive,
                              .alive_elsewhere = e->alive_elsewhere,
                              .suspected_until = e->suspected_until,
-                             .silent_since = now };
+                             .silent_since = now,
+                             .silence = e->silence + 1 };
 }
 
 bool
-bb_suspicion_repeat (struct bb_evidence *e, bool first, bb_usec now)
+bb_suspicion_repeat (struct bb_evidence *e, uint32_t *counted, bb_usec now)
 {
   bool suspect = bb_suspicion_suspects (e, now);
   if (!bb_suspicion_silent (e, now))
     begin_silence (e, now);
   e->repeated = now;
   e->repeats++;
-  e->silent_flows += first;
+  e->silent_flows += *counted != e->silence;
+  *counted = e->silence;
   if (e->link_proven != 0)
     {
       e->repeats_since++;
--- a/marked/suspicion.h
+++ b/marked/suspicion.h
@@ -18,6 +18,7 @@
   bb_usec alive;           /* last sign of life */
   bb_usec silent_since;    /* first repetition after it; 0: none */
   bb_usec repeated;        /* last repetition */
+  uint32_t silence;        /* number of this silence, or of the last one */
   uint32_t repeats;        /* since silent_since */
   uint32_t silent_flows;   /* flows that repeat themselves since then */
   bb_usec suspect_until;   /* by what callers show here */
@@ -30,14 +31,15 @@
   bool declared;          /* dead, and its flows were reset */
 };
 
-/* A caller acknowledged something new.  Returns whether the server was
-   suspect.  */
+/* A caller was answered, or the server acknowledged its data.  Returns whether
+   the server was suspect.  */
 bool bb_suspicion_alive (struct bb_evidence *e, bb_usec now);
 
-/* A caller sent the same again; FIRST says that its flow did so for the first
-   time since it was last answered.  Returns whether the server has become
-   suspect.  */
-bool bb_suspicion_repeat (struct bb_evidence *e, bool first, bb_usec now);
+/* A caller sent the same again.  *COUNTED is the silence in which its flow was
+   counted last, so that each flow counts once; it is set.  Returns whether the
+   server has become suspect.  */
+bool bb_suspicion_repeat (struct bb_evidence *e, uint32_t *counted,
+                          bb_usec now);
 
 /* Another balancer finds the server suspect, or was answered by it lately.  */
 void bb_suspicion_report_silent (struct bb_evidence *e, bb_usec until);
--- a/tests/ended_test.c
+++ b/tests/ended_test.c
@@ -226,8 +226,9 @@
 {
   struct bb_evidence e = { 0 };
   bb_suspicion_alive (&e, BB_SEC);
+  uint32_t flows[4] = { 0 };
   for (int i = 0; i < 4; i++)
-    bb_suspicion_repeat (&e, true, 2 * BB_SEC + i * 300 * BB_MSEC);
+    bb_suspicion_repeat (&e, &flows[i], 2 * BB_SEC + i * 300 * BB_MSEC);
   ck_assert (bb_suspicion_dead (&e, 3 * BB_SEC));
   bb_suspicion_report_alive (&e, 2500 * BB_MSEC);
   ck_assert (bb_suspicion_suspects (&e, 3 * BB_SEC));
@@ -240,11 +241,12 @@
 START_TEST (suspicion_of_peers_is_no_evidence)
 {
   struct bb_evidence e = { 0 };
+  uint32_t flows[4] = { 0 };
   for (int i = 0; i < 4; i++)
-    bb_suspicion_repeat (&e, true, BB_SEC + i * 300 * BB_MSEC);
+    bb_suspicion_repeat (&e, &flows[i], BB_SEC + i * 300 * BB_MSEC);
   bb_suspicion_report_link (&e, true, 2 * BB_SEC);
   for (int i = 0; i < 4; i++)
-    bb_suspicion_repeat (&e, false, 2100 * BB_MSEC + i * 100 * BB_MSEC);
+    bb_suspicion_repeat (&e, &flows[i], 2100 * BB_MSEC + i * 100 * BB_MSEC);
   ck_assert (bb_suspicion_tells (&e, 2500 * BB_MSEC));
   ck_assert (bb_suspicion_proven (&e, 2500 * BB_MSEC));
   for (bb_usec now = 2600 * BB_MSEC; now < 6 * BB_SEC; now += 300 * BB_MSEC)
@@ -253,7 +255,7 @@
   ck_assert (!bb_suspicion_tells (&e, 6 * BB_SEC));
   ck_assert (!bb_suspicion_dead (&e, 6 * BB_SEC));
   /* Another silence is judged by its own repetitions.  */
-  bb_suspicion_repeat (&e, true, 6 * BB_SEC);
+  bb_suspicion_repeat (&e, &flows[0], 6 * BB_SEC);
   ck_assert (!bb_suspicion_dead (&e, 6 * BB_SEC));
 }
 END_TEST
--- /dev/null
+++ b/tests/upload_test.c
@@ -0,0 +1,243 @@
+/* Uploads through one balancer whose link is slow: callers with many packets
+   under way, most of which wait, and repeat what was not acknowledged.  */
+
+#include "tests/balancer.h"
+
+enum
+{
+  PACKETS = 67,   /* 80,000 bytes */
+  DATA = 1200,    /* bytes of a packet */
+  IN_FLIGHT = 16, /* packets of a caller, as the platform's callers do */
+  FIRST_PORT = 1000,
+  CALLERS_MAX = 40,
+  QUEUE_MAX = 4096,
+  ANSWER_MS = 5, /* from the last packet to the answer */
+  REPEAT_MS = 200,
+  REPEAT_MS_MAX = 1600,
+  LENGTH_MS = 6000,
+  TICK_MS = 50,
+  OTHERS = 40, /* servers of another service, all of which answer */
+  OTHERS_PORT = 2000,
+};
+
+struct sent
+{
+  int at;
+  int patience;
+  bool received;
+};
+
+struct caller
+{
+  uint32_t mark;
+  bool open;
+  int begins;
+  int next;         /* packet to send for the first time */
+  int acknowledged; /* packets, as the server told */
+  int answered;     /* when the answer comes; 0: not yet */
+  bool done;
+  bool reset;
+  struct sent packets[PACKETS];
+};
+
+/* A packet that waits at the balancer's link; number -1 opens the flow, -2
+   ends the handshake, PACKETS acknowledges the answer.  */
+struct waiting
+{
+  int caller;
+  int number;
+};
+
+enum
+{
+  OPENS = -2,
+  OPENED = -1,
+};
+
+static struct
+{
+  struct caller callers[CALLERS_MAX];
+  struct waiting queue[QUEUE_MAX];
+  unsigned first, last;
+  unsigned lost;
+  uint32_t others[OTHERS];
+} world;
+
+/* What a slow link and servers that live or die look like.  */
+static const struct load
+{
+  const char *guards;
+  int callers;
+  int spacing; /* ms between their first packets */
+  int link;    /* packets that pass in 10 ms */
+  int servers;
+  int dies;       /* ms after which one server is dead; 0: never */
+  bool resets;    /* whether flows are reset */
+  int done_least; /* uploads that come through */
+} loads[] = {
+  { "one caller through a fast link", 1, 0, 100, 3, 0, false, 1 },
+  { "few servers, callers that come at once", 14, 0, 10, 3, 0, false, 14 },
+  { "many servers, callers that come at once", 20, 0, 10, 16, 0, false, 20 },
+  { "one after the other through a slow link", 30, 60, 10, 16, 0, false, 20 },
+  { "more than the link carries", 40, 20, 8, 30, 0, false, 10 },
+  { "a server that dies while callers upload", 24, 5, 40, 3, 100, true, 8 },
+};
+
+static void
+enqueue (int caller, int number)
+{
+  if (world.last - world.first == QUEUE_MAX)
+    {
+      world.lost++;
+      return;
+    }
+  world.queue[world.last++ % QUEUE_MAX] = (struct waiting){ caller, number };
+}
+
+static void
+caller_send (int i, int now)
+{
+  struct caller *c = &world.callers[i];
+  if (now < c->begins || c->done || c->reset)
+    return;
+  if (now == c->begins)
+    enqueue (i, OPENS);
+  if (!c->open || c->answered)
+    return;
+  for (int n = c->acknowledged; n < c->next; n++)
+    if (now - c->packets[n].at >= c->packets[n].patience)
+      {
+        c->packets[n].at = now;
+        c->packets[n].patience
+            = MIN (2 * c->packets[n].patience, REPEAT_MS_MAX);
+        enqueue (i, n);
+      }
+  while (c->next < PACKETS && c->next - c->acknowledged < IN_FLIGHT)
+    {
+      c->packets[c->next] = (struct sent){ .at = now, .patience = REPEAT_MS };
+      enqueue (i, c->next++);
+    }
+}
+
+static void
+server_receive (struct caller *c, int number, int now)
+{
+  c->packets[number].received = true;
+  while (c->acknowledged < c->next && c->packets[c->acknowledged].received)
+    c->acknowledged++;
+  if (c->acknowledged == PACKETS)
+    c->answered = now + ANSWER_MS;
+}
+
+static bool
+is_dead (const struct load *l, uint64_t tag, int now)
+{
+  return l->dies != 0 && now >= l->dies && tag == bb_name_key ("s0");
+}
+
+static void
+deliver (const struct load *l, const struct waiting *w, int now)
+{
+  struct caller *c = &world.callers[w->caller];
+  uint16_t port = (uint16_t)(FIRST_PORT + w->caller);
+  struct bb_marked_packet p = w->number == OPENS
+                                  ? packet (port, BB_TCP_SYN, 100, 0)
+                                  : packet (port, BB_TCP_ACK, 101, 0);
+  p.mark = c->mark;
+  if (w->number >= 0)
+    p.packet.sequence += (uint32_t)w->number * DATA;
+  if (w->number == PACKETS)
+    p.packet.acknowledgement = 301;
+  else if (w->number >= 0)
+    p.packet.payload = DATA;
+  struct bb_marked_verdict v = in (&p, now * BB_MSEC);
+  if (v.kind != BB_MARKED_FORWARD)
+    {
+      c->reset = true;
+      return;
+    }
+  if (w->number == OPENS)
+    {
+      c->mark = v.mark;
+      enqueue (w->caller, OPENED);
+    }
+  else if (w->number == OPENED)
+    c->open = true;
+  else if (w->number < PACKETS && !is_dead (l, v.tag, now))
+    server_receive (c, w->number, now);
+}
+
+/* Callers of other servers are answered all the while.  */
+static void
+answer_others (int now)
+{
+  for (unsigned i = 0; i < OTHERS; i++)
+    ask ((uint16_t)(OTHERS_PORT + i), world.others[i], 101 + (uint32_t)now,
+         1 + (uint32_t)now, now * BB_MSEC);
+}
+
+static void
+step (const struct load *l, int now)
+{
+  for (int i = 0; i < l->callers; i++)
+    {
+      struct caller *c = &world.callers[i];
+      caller_send (i, now);
+      if (c->answered == now && now != 0)
+        {
+          enqueue (i, PACKETS);
+          c->done = true;
+        }
+    }
+  int passes = (now + 1) * l->link / 10 - now * l->link / 10;
+  for (; passes > 0 && world.first != world.last; passes--)
+    deliver (l, &world.queue[world.first++ % QUEUE_MAX], now);
+  if (now % TICK_MS != 0)
+    return;
+  answer_others (now);
+  bb_marked_tick (t.m, now * BB_MSEC);
+}
+
+/* Guards against resets of uploads whose server lives, and against uploads
+   that hang at a server that is dead.  */
+START_TEST (uploads)
+{
+  const struct load *l = &loads[_i];
+  uint32_t marks[32];
+  memset (&world, 0, sizeof world);
+  put_servers ((unsigned)l->servers, marks);
+  configure (1, ROUTE_PORT, "desk", 0);
+  for (unsigned i = 0; i < OTHERS; i++)
+    {
+      char name[8];
+      g_snprintf (name, sizeof name, "o%u", i);
+      world.others[i] = put (name, "notes", "north", BB_SERVER_READY, 0)->mark;
+    }
+  for (int i = 0; i < l->callers; i++)
+    world.callers[i].begins = 1 + i * l->spacing;
+  for (int now = 1; now <= LENGTH_MS; now++)
+    step (l, now);
+  int done = 0, resets = (int)t.reset_count;
+  for (int i = 0; i < l->callers; i++)
+    {
+      done += world.callers[i].done;
+      resets += world.callers[i].reset;
+    }
+  ck_assert_uint_eq (world.lost, 0);
+  ck_assert_msg ((resets > 0) == l->resets, "%s: %d resets", l->guards,
+                 resets);
+  ck_assert_msg (done >= l->done_least, "%s: %d came through", l->guards,
+                 done);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("upload");
+  TCase *tc = tcase_create ("uploads");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_loop_test (tc, uploads, 0, G_N_ELEMENTS (loads));
+  suite_add_tcase (suite, tc);
+  return run_suite (suite);
+}
