Encode a message between balancers once for all that it goes to

Ruled out: the time until a balancer is ready, which does not change; it is the store's answer and the link.

The sink sends one message to a list of endpoints, so that a beat or a batch of items is encoded once and leaves with one system call. The link check ends at once while no caller repeats itself.

--- a/marked/balancer_private.h
+++ b/marked/balancer_private.h
@@ -32,6 +32,7 @@
   GRand *random;
   bb_usec swept;
   bb_usec lapse_until; /* entries that expired may come back before */
+  bb_usec repeated;    /* last repetition of any caller */
   bool isolated;       /* most servers are silent: the own link may be down */
   struct bb_path_delay path_delay;
   GArray *heard; /* bb_usec; when servers were heard, for one tick */
--- a/marked/knowledge.c
+++ b/marked/knowledge.c
@@ -166,11 +166,11 @@
 /* What the sharing asks for.  */
 
 static void
-share_send (void *context, const struct bb_endpoint *to,
+share_send (void *context, const struct bb_endpoint *to, size_t count,
             const struct bb_share_message *message)
 {
   const struct bb_marked *m = context;
-  m->sink->send (m->context, to, message);
+  m->sink->send (m->context, to, count, message);
 }
 
 static void
--- a/marked/link.c
+++ b/marked/link.c
@@ -98,6 +98,9 @@
 void
 bb_marked_check_link (struct bb_marked *m, bb_usec now)
 {
+  /* No server is silent.  */
+  if (!m->isolated && now - m->repeated >= BB_SUSPECT_TIME)
+    return;
   struct bb_link *head = bb_directory_servers (m->directory);
   unsigned silent = survey (m, head, now);
   bool isolated = false;
--- a/marked/observe.c
+++ b/marked/observe.c
@@ -41,6 +41,7 @@
 {
   struct bb_evidence *e = &s->load.evidence;
   m->counters.repeats++;
+  m->repeated = now;
   if (flow->repeats < UINT8_MAX)
     flow->repeats++;
   bool suspect = bb_suspicion_repeat (e, &flow->silence, now);
--- a/marked/share_beats.c
+++ b/marked/share_beats.c
@@ -16,11 +16,11 @@
 
 void
 bb_share_send (struct bb_sharing *s, const struct bb_endpoint *to,
-               struct bb_share_message *m)
+               size_t count, struct bb_share_message *m)
 {
   m->from = s->options.self.id;
   m->incarnation = s->options.incarnation;
-  s->sink->send (s->context, to, m);
+  s->sink->send (s->context, to, count, m);
 }
 
 uint32_t
@@ -110,7 +110,7 @@
   struct bb_share_message m;
   make_beat (s, &m, false, now);
   m.beat.flags |= BB_SHARE_HELLO;
-  bb_share_send (s, to, &m);
+  bb_share_send (s, to, 1, &m);
 }
 
 void
@@ -124,16 +124,6 @@
       contact (s, &s->seeds[i], now);
 }
 
-static void
-beat_far (struct bb_sharing *s, struct bb_share_peer *p,
-          const struct bb_share_message *beat, bb_usec now)
-{
-  struct bb_share_message m = *beat;
-  m.beat.load_count = 0;
-  bb_share_send (s, &p->vm.endpoint, &m);
-  p->sent = now;
-}
-
 /* One balancer of another data centre, or none.  */
 static struct bb_share_peer *
 draw_far (struct bb_sharing *s)
@@ -151,42 +141,62 @@
   return NULL;
 }
 
-/* Leaders hear each other in each round.  */
-static void
-beat_leaders (struct bb_sharing *s, const struct bb_share_message *beat,
-              bb_usec now)
+/* The balancers of the own data centre that beats go to now.  */
+static size_t
+choose_near (struct bb_sharing *s, bb_usec now)
 {
+  size_t count = 0;
   for (uint32_t i = 0; i < s->peer_count; i++)
     {
       struct bb_share_peer *p = s->peers[i];
-      if (!bb_share_is_near (s, p) && p->heard != 0
-          && p->flags & BB_SHARE_LEADING)
-        beat_far (s, p, beat, now);
+      if (!bb_share_is_near (s, p)
+          || (p->heard == 0 && now - p->sent < RETRY_INTERVAL))
+        continue;
+      p->sent = now;
+      s->targets[count++] = p->vm.endpoint;
     }
+  return count;
 }
 
-void
-bb_share_send_beats (struct bb_sharing *s, bb_usec now)
+/* Those of the others: leaders hear each other in each round, and one more is
+   drawn now and then.  */
+static size_t
+choose_far (struct bb_sharing *s, bb_usec now)
 {
-  struct bb_share_message m;
-  make_beat (s, &m, true, now);
-  for (uint32_t i = 0; i < s->peer_count; i++)
+  size_t count = 0;
+  for (uint32_t i = 0; s->leads && i < s->peer_count; i++)
     {
       struct bb_share_peer *p = s->peers[i];
-      if (!bb_share_is_near (s, p)
-          || (p->heard == 0 && now - p->sent < RETRY_INTERVAL))
+      if (bb_share_is_near (s, p) || p->heard == 0
+          || !(p->flags & BB_SHARE_LEADING))
         continue;
       p->sent = now;
-      bb_share_send (s, &p->vm.endpoint, &m);
+      s->targets[count++] = p->vm.endpoint;
     }
-  if (s->leads)
-    beat_leaders (s, &m, now);
   if (now < s->far_due)
-    return;
+    return count;
   s->far_due = now + (s->leads ? BB_SHARE_INTERVAL : FAR_INTERVAL);
-  struct bb_share_peer *far = draw_far (s);
-  if (far)
-    beat_far (s, far, &m, now);
+  struct bb_share_peer *drawn = draw_far (s);
+  if (drawn && !(s->leads && drawn->sent == now))
+    {
+      drawn->sent = now;
+      s->targets[count++] = drawn->vm.endpoint;
+    }
+  return count;
+}
+
+void
+bb_share_send_beats (struct bb_sharing *s, bb_usec now)
+{
+  struct bb_share_message m;
+  size_t count = choose_near (s, now);
+  make_beat (s, &m, true, now);
+  if (count > 0)
+    bb_share_send (s, s->targets, count, &m);
+  count = choose_far (s, now);
+  m.beat.load_count = 0;
+  if (count > 0)
+    bb_share_send (s, s->targets, count, &m);
 }
 
 static void
@@ -197,7 +207,7 @@
   s->wanted = now;
   struct bb_share_message m = { .kind = BB_SHARE_WANT };
   m.want.revision = s->revision;
-  bb_share_send (s, &p->vm.endpoint, &m);
+  bb_share_send (s, &p->vm.endpoint, 1, &m);
 }
 
 /* The state that a beat tells of counts as current for this balancer too if it
@@ -249,6 +259,6 @@
     {
       struct bb_share_message answer;
       make_beat (s, &answer, bb_share_is_near (s, p), now);
-      bb_share_send (s, from, &answer);
+      bb_share_send (s, from, 1, &answer);
     }
 }
--- a/marked/share_items.c
+++ b/marked/share_items.c
@@ -4,6 +4,7 @@
 {
   struct bb_sharing *sharing;
   const struct bb_endpoint *to;
+  size_t to_count;
   struct bb_share_message message;
   bool counting;
   uint32_t chunks;
@@ -15,7 +16,7 @@
   struct bb_share_items *m = &k->message.items;
   m->chunk = k->chunks++;
   if (!k->counting)
-    bb_share_send (k->sharing, k->to, &k->message);
+    bb_share_send (k->sharing, k->to, k->to_count, &k->message);
   m->server_count = m->route_count = 0;
 }
 
@@ -63,9 +64,10 @@
 
 void
 bb_share_send_items (struct bb_sharing *s, const struct bb_endpoint *to,
-                     uint64_t from, bb_usec now)
+                     size_t count, uint64_t from, bb_usec now)
 {
-  struct packer k = { .sharing = s, .to = to, .counting = true };
+  struct packer k
+      = { .sharing = s, .to = to, .to_count = count, .counting = true };
   /* Removals that this balancer never knew are told by telling all.  */
   if (from < bb_directory_since (s->directory))
     from = 0;
@@ -85,22 +87,34 @@
     pack (&k, from, now);
 }
 
+/* Whether P learns from this balancer what is new.  */
+static bool
+follows (const struct bb_sharing *s, const struct bb_share_peer *p,
+         bb_usec now)
+{
+  bool near = bb_share_is_near (s, p);
+  if (near ? !s->leads : !s->reads || !(p->flags & BB_SHARE_LEADING))
+    return false;
+  return bb_share_is_live (p, now) && p->revision > 0
+         && !(p->flags & BB_SHARE_READING);
+}
+
 void
 bb_share_publish (struct bb_sharing *s, uint64_t before, bb_usec now)
 {
-  if (!s->leads && !s->reads)
-    return;
+  size_t count = 0;
   for (uint32_t i = 0; i < s->peer_count; i++)
     {
       const struct bb_share_peer *p = s->peers[i];
-      bool follows = bb_share_is_near (s, p)
-                         ? s->leads
-                         : s->reads && p->flags & BB_SHARE_LEADING;
-      if (follows && bb_share_is_live (p, now) && p->revision > 0
-          && !(p->flags & BB_SHARE_READING))
-        bb_share_send_items (s, &p->vm.endpoint, MIN (before, p->revision),
-                             now);
+      if (!follows (s, p, now))
+        continue;
+      if (p->revision >= before)
+        s->targets[count++] = p->vm.endpoint;
+      else
+        bb_share_send_items (s, &p->vm.endpoint, 1, p->revision, now);
     }
+  if (count > 0)
+    bb_share_send_items (s, s->targets, count, before, now);
 }
 
 void
--- a/marked/share_private.h
+++ b/marked/share_private.h
@@ -60,6 +60,7 @@
   bool first; /* of all readers */
   bool leads;
   bool leaving;
+  struct bb_endpoint targets[BB_SHARE_PEERS_MAX]; /* of one message */
   uint32_t batch_number;
   struct bb_share_batch batch;
 };
@@ -86,7 +87,7 @@
 
 /* share_beats.c: what balancers tell each other of themselves.  */
 void bb_share_send (struct bb_sharing *s, const struct bb_endpoint *to,
-                    struct bb_share_message *m);
+                    size_t count, struct bb_share_message *m);
 uint32_t bb_share_age_ms (bb_usec since, bb_usec now);
 uint32_t bb_share_own_flags (const struct bb_sharing *s, bb_usec now);
 void bb_share_contact_seeds (struct bb_sharing *s, bb_usec now);
@@ -97,7 +98,7 @@
 
 /* share_items.c: what they tell each other of the store.  */
 void bb_share_send_items (struct bb_sharing *s, const struct bb_endpoint *to,
-                          uint64_t from, bb_usec now);
+                          size_t count, uint64_t from, bb_usec now);
 void bb_share_receive_items (struct bb_sharing *s, uint32_t from,
                              const struct bb_share_items *m, bb_usec now);
 
--- a/marked/sharing.c
+++ b/marked/sharing.c
@@ -137,7 +137,7 @@
       break;
     case BB_SHARE_WANT:
       if (s->revision > m->want.revision)
-        bb_share_send_items (s, from, m->want.revision, now);
+        bb_share_send_items (s, from, 1, m->want.revision, now);
       break;
     case BB_SHARE_ITEMS:
       bb_share_receive_items (s, m->from, &m->items, now);
--- a/marked/sharing.h
+++ b/marked/sharing.h
@@ -31,7 +31,8 @@
 
 struct bb_share_sink
 {
-  void (*send) (void *context, const struct bb_endpoint *to,
+  /* Sends MESSAGE to the COUNT endpoints TO.  */
+  void (*send) (void *context, const struct bb_endpoint *to, size_t count,
                 const struct bb_share_message *message);
   void (*event) (void *context, const struct bb_event *event);
   /* A server is new, or changed.  */
--- a/marked/suspicion.c
+++ b/marked/suspicion.c
@@ -6,10 +6,6 @@
 #define DEAD_AFTER (400 * BB_MSEC)
 #define DEAD_AFTER_FEW (900 * BB_MSEC)
 
-/* Callers pause for 1.6 s at most; a silence without repetitions for about so
-   long is over, as far as it can be known.  */
-#define SUSPECT_TIME (1500 * BB_MSEC)
-
 /* A packet to a server and its answer to the caller, and the caller's next
    packet, with room for a request in its queue.  */
 #define ANSWER_TIME (200 * BB_MSEC)
@@ -63,7 +59,7 @@
     }
   if (e->repeats < SUSPECT_REPEATS || now - e->silent_since < SUSPECT_AFTER)
     return false;
-  e->suspect_until = now + SUSPECT_TIME;
+  e->suspect_until = now + BB_SUSPECT_TIME;
   return !suspect;
 }
 
@@ -102,7 +98,7 @@
 bool
 bb_suspicion_silent (const struct bb_evidence *e, bb_usec now)
 {
-  return e->silent_since != 0 && now - e->repeated < SUSPECT_TIME;
+  return e->silent_since != 0 && now - e->repeated < BB_SUSPECT_TIME;
 }
 
 bool
--- a/marked/suspicion.h
+++ b/marked/suspicion.h
@@ -12,6 +12,10 @@
 
 #include "core/core.h"
 
+/* Callers pause for 1.6 s at most; a silence without repetitions for about so
+   long is over, as far as it can be known.  */
+#define BB_SUSPECT_TIME (1500 * BB_MSEC)
+
 /* What callers show of one server.  */
 struct bb_evidence
 {
--- a/runtime/marked_data.c
+++ b/runtime/marked_data.c
@@ -117,11 +117,13 @@
 }
 
 void
-bb_marked_send_peer (struct bb_marked_process *p, const struct bb_endpoint *to,
-                     const struct bb_share_message *message)
+bb_marked_send_peers (struct bb_marked_process *p,
+                      const struct bb_endpoint *to, size_t count,
+                      const struct bb_share_message *message)
 {
   GByteArray *bytes = bb_share_encode (message);
-  bb_batch_queue (p->peers, bytes->data, bytes->len, to);
+  for (size_t i = 0; i < count; i++)
+    bb_batch_queue (p->peers, bytes->data, bytes->len, &to[i]);
   bb_batch_flush (p->peers);
   g_byte_array_unref (bytes);
 }
--- a/runtime/marked_private.h
+++ b/runtime/marked_private.h
@@ -84,7 +84,7 @@
 /* Sends a reset at once to the caller of PACKET.  */
 void bb_marked_send_reset (struct bb_marked_process *p,
                            const struct bb_marked_packet *packet);
-void bb_marked_send_peer (struct bb_marked_process *p,
-                          const struct bb_endpoint *to,
-                          const struct bb_share_message *message);
+void bb_marked_send_peers (struct bb_marked_process *p,
+                           const struct bb_endpoint *to, size_t count,
+                           const struct bb_share_message *message);
 #endif
--- a/runtime/marked_process.c
+++ b/runtime/marked_process.c
@@ -32,10 +32,10 @@
 }
 
 static void
-sink_send (void *context, const struct bb_endpoint *to,
+sink_send (void *context, const struct bb_endpoint *to, size_t count,
            const struct bb_share_message *message)
 {
-  bb_marked_send_peer (context, to, message);
+  bb_marked_send_peers (context, to, count, message);
 }
 
 static void
--- a/tests/balancer.h
+++ b/tests/balancer.h
@@ -29,11 +29,12 @@
 } t;
 
 static inline void
-sink_send (void *context, const struct bb_endpoint *to,
+sink_send (void *context, const struct bb_endpoint *to, size_t count,
            const struct bb_share_message *message)
 {
   (void)context;
   (void)to;
+  (void)count;
   (void)message;
 }
 
--- a/tests/sharing_test.c
+++ b/tests/sharing_test.c
@@ -66,10 +66,9 @@
 }
 
 static void
-sink_send (void *context, const struct bb_endpoint *to,
-           const struct bb_share_message *message)
+send_one (const struct node *n, const struct bb_endpoint *to,
+          const struct bb_share_message *message)
 {
-  const struct node *n = context;
   unsigned target = to->address - 0x0a000001;
   if (target >= NODES
       || (unsigned)g_rand_int_range (w.random, 0, 100) < w.loss)
@@ -79,6 +78,14 @@
   *m = (struct message){ w.now + DELAY, n->index, target, *message };
 }
 
+static void
+sink_send (void *context, const struct bb_endpoint *to, size_t count,
+           const struct bb_share_message *message)
+{
+  for (size_t i = 0; i < count; i++)
+    send_one (context, &to[i], message);
+}
+
 static void
 sink_event (void *context, const struct bb_event *event)
 {
