Write log lines of one tick together

Cause: each line took a poll and a write; a start with 600 servers made 70 of each. Lines are collected up to what a pipe takes at once (PIPE_BUF).

Lines that a full pipe loses are counted as before.

--- a/runtime/log.c
+++ b/runtime/log.c
@@ -23,6 +23,9 @@
   log4c_appender_t *appender;
   uint64_t written; /* seq of the last event written */
   uint64_t lost;
+  unsigned lines; /* in the buffer */
+  size_t used;
+  char buffer[PIPE_BUF];
 };
 
 static const struct
@@ -65,18 +68,37 @@
   return event->evt_msg;
 }
 
-/* A log reader that stopped must not stop the balancer: a line is lost when
-   standard output cannot take it at once.  A pipe that polls as writable takes
-   PIPE_BUF bytes.  */
+/* A log reader that stopped must not stop the balancer: lines are lost when
+   standard output cannot take them at once.  A pipe that polls as writable
+   takes PIPE_BUF bytes.  */
+static void
+write_buffer (struct bb_log *log)
+{
+  struct pollfd pfd = { .fd = STDOUT_FILENO, .events = POLLOUT };
+  if (log->used == 0)
+    return;
+  if (poll (&pfd, 1, 0) != 1 || !(pfd.revents & POLLOUT)
+      || write (STDOUT_FILENO, log->buffer, log->used) < 0)
+    log->lost += log->lines;
+  log->used = 0;
+  log->lines = 0;
+}
+
 static int
 append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
   struct bb_log *log = log4c_appender_get_udata (appender);
-  struct pollfd pfd = { .fd = STDOUT_FILENO, .events = POLLOUT };
   size_t length = strlen (event->evt_rendered_msg);
-  if (length > PIPE_BUF || poll (&pfd, 1, 0) != 1 || !(pfd.revents & POLLOUT)
-      || write (STDOUT_FILENO, event->evt_rendered_msg, length) < 0)
-    log->lost++;
+  if (length > sizeof log->buffer)
+    {
+      log->lost++;
+      return 0;
+    }
+  if (length > sizeof log->buffer - log->used)
+    write_buffer (log);
+  memcpy (log->buffer + log->used, event->evt_rendered_msg, length);
+  log->used += length;
+  log->lines++;
   return 0;
 }
 
@@ -233,6 +255,7 @@
       write_line (log, level, text);
       g_free (text);
     }
+  write_buffer (log);
 }
 
 void
@@ -246,6 +269,7 @@
   g_free (cut);
   char *out = to_text (line);
   write_line (log, level, out);
+  write_buffer (log);
   g_free (out);
 }
 
