Join at once at any size, and let leaders find each other

Cause: a simulated fleet of 300 that starts at once took 6.5 s until the balancers of a data centre knew each other; until then up to 170 of them took themselves for first and read the store (1,346 calls in 8 s). Each answer named six balancers drawn from the whole fleet, of which one in six was of the asker's data centre. Leaders that were lost were replaced by ones that did not know the other leaders (60 balancers: two readers 8 s later; 600: a table of 512 peers was full and 88 read for good).

Now the answer to a balancer that joins names up to 48 of its data centre, the first in the order first, which all ask; a leader tells its data centre of the other leaders, contacts those it knows when it takes over, and asks for leaders that it does not know; of each other data centre eight balancers are kept.

--- a/marked/messages.h
+++ b/marked/messages.h
@@ -11,6 +11,7 @@
 {
   BB_SHARE_DATAGRAM = 1200, /* bytes; one link-layer frame with headers */
   BB_SHARE_KNOWN = 6,       /* balancers that one beat names */
+  BB_SHARE_KNOWN_MAX = 48,  /* that the answer to one that joins names */
   BB_SHARE_LOADS = 64,      /* servers whose load one beat tells */
   BB_SHARE_SERVERS = 8,     /* servers in one datagram of items */
   BB_SHARE_ROUTES = 24,     /* routes in one datagram of items */
@@ -59,7 +60,7 @@
   uint64_t revision;    /* of the sender's directory */
   uint64_t version;     /* of the configuration in force */
   uint32_t verified_ms; /* age of the call that showed it to be current */
-  struct bb_share_vm known[BB_SHARE_KNOWN];
+  struct bb_share_vm known[BB_SHARE_KNOWN_MAX];
   uint32_t known_count;
   struct bb_share_load loads[BB_SHARE_LOADS];
   uint32_t load_count;
--- a/marked/share_beats.c
+++ b/marked/share_beats.c
@@ -4,6 +4,21 @@
 /* One beat in so many goes to peers that are silent.  */
 #define RETRY_INTERVAL (2 * BB_SEC)
 
+/* While nobody is heard: seeds may just be starting themselves.  */
+#define JOIN_INTERVAL (100 * BB_MSEC)
+
+enum
+{
+  NO_DATA_CENTRE = 0, /* no beat for a balancer of the own one */
+  /* Of the balancers that a beat names, those that one that joins asks at
+     once: the first of its data centre and one more.  */
+  ASKED_AT_ONCE = 2,
+  ASKED_FOR_LEADERS = 4, /* in each round */
+  /* The first that a beat names: that of the asker's data centre, and leaders
+     of others.  */
+  LEADERS_NAMED = 1 + BB_SHARE_KNOWN / 2,
+};
+
 /* A balancer that does not lead beats one of another data centre so often, so
    that the data centres know each other's balancers.  */
 #define FAR_INTERVAL BB_SEC
@@ -46,19 +61,75 @@
   return flags;
 }
 
+/* What makes a balancer worth naming to one of DATA_CENTRE.  */
+typedef bool (*named) (const struct bb_sharing *s,
+                       const struct bb_share_peer *p, uint32_t data_centre,
+                       bb_usec now);
+
+/* All that join ask the same one first, so that it knows them all at once.  */
+static bool
+is_best (const struct bb_sharing *s, const struct bb_share_peer *p,
+         uint32_t data_centre, bb_usec now)
+{
+  return p == bb_share_best (s, data_centre, now);
+}
+
+/* A leader tells its data centre of the other leaders, so that whoever takes
+   its place knows them; to another one it is told by those that follow it.  */
+static bool
+leads_another (const struct bb_sharing *s, const struct bb_share_peer *p,
+               uint32_t data_centre, bb_usec now)
+{
+  return p->vm.data_centre != data_centre && bb_share_is_leader (p, now)
+         && (s->leads || bb_share_is_near (s, p));
+}
+
+static bool
+is_of_it (const struct bb_sharing *s, const struct bb_share_peer *p,
+          uint32_t data_centre, bb_usec now)
+{
+  return p->vm.data_centre == data_centre && p->heard != 0
+         && !is_best (s, p, data_centre, now);
+}
+
+static bool
+is_other (const struct bb_sharing *s, const struct bb_share_peer *p,
+          uint32_t data_centre, bb_usec now)
+{
+  return p->vm.data_centre != data_centre && p->heard != 0
+         && !leads_another (s, p, data_centre, now);
+}
+
+static const struct
+{
+  named is_named;
+  uint32_t up_to; /* places in use after it */
+} namings[] = {
+  { is_best, 1 },
+  { leads_another, LEADERS_NAMED },
+  { is_of_it, BB_SHARE_KNOWN_MAX },
+  { is_other, BB_SHARE_KNOWN },
+};
+
+/* Names up to COUNT balancers.  */
 static void
-add_known (struct bb_sharing *s, struct bb_share_beat *b)
+add_known (struct bb_sharing *s, struct bb_share_beat *b, uint32_t data_centre,
+           uint32_t count, bb_usec now)
 {
+  if (s->peer_count == 0)
+    return;
   uint32_t start
-      = s->peer_count
-            ? (uint32_t)g_rand_int_range (s->random, 0, (gint32)s->peer_count)
-            : 0;
-  for (uint32_t i = 0; i < s->peer_count && b->known_count < BB_SHARE_KNOWN;
-       i++)
+      = (uint32_t)g_rand_int_range (s->random, 0, (gint32)s->peer_count);
+  for (size_t n = 0; n < G_N_ELEMENTS (namings); n++)
     {
-      const struct bb_share_peer *p = s->peers[(start + i) % s->peer_count];
-      if (p->heard != 0)
-        b->known[b->known_count++] = p->vm;
+      uint32_t up_to = MIN (namings[n].up_to, count);
+      for (uint32_t i = 0; i < s->peer_count && b->known_count < up_to; i++)
+        {
+          const struct bb_share_peer *p
+              = s->peers[(start + i) % s->peer_count];
+          if (namings[n].is_named (s, p, data_centre, now))
+            b->known[b->known_count++] = p->vm;
+        }
     }
 }
 
@@ -87,8 +158,8 @@
 }
 
 static void
-make_beat (struct bb_sharing *s, struct bb_share_message *m, bool near,
-           bb_usec now)
+make_beat (struct bb_sharing *s, struct bb_share_message *m,
+           uint32_t data_centre, uint32_t known, bb_usec now)
 {
   struct bb_share_beat *b = &m->beat;
   m->kind = BB_SHARE_BEAT;
@@ -99,8 +170,8 @@
   b->version = bb_directory_version (s->directory);
   b->verified_ms = bb_share_age_ms (s->verified, now);
   b->known_count = b->load_count = 0;
-  add_known (s, b);
-  if (near)
+  add_known (s, b, data_centre, known, now);
+  if (data_centre == s->options.self.data_centre)
     add_loads (s, b, now);
 }
 
@@ -108,7 +179,7 @@
 contact (struct bb_sharing *s, const struct bb_endpoint *to, bb_usec now)
 {
   struct bb_share_message m;
-  make_beat (s, &m, false, now);
+  make_beat (s, &m, NO_DATA_CENTRE, 0, now);
   m.beat.flags |= BB_SHARE_HELLO;
   bb_share_send (s, to, 1, &m);
 }
@@ -116,7 +187,8 @@
 void
 bb_share_contact_seeds (struct bb_sharing *s, bb_usec now)
 {
-  if (bb_sharing_live (s, now) > 0 && now - s->contacted < RETRY_INTERVAL)
+  bool alone = bb_sharing_live (s, now) == 0;
+  if (now - s->contacted < (alone ? JOIN_INTERVAL : RETRY_INTERVAL))
     return;
   s->contacted = now;
   for (size_t i = 0; i < s->seed_count; i++)
@@ -124,6 +196,52 @@
       contact (s, &s->seeds[i], now);
 }
 
+/* Whether the leader of DATA_CENTRE is not known.  */
+static bool
+is_leaderless (const struct bb_sharing *s, uint32_t data_centre, bb_usec now)
+{
+  for (uint32_t i = 0; i < s->peer_count; i++)
+    if (s->peers[i]->vm.data_centre == data_centre
+        && bb_share_is_leader (s->peers[i], now))
+      return false;
+  return true;
+}
+
+/* Asks some balancers of data centres whose leader is not known; their
+   answers name it.  */
+static void
+look_for_leaders (struct bb_sharing *s, bb_usec now)
+{
+  if (s->peer_count == 0)
+    return;
+  uint32_t start
+      = (uint32_t)g_rand_int_range (s->random, 0, (gint32)s->peer_count);
+  unsigned asked = 0;
+  for (uint32_t i = 0; i < s->peer_count && asked < ASKED_FOR_LEADERS; i++)
+    {
+      struct bb_share_peer *p = s->peers[(start + i) % s->peer_count];
+      if (bb_share_is_near (s, p) || p->sent == now
+          || !is_leaderless (s, p->vm.data_centre, now))
+        continue;
+      p->sent = now;
+      contact (s, &p->vm.endpoint, now);
+      asked++;
+    }
+}
+
+void
+bb_share_contact_far (struct bb_sharing *s, bb_usec now)
+{
+  for (uint32_t i = 0; i < s->peer_count; i++)
+    {
+      struct bb_share_peer *p = s->peers[i];
+      if (bb_share_is_near (s, p) || p->sent == now)
+        continue;
+      p->sent = now;
+      contact (s, &p->vm.endpoint, now);
+    }
+}
+
 /* One balancer of another data centre, or none.  */
 static struct bb_share_peer *
 draw_far (struct bb_sharing *s)
@@ -150,7 +268,7 @@
     {
       struct bb_share_peer *p = s->peers[i];
       if (!bb_share_is_near (s, p)
-          || (p->heard == 0 && now - p->sent < RETRY_INTERVAL))
+          || (p->heard == 0 && p->sent != 0 && now - p->sent < RETRY_INTERVAL))
         continue;
       p->sent = now;
       s->targets[count++] = p->vm.endpoint;
@@ -176,12 +294,13 @@
   if (now < s->far_due)
     return count;
   s->far_due = now + (s->leads ? BB_SHARE_INTERVAL : FAR_INTERVAL);
+  if (s->leads)
+    look_for_leaders (s, now);
   struct bb_share_peer *drawn = draw_far (s);
-  if (drawn && !(s->leads && drawn->sent == now))
-    {
-      drawn->sent = now;
-      s->targets[count++] = drawn->vm.endpoint;
-    }
+  if (!drawn || drawn->sent == now)
+    return count;
+  drawn->sent = now;
+  s->targets[count++] = drawn->vm.endpoint;
   return count;
 }
 
@@ -190,7 +309,7 @@
 {
   struct bb_share_message m;
   size_t count = choose_near (s, now);
-  make_beat (s, &m, true, now);
+  make_beat (s, &m, s->options.self.data_centre, BB_SHARE_KNOWN, now);
   if (count > 0)
     bb_share_send (s, s->targets, count, &m);
   count = choose_far (s, now);
@@ -222,6 +341,28 @@
     want (s, p, now);
 }
 
+/* A balancer that another one names, as number INDEX.  One that joins asks the
+   first ones of its data centre at once; a leader asks those that may lead a
+   data centre whose leader it does not know.  */
+static void
+meet (struct bb_sharing *s, const struct bb_share_vm *vm, uint32_t index,
+      bb_usec now)
+{
+  bool near = vm->data_centre == s->options.self.data_centre;
+  bool links = s->leads && !near && index < LEADERS_NAMED
+               && is_leaderless (s, vm->data_centre, now);
+  struct bb_share_peer *p = bb_share_peer_get (s, vm, false);
+  bool is_new = p && p->mentioned == 0;
+  if (is_new)
+    p->mentioned = now;
+  bool joins = is_new && near && s->revision == 0 && index < ASKED_AT_ONCE;
+  if (!joins && !links)
+    return;
+  if (p)
+    p->sent = now;
+  contact (s, &vm->endpoint, now);
+}
+
 void
 bb_share_receive_beat (struct bb_sharing *s, const struct bb_endpoint *from,
                        const struct bb_share_message *m, bb_usec now)
@@ -229,7 +370,7 @@
   const struct bb_share_beat *b = &m->beat;
   struct bb_share_vm vm
       = { .id = m->from, .data_centre = b->data_centre, .endpoint = *from };
-  struct bb_share_peer *p = bb_share_peer_get (s, &vm);
+  struct bb_share_peer *p = bb_share_peer_get (s, &vm, true);
   if (!p)
     return;
   if (p->heard == 0)
@@ -249,16 +390,12 @@
   memcpy (p->loads, b->loads, b->load_count * sizeof b->loads[0]);
   bb_share_count_loads (s, p, 1, now);
   for (uint32_t i = 0; i < b->known_count; i++)
-    {
-      struct bb_share_peer *known = bb_share_peer_get (s, &b->known[i]);
-      if (known && known->mentioned == 0)
-        known->mentioned = now;
-    }
+    meet (s, &b->known[i], i, now);
   follow (s, p, b, now);
   if (b->flags & BB_SHARE_HELLO)
     {
       struct bb_share_message answer;
-      make_beat (s, &answer, bb_share_is_near (s, p), now);
+      make_beat (s, &answer, p->vm.data_centre, BB_SHARE_KNOWN_MAX, now);
       bb_share_send (s, from, 1, &answer);
     }
 }
--- a/marked/share_peers.c
+++ b/marked/share_peers.c
@@ -20,6 +20,12 @@
   return p->vm.data_centre == s->options.self.data_centre;
 }
 
+bool
+bb_share_is_leader (const struct bb_share_peer *p, bb_usec now)
+{
+  return p->flags & BB_SHARE_LEADING && bb_share_is_live (p, now);
+}
+
 static struct bb_share_peer *
 peer_find (struct bb_sharing *s, uint32_t id)
 {
@@ -29,11 +35,54 @@
   return NULL;
 }
 
+/* The peers of another data centre: *SILENT is the one that was silent for
+   longest, a leader only if all say that they lead.  Returns how many there
+   are.  */
+static uint32_t
+survey_far (const struct bb_sharing *s, uint32_t data_centre, uint32_t *silent)
+{
+  uint32_t count = 0;
+  const struct bb_share_peer *last = NULL;
+  for (uint32_t i = 0; i < s->peer_count; i++)
+    {
+      const struct bb_share_peer *p = s->peers[i];
+      if (p->vm.data_centre != data_centre)
+        continue;
+      count++;
+      bool leads = p->flags & BB_SHARE_LEADING;
+      bool last_leads = last && last->flags & BB_SHARE_LEADING;
+      if (last && (leads != last_leads ? leads : p->heard >= last->heard))
+        continue;
+      last = p;
+      *silent = i;
+    }
+  return count;
+}
+
+/* Makes room for one more of DATA_CENTRE.  */
+static bool
+make_room (struct bb_sharing *s, uint32_t data_centre, bool heard)
+{
+  uint32_t silent = UINT32_MAX;
+  if (data_centre != s->options.self.data_centre
+      && survey_far (s, data_centre, &silent) >= BB_SHARE_FAR_PEERS)
+    {
+      if (!heard)
+        return false;
+      bb_share_count_loads (s, s->peers[silent], -1, 0);
+      g_free (s->peers[silent]);
+      s->peers[silent] = s->peers[--s->peer_count];
+    }
+  return s->peer_count < BB_SHARE_PEERS_MAX;
+}
+
 struct bb_share_peer *
-bb_share_peer_get (struct bb_sharing *s, const struct bb_share_vm *vm)
+bb_share_peer_get (struct bb_sharing *s, const struct bb_share_vm *vm,
+                   bool heard)
 {
   struct bb_share_peer *p = peer_find (s, vm->id);
-  if (p || vm->id == s->options.self.id || s->peer_count == BB_SHARE_PEERS_MAX)
+  if (p || vm->id == s->options.self.id
+      || !make_room (s, vm->data_centre, heard))
     return p;
   p = g_new0 (struct bb_share_peer, 1);
   p->vm = *vm;
--- a/marked/share_private.h
+++ b/marked/share_private.h
@@ -7,7 +7,10 @@
 
 enum
 {
-  BB_SHARE_PEERS_MAX = 512, /* as a data centre has in two years */
+  /* The 524 balancers of a data centre in two years, and some of each of the
+     20 others.  */
+  BB_SHARE_PEERS_MAX = 1024,
+  BB_SHARE_FAR_PEERS = 8, /* of each other data centre */
   BB_SHARE_CHUNK_WORDS = BB_SHARE_CHUNKS / 64,
 };
 
@@ -70,15 +73,24 @@
                           uint32_t peer, uint64_t value, enum bb_reason reason,
                           bb_usec age);
 
+/* The first live peer of DATA_CENTRE in the order of readers, or NULL.  */
+const struct bb_share_peer *bb_share_best (const struct bb_sharing *s,
+                                           uint32_t data_centre, bb_usec now);
+
 /* share_peers.c: who there is.  */
 bool bb_share_is_live (const struct bb_share_peer *p, bb_usec now);
 bool bb_share_is_near (const struct bb_sharing *s,
                        const struct bb_share_peer *p);
 
 /* The peer that VM names, new if need be; NULL for this balancer itself, and
-   when there are too many.  */
+   when there are too many.  Of another data centre only a few are kept; one
+   that is HEARD takes the place of the one that was silent for longest.  */
 struct bb_share_peer *bb_share_peer_get (struct bb_sharing *s,
-                                         const struct bb_share_vm *vm);
+                                         const struct bb_share_vm *vm,
+                                         bool heard);
+
+/* Whether P leads its data centre, as its last beat said.  */
+bool bb_share_is_leader (const struct bb_share_peer *p, bb_usec now);
 
 /* Adds (SIGN 1) or takes away (-1) what P counts of the servers.  */
 void bb_share_count_loads (struct bb_sharing *s, const struct bb_share_peer *p,
@@ -90,6 +102,9 @@
                     size_t count, struct bb_share_message *m);
 uint32_t bb_share_age_ms (bb_usec since, bb_usec now);
 uint32_t bb_share_own_flags (const struct bb_sharing *s, bb_usec now);
+/* The own data centre has got a new leader, which is this balancer: it lets
+   the others know.  */
+void bb_share_contact_far (struct bb_sharing *s, bb_usec now);
 void bb_share_contact_seeds (struct bb_sharing *s, bb_usec now);
 void bb_share_send_beats (struct bb_sharing *s, bb_usec now);
 void bb_share_receive_beat (struct bb_sharing *s,
--- a/marked/sharing.c
+++ b/marked/sharing.c
@@ -83,6 +83,20 @@
   return id[0] < id[1];
 }
 
+const struct bb_share_peer *
+bb_share_best (const struct bb_sharing *s, uint32_t data_centre, bb_usec now)
+{
+  const struct bb_share_peer *best = NULL;
+  for (uint32_t i = 0; i < s->peer_count; i++)
+    {
+      const struct bb_share_peer *p = s->peers[i];
+      if (p->vm.data_centre == data_centre && bb_share_is_live (p, now)
+          && (!best || precedes (s, p, best, now)))
+        best = p;
+    }
+  return best;
+}
+
 /* Live balancers before this one: of its data centre, or the leaders of the
    others.  */
 static uint32_t
@@ -108,7 +122,10 @@
   bb_usec age = bb_sharing_age (s, now);
   bb_usec patience
       = BB_SHARE_OUTDATED + MIN (before * RANK_STEP, RANK_STEP_MAX);
+  bool led = s->leads;
   s->leads = before == 0 && !s->leaving;
+  if (s->leads && !led)
+    bb_share_contact_far (s, now);
   bool first = s->leads && rank (s, false, now) == 0;
   s->first = first;
   bool outdated = age > patience;
@@ -152,10 +169,10 @@
 {
   bb_share_sweep_peers (s, now);
   choose_role (s, now);
+  bb_share_contact_seeds (s, now);
   if (now < s->beat_due)
     return;
   s->beat_due = now + BB_SHARE_INTERVAL;
-  bb_share_contact_seeds (s, now);
   bb_share_send_beats (s, now);
 }
 
--- a/runtime/marked.h
+++ b/runtime/marked.h
@@ -40,6 +40,7 @@
 struct bb_source_counters
 {
   uint64_t calls[BB_SOURCE_OUTCOMES];
+  uint64_t cancelled; /* readings of all that peers made needless */
   uint64_t entries_refused;
   uint64_t received_bytes;
 };
--- a/runtime/marked_metrics.c
+++ b/runtime/marked_metrics.c
@@ -91,6 +91,8 @@
     CALLS (BB_SOURCE_UNREADABLE) },
   { "store_history_lost", "", "Watches that had to start anew.", false, SOURCE,
     CALLS (BB_SOURCE_HISTORY_LOST) },
+  { "store_reads_cancelled", "", "Readings of all that peers made needless.",
+    false, SOURCE, OF (bb_source_counters, cancelled) },
   { "store_entries_refused", "", "Entries that cannot be used.", false, SOURCE,
     OF (bb_source_counters, entries_refused) },
   { "store_received", "bytes", "Bytes that the store sent.", false, SOURCE,
--- /dev/null
+++ b/tests/sharing_scale_test.c
@@ -0,0 +1,164 @@
+/* Fleets of several sizes that share one reading of the store: what a balancer
+   hears and the store is asked must not grow with the fleet, and knowledge
+   must be as new as in a small one.  */
+
+#include "tests/sharing_world.h"
+#include <stdio.h>
+
+#define SETTLE_TIME (4 * BB_SEC)
+#define MEASURE_TIME (3 * BB_SEC)
+
+enum
+{
+  TODAY,
+  GROWN,
+  LARGE,
+  BEYOND,
+  CASE_TIMEOUT_S = 240,
+};
+
+static const struct fleet
+{
+  const char *guards;
+  unsigned balancers;
+  unsigned data_centres;
+} fleets[] = {
+  [TODAY] = { "today", 6, 3 },
+  [GROWN] = { "grown", 60, 3 },
+  [LARGE] = { "large", 300, 6 },
+  [BEYOND] = { "beyond", 600, 6 },
+};
+
+static void
+restart_all (void)
+{
+  for (unsigned i = 0; i < w.count; i++)
+    {
+      stop (i);
+      start (i);
+    }
+}
+
+static void
+kill_half (void)
+{
+  for (unsigned i = 0; i < w.count; i += 2)
+    stop (i);
+}
+
+static void
+kill_reader_and_next (void)
+{
+  stop (reader ()->index);
+  run (1100 * BB_MSEC);
+  stop (reader ()->index);
+}
+
+static void
+cut_a_data_centre (void)
+{
+  for (unsigned i = 0; i < w.count; i++)
+    w.nodes[i].cut = data_centre_of (i) == 0;
+}
+
+static void
+nothing (void)
+{
+}
+
+enum
+{
+  HALF_DIES = 2,
+};
+
+static const struct
+{
+  const char *guards;
+  void (*act) (void);
+  unsigned readers;
+} troubles[] = {
+  { "calm", nothing, 1 },
+  { "all start at once", restart_all, 1 },
+  [HALF_DIES] = { "half of them die", kill_half, 1 },
+  { "readers lost one after the other", kill_reader_and_next, 1 },
+  { "a data centre is cut off", cut_a_data_centre, 2 },
+};
+
+/* Guards against a fleet that, grown, has several readers for good, or in
+   which some balancer falls behind.  run checks what each one knows.  */
+static void
+check_settles (const struct fleet *f, size_t trouble)
+{
+  begin (f->balancers, f->data_centres);
+  run (SETTLE_TIME);
+  troubles[trouble].act ();
+  run (2 * SETTLE_TIME);
+  ck_assert_msg (readers () >= 1 && readers () <= troubles[trouble].readers,
+                 "%s, %s: %u readers", f->guards, troubles[trouble].guards,
+                 readers ());
+  teardown ();
+}
+
+START_TEST (small_fleets_settle)
+{
+  check_settles (&fleets[_i / (int)G_N_ELEMENTS (troubles)],
+                 (size_t)_i % G_N_ELEMENTS (troubles));
+}
+END_TEST
+
+START_TEST (large_fleet_settles)
+{
+  check_settles (&fleets[LARGE], (size_t)_i);
+}
+END_TEST
+
+START_TEST (fleet_beyond_settles)
+{
+  check_settles (&fleets[BEYOND], HALF_DIES);
+}
+END_TEST
+
+/* Prints what a balancer hears, and guards against calls to the store that
+   grow with the fleet.  */
+START_TEST (traffic)
+{
+  const struct fleet *f = &fleets[_i];
+  begin (f->balancers, f->data_centres);
+  run (SETTLE_TIME);
+  w.messages = w.bytes = 0;
+  unsigned calls = w.calls;
+  run (MEASURE_TIME);
+  double seconds = (double)MEASURE_TIME / BB_SEC;
+  printf ("%u balancers: %.0f messages/s, %.0f bytes/s each, %.1f calls/s\n",
+          f->balancers, (double)w.messages / seconds / f->balancers,
+          (double)w.bytes / seconds / f->balancers,
+          (w.calls - calls) / seconds);
+  ck_assert_uint_le (w.calls - calls, MEASURE_TIME / CHANGE_INTERVAL
+                                          + MEASURE_TIME / BB_STORE_WAIT + 1);
+  teardown ();
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("sharing scale");
+  TCase *tc = tcase_create ("small fleets");
+  tcase_set_timeout (tc, CASE_TIMEOUT_S);
+  tcase_add_loop_test (tc, small_fleets_settle, 0,
+                       LARGE * G_N_ELEMENTS (troubles));
+  suite_add_tcase (suite, tc);
+  tc = tcase_create ("a large fleet");
+  tcase_set_timeout (tc, CASE_TIMEOUT_S);
+  tcase_add_loop_test (tc, large_fleet_settles, 0, G_N_ELEMENTS (troubles));
+  suite_add_tcase (suite, tc);
+  tc = tcase_create ("a fleet beyond");
+  tcase_set_timeout (tc, CASE_TIMEOUT_S);
+  tcase_add_test (tc, fleet_beyond_settles);
+  suite_add_tcase (suite, tc);
+  tc = tcase_create ("traffic");
+  tcase_set_timeout (tc, CASE_TIMEOUT_S);
+  tcase_add_loop_test (tc, traffic, 0, G_N_ELEMENTS (fleets));
+  suite_add_tcase (suite, tc);
+  return run_suite (suite);
+}
--- a/wire/share.c
+++ b/wire/share.c
@@ -164,7 +164,7 @@
   b->version = bb_take_uint (r, UINT64_MAX);
   b->verified_ms = bb_take_u32 (r);
   struct bb_reader inner
-      = take_groups (r, VM_FIELDS, BB_SHARE_KNOWN, &b->known_count);
+      = take_groups (r, VM_FIELDS, BB_SHARE_KNOWN_MAX, &b->known_count);
   for (uint32_t i = 0; i < b->known_count; i++)
     {
       b->known[i].id = bb_take_u32 (&inner);
