--- a/tests/store_test.c
+++ b/tests/store_test.c
@@ -32,9 +32,13 @@
   unsigned servers, gone, configurations, listed, refused;
   unsigned names;
   unsigned failures[BB_SOURCE_OUTCOMES];
+  uint64_t cancelled;
   bool finished;
 } t;
 
+/* Polls, after the first call, in which the store is not wanted.  */
+static unsigned unwanted;
+
 struct step
 {
   int status;       /* 0: no answer */
@@ -70,7 +74,10 @@
 {
   (void)context;
   *revision = t.revision;
-  return true;
+  if (t.paths_count != 1 || unwanted == 0)
+    return true;
+  unwanted--;
+  return false;
 }
 
 static void
@@ -146,6 +153,7 @@
   (void)what;
   (void)context;
   bb_platform_source.poke (t.source, bb_clock_boot ());
+  t.cancelled = bb_platform_source.counters (t.source)->cancelled;
 }
 
 /* Runs SCRIPT until the call after its last answer.  */
@@ -294,6 +302,21 @@
 }
 END_TEST
 
+static const struct step held[] = { { 0, NULL }, ALL, END };
+
+/* Guards against a reading of the whole store that goes on although a peer has
+   told everything: it takes the link and the processor of a slow VM.  */
+START_TEST (needless_reading_is_given_up)
+{
+  unwanted = 3;
+  run (held);
+  ck_assert_uint_eq (t.cancelled, 1);
+  ck_assert_uint_eq (t.failures[BB_SOURCE_TIMEOUT], 0);
+  ck_assert_uint_eq (t.listed, 1);
+  ck_assert (g_str_has_prefix (t.paths[1], "/api/kv-range?"));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -304,6 +327,7 @@
   tcase_add_test (tc, events_are_taken);
   tcase_add_test (tc, lost_history_is_read_anew);
   tcase_add_loop_test (tc, fault_is_retried, 0, G_N_ELEMENTS (faults));
+  tcase_add_test (tc, needless_reading_is_given_up);
   suite_add_tcase (suite, tc);
   return run_suite (suite);
 }
