--- a/tests/admission_test.c
+++ b/tests/admission_test.c
@@ -370,18 +370,18 @@
 static const struct
 {
   const char *guards;
-  uint32_t priority;
   bb_usec pause; /* since the step before */
+  uint32_t priority;
   bool yields;
 } urgencies[] = {
-  { "nothing else is used", 2, 0, false },
-  { "the same priority", 2, 100 * BB_MSEC, false },
-  { "a more urgent one", 1, 100 * BB_MSEC, false },
-  { "the least urgent one", 2, 100 * BB_MSEC, true },
-  { "the most urgent one", 0, 100 * BB_MSEC, false },
-  { "one between the two", 1, 100 * BB_MSEC, false },
-  { "the least urgent one again", 2, 4 * BB_SEC, true },
-  { "and when the others are gone", 2, 2 * BB_SEC, false },
+  { "nothing else is used", 0, 2, false },
+  { "the same priority", 100 * BB_MSEC, 2, false },
+  { "a more urgent one", 100 * BB_MSEC, 1, false },
+  { "the least urgent one", 100 * BB_MSEC, 2, true },
+  { "the most urgent one", 100 * BB_MSEC, 0, false },
+  { "one between the two", 100 * BB_MSEC, 1, false },
+  { "the least urgent one again", 4 * BB_SEC, 2, true },
+  { "and when the others are gone", 2 * BB_SEC, 2, false },
 };
 
 START_TEST (urgency)
