Put the routes of a batch in force together

Routes that peers tell came into force datagram by datagram, the large site's 23 and more take two, and the dropped ones may come last, late or not at all. A batch of another balancer in between made a receiver forget the first one.

Ruled out: a version that goes back (revisions only rise).

--- a/marked/share_items.c
+++ b/marked/share_items.c
@@ -154,7 +154,8 @@
 }
 
 static void
-take_items (struct bb_sharing *s, const struct bb_share_items *m, bb_usec now)
+take_servers (struct bb_sharing *s, const struct bb_share_items *m,
+              bb_usec now)
 {
   for (uint32_t i = 0; i < m->server_count; i++)
     if (is_news (s, m->servers[i].revision)
@@ -162,9 +163,18 @@
       bb_share_take_server (s->directory, &m->servers[i], BB_REASON_PEER,
                             m->to, (bb_usec)m->verified_ms * BB_MSEC, s->sink,
                             s->context, now);
-  for (uint32_t i = 0; i < m->route_count; i++)
-    if (is_news (s, m->routes[i].revision))
-      bb_directory_put_route (s->directory, &m->routes[i], now);
+}
+
+static void
+put_routes (struct bb_sharing *s, const struct bb_share_batch *b, bb_usec now)
+{
+  for (guint i = 0; i < b->records->len; i++)
+    {
+      const struct bb_route_record *r
+          = &g_array_index (b->records, struct bb_route_record, i);
+      if (is_news (s, r->revision))
+        bb_directory_put_route (s->directory, r, now);
+    }
 }
 
 void
@@ -204,6 +214,8 @@
     g_hash_table_unref (b->names);
   if (b->routes)
     g_hash_table_unref (b->routes);
+  if (b->records)
+    g_array_unref (b->records);
   *b = (struct bb_share_batch){ 0 };
 }
 
@@ -215,6 +227,7 @@
   b->from = from;
   b->number = m->batch;
   b->chunk_count = m->chunk_count;
+  b->records = g_array_new (FALSE, FALSE, sizeof (struct bb_route_record));
   if (m->from > 0)
     return;
   b->names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -222,8 +235,9 @@
 }
 
 static void
-note_names (struct bb_share_batch *b, const struct bb_share_items *m)
+note_items (struct bb_share_batch *b, const struct bb_share_items *m)
 {
+  g_array_append_vals (b->records, m->routes, m->route_count);
   for (uint32_t i = 0; b->names && i < m->server_count; i++)
     g_hash_table_add (b->names, g_strdup (m->servers[i].name));
   for (uint32_t i = 0; b->routes && i < m->route_count; i++)
@@ -231,32 +245,51 @@
                       bb_directory_route_key (&m->routes[i].address));
 }
 
-/* Returns whether the batch is complete.  */
-static bool
-collect (struct bb_sharing *s, uint32_t from, const struct bb_share_items *m)
+/* The batch that M is part of; a new one takes the place of the one that was
+   heard of least lately.  */
+static struct bb_share_batch *
+batch_of (struct bb_sharing *s, uint32_t from, const struct bb_share_items *m)
+{
+  struct bb_share_batch *oldest = &s->batches[0];
+  for (size_t i = 0; i < G_N_ELEMENTS (s->batches); i++)
+    {
+      struct bb_share_batch *b = &s->batches[i];
+      if (b->from == from && b->number == m->batch && b->records)
+        return b;
+      if (b->touched < oldest->touched)
+        oldest = b;
+    }
+  begin_batch (oldest, from, m);
+  return oldest;
+}
+
+/* Returns the batch if M completes it, or NULL.  */
+static struct bb_share_batch *
+collect (struct bb_sharing *s, uint32_t from, const struct bb_share_items *m,
+         bb_usec now)
 {
-  struct bb_share_batch *b = &s->batch;
-  if (b->from != from || b->number != m->batch)
-    begin_batch (b, from, m);
+  struct bb_share_batch *b = batch_of (s, from, m);
   uint64_t bit = (uint64_t)1 << (m->chunk % 64);
   if (m->chunk_count != b->chunk_count || b->chunks[m->chunk / 64] & bit)
-    return false;
+    return NULL;
   b->chunks[m->chunk / 64] |= bit;
-  note_names (b, m);
-  return ++b->received == b->chunk_count;
+  b->touched = now;
+  note_items (b, m);
+  return ++b->received == b->chunk_count ? b : NULL;
 }
 
 /* What a whole state does not name is gone.  */
 static void
-retain (struct bb_sharing *s, const struct bb_share_items *m, bb_usec now)
+retain (struct bb_sharing *s, const struct bb_share_batch *b,
+        const struct bb_share_items *m, bb_usec now)
 {
   if (s->revision == 0)
     bb_directory_begin (s->directory, m->since,
                         now - (bb_usec)m->known_ms * BB_MSEC);
-  bb_share_retain (s->directory, s->batch.names, BB_SERVER_GONE, m->to,
+  bb_share_retain (s->directory, b->names, BB_SERVER_GONE, m->to,
                    BB_REASON_PEER, (bb_usec)m->verified_ms * BB_MSEC, s->sink,
                    s->context, now);
-  bb_directory_retain_routes (s->directory, s->batch.routes, m->to, now);
+  bb_directory_retain_routes (s->directory, b->routes, m->to, now);
 }
 
 void
@@ -266,27 +299,38 @@
     s->verified = MAX (s->verified, now - (bb_usec)verified_ms * BB_MSEC);
 }
 
-void
-bb_share_receive_items (struct bb_sharing *s, uint32_t from,
-                        const struct bb_share_items *m, bb_usec now)
+/* Puts in force what the complete batch B, of which M came last, tells.  */
+static void
+finish_batch (struct bb_sharing *s, const struct bb_share_batch *b,
+              const struct bb_share_items *m, bb_usec now)
 {
-  if (m->from > s->revision)
-    return;
-  take_items (s, m, now);
-  if (!collect (s, from, m))
-    return;
   uint64_t version = bb_directory_version (s->directory);
+  put_routes (s, b, now);
   bb_directory_set_version (s->directory, m->version);
   if (m->version > version)
-    bb_share_send_event (s, BB_EVENT_VERSION, from, m->version, BB_REASON_PEER,
-                         (bb_usec)m->verified_ms * BB_MSEC);
+    bb_share_send_event (s, BB_EVENT_VERSION, b->from, m->version,
+                         BB_REASON_PEER, (bb_usec)m->verified_ms * BB_MSEC);
   if (m->to < s->revision)
     return;
   if (m->from == 0)
-    retain (s, m, now);
+    retain (s, b, m, now);
   uint64_t before = s->revision;
   s->revision = m->to;
   bb_share_set_verified (s, m->verified_ms, now);
   if (s->revision > before)
     bb_share_publish (s, before, now);
 }
+
+void
+bb_share_receive_items (struct bb_sharing *s, uint32_t from,
+                        const struct bb_share_items *m, bb_usec now)
+{
+  if (m->from > s->revision)
+    return;
+  take_servers (s, m, now);
+  struct bb_share_batch *b = collect (s, from, m, now);
+  if (!b)
+    return;
+  finish_batch (s, b, m, now);
+  bb_share_batch_clear (b);
+}
--- a/marked/share_private.h
+++ b/marked/share_private.h
@@ -11,6 +11,9 @@
      20 others.  */
   BB_SHARE_PEERS_MAX = 1024,
   BB_SHARE_FAR_PEERS = 8, /* of each other data centre */
+  /* Batches that arrive at the same time: several balancers may answer one
+     that joins, while its leader tells what is new.  */
+  BB_SHARE_BATCHES = 4,
   BB_SHARE_CHUNK_WORDS = BB_SHARE_CHUNKS / 64,
 };
 
@@ -30,16 +33,19 @@
   uint32_t load_count;
 };
 
-/* A batch of items that is arriving.  */
+/* A batch of items that is arriving.  Its routes come into force together when
+   it is complete: flows must not be handled by parts of two configurations. */
 struct bb_share_batch
 {
-  uint32_t from;
+  uint32_t from; /* 0: not in use */
+  bb_usec touched;
   uint32_t number;
   uint32_t chunk_count;
   uint32_t received;
   uint64_t chunks[BB_SHARE_CHUNK_WORDS];
   GHashTable *names;  /* of a whole state; else NULL */
-  GHashTable *routes; /* by bb_directory_route_key */
+  GHashTable *routes; /* the same, by bb_directory_route_key */
+  GArray *records;    /* struct bb_route_record */
 };
 
 struct bb_sharing
@@ -66,7 +72,7 @@
   bool leaving;
   struct bb_endpoint targets[BB_SHARE_PEERS_MAX]; /* of one message */
   uint32_t batch_number;
-  struct bb_share_batch batch;
+  struct bb_share_batch batches[BB_SHARE_BATCHES];
 };
 
 /* sharing.c */
--- a/marked/sharing.c
+++ b/marked/sharing.c
@@ -33,7 +33,8 @@
     return;
   for (uint32_t i = 0; i < s->peer_count; i++)
     g_free (s->peers[i]);
-  bb_share_batch_clear (&s->batch);
+  for (size_t i = 0; i < G_N_ELEMENTS (s->batches); i++)
+    bb_share_batch_clear (&s->batches[i]);
   g_rand_free (s->random);
   g_free (s);
 }
--- a/tests/sharing_test.c
+++ b/tests/sharing_test.c
@@ -263,6 +263,86 @@
 }
 END_TEST
 
+/* The route to PORT as a message of a batch tells it; SERVICE 0: dropped.  */
+static struct bb_share_message
+route_message (uint32_t from, uint32_t chunk, uint16_t port, uint32_t service)
+{
+  return (struct bb_share_message){
+    .kind = BB_SHARE_ITEMS,
+    .from = from,
+    .items = { .batch = 1,
+               .chunk = chunk,
+               .chunk_count = 2,
+               .from = 5,
+               .to = 8,
+               .version = 8,
+               .routes = { { .address = { 1, port },
+                             .shares = { { service, 1 } },
+                             .share_count = service != 0,
+                             .revision = 8 } },
+               .route_count = 1 },
+  };
+}
+
+/* Datagrams of batches in the order in which they come.  */
+static const struct
+{
+  const char *guards;
+  struct
+  {
+    uint32_t from; /* 0: no more */
+    uint32_t chunk;
+  } steps[4];
+  bool in_force; /* the new configuration, at the end */
+} batches[] = {
+  { "half a batch changes no route", { { 101, 0 } }, false },
+  { "nor does its other half alone", { { 101, 1 } }, false },
+  { "nor the same half twice", { { 101, 0 }, { 101, 0 } }, false },
+  { "nor two halves of two balancers", { { 101, 0 }, { 102, 1 } }, false },
+  { "a whole one does", { { 101, 1 }, { 101, 0 } }, true },
+  { "one that another one interrupts does too",
+    { { 101, 0 }, { 102, 0 }, { 101, 1 } },
+    true },
+};
+
+/* Guards against a balancer that acts by parts of two configurations.  */
+START_TEST (configuration_changes_at_once)
+{
+  const struct node *n = &w.nodes[0];
+  struct bb_endpoint from = endpoint_of (1);
+  static const struct bb_route_record before[] = {
+    { .address = { 1, 443 },
+      .shares = { { 1, 1 } },
+      .share_count = 1,
+      .revision = 4 },
+    { .address = { 1, 444 },
+      .shares = { { 1, 1 } },
+      .share_count = 1,
+      .revision = 4 },
+  };
+  bb_directory_configure (n->directory, 3, 4, before, 2, w.now);
+  bb_directory_begin (n->directory, 5, w.now);
+  bb_sharing_current (n->sharing, 5, w.now, w.now);
+  for (size_t i = 0; batches[_i].steps[i].from != 0; i++)
+    {
+      uint32_t chunk = batches[_i].steps[i].chunk;
+      struct bb_share_message m = route_message (
+          batches[_i].steps[i].from, chunk, chunk ? 444 : 443, chunk ? 0 : 2);
+      bb_sharing_receive (n->sharing, &from, &m, w.now);
+    }
+  const struct bb_route *changed
+      = bb_directory_route (n->directory, &before[0].address);
+  const struct bb_route *dropped
+      = bb_directory_route (n->directory, &before[1].address);
+  bool in_force = batches[_i].in_force;
+  ck_assert_msg (changed->record.shares[0].service == (in_force ? 2 : 1), "%s",
+                 batches[_i].guards);
+  ck_assert_msg (dropped->record.share_count == !in_force, "%s",
+                 batches[_i].guards);
+  ck_assert_uint_eq (bb_sharing_revision (n->sharing), in_force ? 8 : 5);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -275,6 +355,8 @@
   tcase_add_test (tc, calls_do_not_grow_with_the_fleet);
   tcase_add_test (tc, store_that_is_down_is_asked_seldom);
   tcase_add_test (tc, messages_twice_and_late);
+  tcase_add_loop_test (tc, configuration_changes_at_once, 0,
+                       G_N_ELEMENTS (batches));
   suite_add_tcase (suite, tc);
   return run_suite (suite);
 }
