--- a/marked/share_beats.c
+++ b/marked/share_beats.c
@@ -14,9 +14,6 @@
      once: the first of its data centre and one more.  */
   ASKED_AT_ONCE = 2,
   ASKED_FOR_LEADERS = 4, /* in each round */
-  /* The first that a beat names: that of the asker's data centre, and leaders
-     of others.  */
-  LEADERS_NAMED = 1 + BB_SHARE_KNOWN / 2,
 };
 
 /* A balancer that does not lead beats one of another data centre so often, so
@@ -61,78 +58,6 @@
   return flags;
 }
 
-/* What makes a balancer worth naming to one of DATA_CENTRE.  */
-typedef bool (*named) (const struct bb_sharing *s,
-                       const struct bb_share_peer *p, uint32_t data_centre,
-                       bb_usec now);
-
-/* All that join ask the same one first, so that it knows them all at once.  */
-static bool
-is_best (const struct bb_sharing *s, const struct bb_share_peer *p,
-         uint32_t data_centre, bb_usec now)
-{
-  return p == bb_share_best (s, data_centre, now);
-}
-
-/* A leader tells its data centre of the other leaders, so that whoever takes
-   its place knows them; to another one it is told by those that follow it.  */
-static bool
-leads_another (const struct bb_sharing *s, const struct bb_share_peer *p,
-               uint32_t data_centre, bb_usec now)
-{
-  return p->vm.data_centre != data_centre && bb_share_is_leader (p, now)
-         && (s->leads || bb_share_is_near (s, p));
-}
-
-static bool
-is_of_it (const struct bb_sharing *s, const struct bb_share_peer *p,
-          uint32_t data_centre, bb_usec now)
-{
-  return p->vm.data_centre == data_centre && p->heard != 0
-         && !is_best (s, p, data_centre, now);
-}
-
-static bool
-is_other (const struct bb_sharing *s, const struct bb_share_peer *p,
-          uint32_t data_centre, bb_usec now)
-{
-  return p->vm.data_centre != data_centre && p->heard != 0
-         && !leads_another (s, p, data_centre, now);
-}
-
-static const struct
-{
-  named is_named;
-  uint32_t up_to; /* places in use after it */
-} namings[] = {
-  { is_best, 1 },
-  { leads_another, LEADERS_NAMED },
-  { is_of_it, BB_SHARE_KNOWN_MAX },
-  { is_other, BB_SHARE_KNOWN },
-};
-
-/* Names up to COUNT balancers.  */
-static void
-add_known (struct bb_sharing *s, struct bb_share_beat *b, uint32_t data_centre,
-           uint32_t count, bb_usec now)
-{
-  if (s->peer_count == 0)
-    return;
-  uint32_t start
-      = (uint32_t)g_rand_int_range (s->random, 0, (gint32)s->peer_count);
-  for (size_t n = 0; n < G_N_ELEMENTS (namings); n++)
-    {
-      uint32_t up_to = MIN (namings[n].up_to, count);
-      for (uint32_t i = 0; i < s->peer_count && b->known_count < up_to; i++)
-        {
-          const struct bb_share_peer *p
-              = s->peers[(start + i) % s->peer_count];
-          if (namings[n].is_named (s, p, data_centre, now))
-            b->known[b->known_count++] = p->vm;
-        }
-    }
-}
-
 /* Newest servers first: those that changed last are the ones to place on.  */
 static void
 add_loads (struct bb_sharing *s, struct bb_share_beat *b, bb_usec now)
@@ -170,7 +95,7 @@
   b->version = bb_directory_version (s->directory);
   b->verified_ms = bb_share_age_ms (s->verified, now);
   b->known_count = b->load_count = 0;
-  add_known (s, b, data_centre, known, now);
+  bb_share_add_known (s, b, data_centre, known, now);
   if (data_centre == s->options.self.data_centre)
     add_loads (s, b, now);
 }
@@ -349,7 +274,7 @@
       bb_usec now)
 {
   bool near = vm->data_centre == s->options.self.data_centre;
-  bool links = s->leads && !near && index < LEADERS_NAMED
+  bool links = s->leads && !near && index < BB_SHARE_LEADERS_NAMED
                && is_leaderless (s, vm->data_centre, now);
   struct bb_share_peer *p = bb_share_peer_get (s, vm, false);
   bool is_new = p && p->mentioned == 0;
--- a/marked/share_private.h
+++ b/marked/share_private.h
@@ -11,6 +11,9 @@
      20 others.  */
   BB_SHARE_PEERS_MAX = 1024,
   BB_SHARE_FAR_PEERS = 8, /* of each other data centre */
+  /* The first that a beat names: that of the asker's data centre, and leaders
+     of others.  */
+  BB_SHARE_LEADERS_NAMED = 1 + BB_SHARE_KNOWN / 2,
   /* Batches that arrive at the same time: several balancers may answer one
      that joins, while its leader tells what is new.  */
   BB_SHARE_BATCHES = 4,
@@ -104,6 +107,11 @@
                            int sign, bb_usec now);
 void bb_share_sweep_peers (struct bb_sharing *s, bb_usec now);
 
+/* share_known.c: whom a beat names.  Adds up to COUNT balancers in all, those
+   first that one of DATA_CENTRE needs most.  */
+void bb_share_add_known (struct bb_sharing *s, struct bb_share_beat *b,
+                         uint32_t data_centre, uint32_t count, bb_usec now);
+
 /* share_beats.c: what balancers tell each other of themselves.  */
 void bb_share_send (struct bb_sharing *s, const struct bb_endpoint *to,
                     size_t count, struct bb_share_message *m);
