--- a/marked/balancer_private.h
+++ b/marked/balancer_private.h
@@ -5,25 +5,13 @@
 
 #include "marked/balancer.h"
 #include "marked/flows.h"
+#include "marked/path.h"
 
 enum
 {
   ENDED_MAX = 64, /* servers that ended since the last tick */
 };
 
-/* How long it took lately until an answer showed here: from a first packet
-   that was forwarded to the caller's next one, through both links and their
-   queues, or the silence of a server that lived.  */
-struct bb_path_delay
-{
-  bb_usec begun;   /* of the window under way */
-  bb_usec longest; /* in it */
-  bb_usec before;  /* in the window before */
-  /* Silences that servers outlived, in the same windows.  */
-  uint32_t outlived;
-  uint32_t outlived_before;
-};
-
 struct bb_marked
 {
   struct bb_marked_options options;
@@ -87,20 +75,6 @@
    servers that are dead for sure.  */
 void bb_marked_check_link (struct bb_marked *m, bb_usec now);
 
-void bb_path_delay_add (struct bb_path_delay *d, bb_usec took, bb_usec now);
-
-/* A server that lives was silent for TOOK.  */
-void bb_path_delay_outlived (struct bb_path_delay *d, bb_usec took,
-                             bb_usec now);
-
-/* Whether so many live servers were silent lately that silence shows nothing:
-   a link of this balancer drops packets, or callers come faster than servers
-   answer.  */
-bool bb_path_delay_unreliable (const struct bb_path_delay *d, bb_usec now);
-
-/* Longest of the last one to two windows; 0 without a recent one.  */
-bb_usec bb_path_delay_get (const struct bb_path_delay *d, bb_usec now);
-
 /* The time until which answers have shown here: what callers send after they
    were answered may still wait at a link.  Servers are judged as of then.  */
 bb_usec bb_marked_seen_until (const struct bb_marked *m, bb_usec now);
