--- a/marked/share_beats.c
+++ b/marked/share_beats.c
@@ -271,18 +271,19 @@
    first ones of its data centre at once; a leader asks those that may lead a
    data centre whose leader it does not know.  */
 static void
-meet (struct bb_sharing *s, const struct bb_share_vm *vm, uint32_t index,
-      bb_usec now)
+note_named (struct bb_sharing *s, const struct bb_share_vm *vm, uint32_t index,
+            bb_usec now)
 {
   bool near = vm->data_centre == s->options.self.data_centre;
-  bool links = s->leads && !near && index < BB_SHARE_LEADERS_NAMED
-               && is_leaderless (s, vm->data_centre, now);
+  bool asks_leader = s->leads && !near && index < BB_SHARE_LEADERS_NAMED
+                     && is_leaderless (s, vm->data_centre, now);
   struct bb_share_peer *p = bb_share_peer_get (s, vm, false);
   bool is_new = p && p->mentioned == 0;
   if (is_new)
     p->mentioned = now;
-  bool joins = is_new && near && s->revision == 0 && index < ASKED_AT_ONCE;
-  if (!joins && !links)
+  bool asks_first
+      = is_new && near && s->revision == 0 && index < ASKED_AT_ONCE;
+  if (!asks_first && !asks_leader)
     return;
   if (p)
     p->sent = now;
@@ -319,7 +320,7 @@
   memcpy (p->loads, b->loads, b->load_count * sizeof b->loads[0]);
   bb_share_count_loads (s, p, 1, now);
   for (uint32_t i = 0; i < b->known_count; i++)
-    meet (s, &b->known[i], i, now);
+    note_named (s, &b->known[i], i, now);
   follow (s, p, b, now);
   if (b->flags & BB_SHARE_HELLO)
     {
