marked: closed flows do not count as open again

Cause: a packet that the network delivers after the FIN created a new entry in the flow table, which counted as an open flow until it was idle for 15 s. Ruled out: flows opened at another balancer (seen at the only balancer of its data centre). Closed flows now stay in the table without being counted.

--- a/marked/balancer.c
+++ b/marked/balancer.c
@@ -210,6 +210,11 @@
       return;
     }
   struct bb_marked_flow *f = get_flow (m, hash, s, p, now);
+  if (f->state == BB_FLOW_CLOSED)
+    {
+      forward_packet (m, s, v);
+      return;
+    }
   if (route->record.share_count == 0 && f->request_sent_ms == 0
       && p->payload > 0)
     {
@@ -226,7 +231,7 @@
       return;
     }
   if (p->tcp_flags & (BB_TCP_FIN | BB_TCP_RST))
-    bb_marked_flows_remove (m->flows, f);
+    bb_marked_close_flow (m, f);
   forward_packet (m, s, v);
 }
 
--- a/marked/balancer_private.h
+++ b/marked/balancer_private.h
@@ -48,6 +48,9 @@
 /* observe.c: evidence on servers from the packets of callers.  */
 /* Subtracts a removed FLOW from the load of its server.  */
 void bb_marked_uncount_flow (void *context, const struct bb_marked_flow *flow);
+/* Records that the caller of FLOW closed it.  The entry stays in the table:
+   packets that arrive after the last one must not count as a new flow.  */
+void bb_marked_close_flow (struct bb_marked *m, struct bb_marked_flow *flow);
 /* Records that the caller of FLOW was answered.  */
 void bb_marked_record_answer (struct bb_marked *m, struct bb_backend_server *s,
                               const struct bb_marked_flow *flow, bb_usec now);
--- a/marked/flows.h
+++ b/marked/flows.h
@@ -14,7 +14,8 @@
 enum
 {
   BB_FLOW_OPENING, /* only SYNs were seen */
-  BB_FLOW_OPEN
+  BB_FLOW_OPEN,
+  BB_FLOW_CLOSED /* not counted; late packets of the flow may follow */
 };
 
 struct bb_marked_flow
--- a/marked/observe.c
+++ b/marked/observe.c
@@ -14,13 +14,21 @@
   struct bb_marked *m = context;
   struct bb_backend_server *s
       = bb_directory_find_by_cookie (m->directory, flow->cookie);
-  if (!s)
+  if (!s || flow->state == BB_FLOW_CLOSED)
     return;
   s->load.open = MAX (s->load.open - 1, 0);
   if (flow->request_sent_ms != 0 && flow->state == BB_FLOW_OPEN)
     s->load.busy = MAX (s->load.busy - 1, 0);
 }
 
+void
+bb_marked_close_flow (struct bb_marked *m, struct bb_marked_flow *flow)
+{
+  bb_marked_uncount_flow (m, flow);
+  flow->state = BB_FLOW_CLOSED;
+  flow->request_sent_ms = 0;
+}
+
 void
 bb_marked_record_answer (struct bb_marked *m, struct bb_backend_server *s,
                          const struct bb_marked_flow *flow, bb_usec now)
--- a/tests/balancer_test.c
+++ b/tests/balancer_test.c
@@ -175,6 +175,49 @@
 END_TEST
 
 /* Guards against unbounded memory and counts in a flood of first packets.  */
+/* Guards against closed flows that count as open again when the network
+   delivers packets after the last one.  */
+static const struct
+{
+  const char *description;
+  uint8_t flags[3]; /* of the last packets, in the order of arrival */
+} endings[] = {
+  { "in order", { BB_TCP_ACK, BB_TCP_ACK, BB_TCP_ACK | BB_TCP_FIN } },
+  { "an acknowledgement after the end",
+    { BB_TCP_ACK, BB_TCP_ACK | BB_TCP_FIN, BB_TCP_ACK } },
+  { "the end twice",
+    { BB_TCP_ACK | BB_TCP_FIN, BB_TCP_ACK | BB_TCP_FIN, BB_TCP_ACK } },
+  { "an acknowledgement after a reset",
+    { BB_TCP_RST, BB_TCP_ACK, BB_TCP_ACK } },
+};
+
+START_TEST (closed_flows_are_not_counted)
+{
+  const struct bb_backend_server *s
+      = put_server ("s-1", "web", "north", BB_SERVER_READY, 0);
+  configure (1, ROUTE_PORT, "web", 0);
+  uint32_t cookie = open_flow (1000, BB_SEC);
+  ck_assert_int_eq (s->load.open, 1);
+  send_request (1000, cookie, 101, 1, BB_SEC + 10 * BB_MSEC);
+  ck_assert_int_eq (s->load.busy, 1);
+  for (size_t i = 0; i < G_N_ELEMENTS (endings[_i].flags); i++)
+    {
+      struct bb_marked_packet p = packet (1000, endings[_i].flags[i], 151, 0);
+      p.cookie = cookie;
+      p.packet.acknowledgement = 601;
+      ck_assert_int_eq (handle_packet (&p, BB_SEC + 50 * BB_MSEC).kind,
+                        BB_MARKED_FORWARD);
+    }
+  ck_assert_msg (s->load.open == 0 && s->load.busy == 0,
+                 "%s: %d flows open, %d requests pending",
+                 endings[_i].description, s->load.open, s->load.busy);
+  open_flow (1000, 2 * BB_SEC);
+  ck_assert_int_eq (s->load.open, 1);
+  bb_marked_tick (t.m, 60 * BB_SEC);
+  ck_assert_int_eq (s->load.open, 0);
+}
+END_TEST
+
 START_TEST (flood_is_bounded)
 {
   struct bb_backend_server *a
@@ -206,6 +249,8 @@
   tcase_add_test (tc, leaving_servers_get_no_new_flow);
   tcase_add_test (tc, joiner_forwards_flows_of_earlier_versions);
   tcase_add_test (tc, dropped_route_takes_no_new_request);
+  tcase_add_loop_test (tc, closed_flows_are_not_counted, 0,
+                       G_N_ELEMENTS (endings));
   tcase_add_test (tc, flood_is_bounded);
   suite_add_tcase (suite, tc);
   return run_suite (suite);
