marked: a pending request costs as much as 8 open flows

Hypothesis: with true counts of open flows, a new flow should follow the free slots; at equal weights, differences of two or three idle flows hide a busy slot.

--- a/marked/place.c
+++ b/marked/place.c
@@ -1,8 +1,8 @@
 #include "marked/place.h"
 
 /* Cost of a pending request relative to an open flow.  The request occupies a
-   slot; the flow may only need one later.  */
-#define BUSY_WEIGHT 1.0
+   slot now; most of the open flows are idle.  */
+#define BUSY_WEIGHT 8.0
 
 /* Requests of a cold server take 1.6 times as long (server model of the
    platform).  The factor is lower, since flows that are placed on it last
--- a/tests/placement_test.c
+++ b/tests/placement_test.c
@@ -105,6 +105,42 @@
 }
 END_TEST
 
+/* Guards against a new flow, with a request to follow, at a server whose slots
+   are busy because it has a few open flows less than an idle one.  */
+static const struct
+{
+  const char *description;
+  struct bb_server_load loads[2];
+  int chosen;
+} comparisons[] = {
+  { "a few more flows, but a free slot",
+    { { .open = 24, .busy = 0 }, { .open = 20, .busy = 1 } },
+    0 },
+  { "the same with the load of the peers",
+    { { .peer_open = 24 }, { .open = 10, .peer_open = 10, .peer_busy = 1 } },
+    0 },
+  { "far more flows, which will have requests soon",
+    { { .open = 60, .busy = 0 }, { .open = 20, .busy = 1 } },
+    1 },
+  { "the same number of pending requests",
+    { { .open = 24, .busy = 1 }, { .open = 20, .busy = 1 } },
+    1 },
+};
+
+START_TEST (pending_requests_outweigh_idle_flows)
+{
+  const struct bb_backend_server *servers[2];
+  for (unsigned i = 0; i < 2; i++)
+    {
+      struct bb_backend_server *s = add_server ("near", i, "north", 0);
+      s->load = comparisons[_i].loads[i];
+      servers[i] = s;
+    }
+  ck_assert_msg (place (BB_SEC).server == servers[comparisons[_i].chosen],
+                 "%s", comparisons[_i].description);
+}
+END_TEST
+
 /* After a power failure all callers come back at once, at balancers without
    load information.  Guards against servers that reject requests while others
    are idle: each balancer spreads its flows evenly to within one, so the
@@ -195,6 +231,8 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_loop_test (tc, flows_stay_in_their_data_centre, 0,
                        G_N_ELEMENTS (loads));
+  tcase_add_loop_test (tc, pending_requests_outweigh_idle_flows, 0,
+                       G_N_ELEMENTS (comparisons));
   tcase_add_test (tc, callers_come_back_at_once);
   tcase_add_test (tc, cold_servers_get_less);
   tcase_add_test (tc, suspects_are_the_last_resort);
