marked: admission by pending requests in place of answer times

Cause: the estimate of answer times rises after the queue is there; in the first half second of a burst all flows are placed. In the own data centre the expected time to an answer is now the service time, measured from requests that found a free slot, times the pending requests per slot and one; low priority uses the mean of all servers. Servers that do not tell their slots, and other data centres, keep the estimate.

--- a/marked/admission.c
+++ b/marked/admission.c
@@ -1,8 +1,10 @@
 #include "marked/admission.h"
 
-/* Part of the latency objective that the estimate may reach.  A request on a
-   new flow takes three packets more than one on an open flow, and the queue
-   keeps growing until a refusal has an effect.  */
+#include <math.h>
+
+/* Part of the latency objective that the expected time to an answer may reach.
+   A request on a new flow takes three packets more than one on an open flow,
+   and single requests take a multiple of the mean time.  */
 #define ADMIT_RATIO 0.6
 
 /* The same part for requests of low priority: a quarter of the limit is
@@ -14,10 +16,9 @@
    within this time.  */
 #define PRIORITY_SEEN_TIME (5 * BB_SEC)
 
-/* Time after a refusal during which routes of low priority are refused
-   earlier.  A peak that ends in a fraction of this time is handled without
-   priorities.  */
-#define REFUSAL_TIME BB_SEC
+/* Time constant of the mean of pending requests: several times the service
+   time of a request, and a fraction of a short burst.  */
+#define PENDING_SMOOTHING (200 * BB_MSEC)
 
 /* Fraction of the answers that are faster than the estimate.  Full servers
    reject requests at once, which also counts as an answer: up to two thirds of
@@ -33,8 +34,9 @@
 
 enum
 {
-  ANSWERS_MIN = 8,   /* answers needed before the estimate is used */
-  STEP_DIVISOR = 16, /* one step per answer: 1/16 of the estimate */
+  ANSWERS_MIN = 8,             /* answers needed before the estimate is used */
+  STEP_DIVISOR = 16,           /* one step per answer: 1/16 of the estimate */
+  SERVICE_TIME_SMOOTHING = 32, /* weight of the old mean; an answer has 1 */
 };
 
 #define STEP_MIN BB_MSEC
@@ -68,15 +70,35 @@
   if (!is_recent (&u->least_urgent, now)
       || priority >= u->least_urgent.priority)
     u->least_urgent = seen;
-  return u->last_refusal != 0 && now - u->last_refusal <= REFUSAL_TIME
-         && priority > u->most_urgent.priority
+  return priority > u->most_urgent.priority
          && priority == u->least_urgent.priority;
 }
 
 void
-bb_priorities_add_refusal (struct bb_priorities *u, bb_usec now)
+bb_concurrency_add_load (struct bb_concurrency *c, double pending, bb_usec now)
+{
+  double age = (double)(now - c->updated) / PENDING_SMOOTHING;
+  c->pending += (pending - c->pending) * (1 - exp (-age));
+  c->updated = now;
+}
+
+void
+bb_concurrency_add_answer (struct bb_concurrency *c, bb_usec took)
 {
-  u->last_refusal = now;
+  if (c->service_time == 0)
+    c->service_time = took;
+  c->service_time += (took - c->service_time) / (SERVICE_TIME_SMOOTHING + 1);
+}
+
+bool
+bb_concurrency_exceeds (const struct bb_concurrency *c, double least,
+                        bb_usec objective, bool is_low_priority)
+{
+  double pending = is_low_priority ? MAX (least, c->pending) : least;
+  double ratio = is_low_priority ? ADMIT_RATIO_LOW_PRIORITY : ADMIT_RATIO;
+  double expected = (double)c->service_time * (pending + 1);
+  return objective != 0 && least >= BB_FULL_LOAD
+         && expected > ratio * (double)objective;
 }
 
 bool
--- a/marked/admission.h
+++ b/marked/admission.h
@@ -8,11 +8,13 @@
    queues drain and the requests on open flows are answered in time.
 
    Of two routes of one service, a refusal costs the callers of the more urgent
-   route more, so new flows of the less urgent route are refused earlier.
+   route more, so new flows of the less urgent route are refused earlier.  Each
+   of them that stays open brings further requests, which cannot be refused.
 
-   The queues of servers are not visible in the forwarding path, which
-   measures the time to an answer instead.  This time also covers servers in
-   other data centres.
+   In the own data centre the pending requests of each server are known here.
+   With the time that a request takes without waiting, they give the time to
+   the answer before a queue has built up.  The load of other data centres is
+   not known; there the time to recent answers decides.
  */
 
 #ifndef BB_MARKED_ADMISSION_H
@@ -41,19 +43,41 @@
 {
   struct bb_priority_seen most_urgent;
   struct bb_priority_seen least_urgent;
-  bb_usec last_refusal; /* last refusal for lack of capacity; 0: never */
 };
 
 /* Records a new flow on a route of PRIORITY.  Returns whether the flow has low
-   priority: a flow was refused recently, PRIORITY is the least urgent one in
-   recent use, and a more urgent one is in use.  Priorities between these two
-   do not count as low, since a route with few flows may be the most urgent
-   one.  */
+   priority: PRIORITY is the least urgent one in recent use, and a more urgent
+   one is in use.  Priorities between these two do not count as low, since a
+   route with few flows may be the most urgent one.  */
 bool bb_priorities_add_flow (struct bb_priorities *u, uint32_t priority,
                              bb_usec now);
 
-/* Records that a new flow was refused.  */
-void bb_priorities_add_refusal (struct bb_priorities *u, bb_usec now);
+/* Pending requests of the servers of one service in the own data centre.  */
+struct bb_concurrency
+{
+  double pending;       /* per slot; mean of the servers, smoothed */
+  bb_usec updated;      /* time of the last load; 0: never */
+  bb_usec service_time; /* mean time to an answer without a queue; 0: unknown
+                         */
+};
+
+/* Pending requests per slot at which a server has no free slot.  */
+#define BB_FULL_LOAD 1.0
+
+/* Adds PENDING, the mean of pending requests per slot.  */
+void bb_concurrency_add_load (struct bb_concurrency *c, double pending,
+                              bb_usec now);
+
+/* Adds TOOK, the time to an answer of a request that found a free slot.  */
+void bb_concurrency_add_answer (struct bb_concurrency *c, bb_usec took);
+
+/* Whether a request that is sent now would probably be answered too late for
+   OBJECTIVE, the latency objective of its route (0 if it has none).  LEAST is
+   the number of pending requests per slot of the server that has the fewest.
+   A lower limit applies if IS_LOW_PRIORITY.  False while a slot is free: the
+   servers may be slow, or the requests of the route long.  */
+bool bb_concurrency_exceeds (const struct bb_concurrency *c, double least,
+                             bb_usec objective, bool is_low_priority);
 
 /* Adds TOOK, the time to an answer, to the estimate.  */
 void bb_answer_time_add (struct bb_answer_time *t, bb_usec took, bb_usec now);
--- a/marked/directory.h
+++ b/marked/directory.h
@@ -72,7 +72,8 @@
 {
   uint32_t service;
   struct bb_link servers; /* servers that are not gone, linked by of_service */
-  struct bb_answer_time local_dc; /* servers of the own data centre */
+  struct bb_concurrency concurrency; /* of the own data centre */
+  struct bb_answer_time local_dc;    /* servers of the own data centre */
   struct bb_answer_time remote_dc;
   struct bb_histogram answer_times; /* local and remote */
   struct bb_priorities priorities;
--- a/marked/observe.c
+++ b/marked/observe.c
@@ -80,6 +80,8 @@
       bb_answer_time_add (
           s->is_local ? &s->group->local_dc : &s->group->remote_dc, took, now);
       bb_histogram_add (&s->group->answer_times, took);
+      if (s->is_local && !f->was_queued)
+        bb_concurrency_add_answer (&s->group->concurrency, took);
     }
   s->load.busy = MAX (s->load.busy - 1, 0);
   f->request_sent_ms = 0;
@@ -99,6 +101,7 @@
   if (f->request_sent_ms == 0)
     {
       f->request_sent_ms = bb_marked_time_ms (now);
+      f->was_queued = s->load.busy + s->load.peer_busy >= s->record.slots;
       s->load.busy++;
     }
   if (!is_after (end - IN_FLIGHT_BYTES_MAX, f->confirmed))
--- a/marked/place.c
+++ b/marked/place.c
@@ -16,9 +16,6 @@
 #define REMOTE_LOAD_MIN 2.0
 #define REMOTE_LOAD_RATIO 0.5
 
-/* Pending requests per slot at which a server has no free slot.  */
-#define FULL_LOAD 1.0
-
 static double
 slots_of (const struct bb_backend_server *s)
 {
@@ -81,8 +78,19 @@
   struct candidate least_busy; /* local, with the lowest load per slot */
   struct candidate remote_dc;
   struct candidate suspect;
+  double local_pending; /* of the local servers that are not suspect */
+  double local_slots;
+  bool has_unknown_slots; /* a local server does not tell its slots */
 };
 
+static void
+add_local_load (struct candidates *p, const struct bb_backend_server *s)
+{
+  p->local_pending += s->load.busy + s->load.peer_busy;
+  p->local_slots += slots_of (s);
+  p->has_unknown_slots |= s->record.slots == 0;
+}
+
 static struct candidates
 find_candidates (const struct bb_link *servers,
                  const struct bb_placement_policy *policy, GRand *random,
@@ -101,8 +109,11 @@
       if (bb_suspicion_is_suspect (&s->load.evidence, now))
         candidate = &candidates.suspect;
       else if (s->is_local)
-        update_candidate (&candidates.least_busy, s, load_per_slot (s),
-                          random);
+        {
+          add_local_load (&candidates, s);
+          update_candidate (&candidates.least_busy, s, load_per_slot (s),
+                            random);
+        }
       update_candidate (candidate, s, policy->cost (s, now), random);
     }
   return candidates;
@@ -124,9 +135,13 @@
                    const struct bb_server_group *group, bb_usec objective,
                    bool is_low_priority, bb_usec now)
 {
-  return p->local_dc.server
-         && !bb_answer_time_exceeds (&group->local_dc, objective,
-                                     is_low_priority, now);
+  if (!p->local_dc.server)
+    return false;
+  if (p->has_unknown_slots)
+    return !bb_answer_time_exceeds (&group->local_dc, objective,
+                                    is_low_priority, now);
+  return !bb_concurrency_exceeds (&group->concurrency, p->least_busy.cost,
+                                  objective, is_low_priority);
 }
 
 /* Whether a new flow may go to another data centre, because answers arrive in
@@ -153,6 +168,9 @@
   bool is_low_priority
       = bb_priorities_add_flow (&group->priorities, route->priority, now);
   struct candidates p = find_candidates (&group->servers, policy, random, now);
+  if (p.local_slots > 0)
+    bb_concurrency_add_load (&group->concurrency,
+                             p.local_pending / p.local_slots, now);
   struct bb_backend_server *local = p.local_dc.server,
                            *remote = p.remote_dc.server;
   bool local_admitted
@@ -163,10 +181,9 @@
      servers may be slow, or the requests of the route long.  */
   if ((local || remote) && !local_admitted && !remote_admitted)
     {
-      if (p.least_busy.server && p.least_busy.cost < FULL_LOAD)
+      if (p.least_busy.server && p.least_busy.cost < BB_FULL_LOAD)
         return (struct bb_placement){ p.least_busy.server,
                                       BB_REASON_OWN_DATA_CENTRE };
-      bb_priorities_add_refusal (&group->priorities, now);
       return (struct bb_placement){ NULL, BB_REASON_ALL_BUSY };
     }
   if (local
