marked: low priority applies while more urgent flows are refused

Low priority now needs a refusal of a more urgent flow within 300 ms, and then a free slot is left to the more urgent requests while the servers are full on average.

--- a/marked/admission.c
+++ b/marked/admission.c
@@ -16,6 +16,10 @@
    within this time.  */
 #define PRIORITY_SEEN_TIME (5 * BB_SEC)
 
+/* Time after the refusal of a more urgent flow during which routes of low
+   priority are refused earlier.  */
+#define REFUSAL_TIME (300 * BB_MSEC)
+
 /* Time constant of the mean of pending requests: several times the service
    time of a request, and a fraction of a short burst.  */
 #define PENDING_SMOOTHING (200 * BB_MSEC)
@@ -70,10 +74,19 @@
   if (!is_recent (&u->least_urgent, now)
       || priority >= u->least_urgent.priority)
     u->least_urgent = seen;
-  return priority > u->most_urgent.priority
+  return u->last_refusal != 0 && now - u->last_refusal <= REFUSAL_TIME
+         && priority > u->most_urgent.priority
          && priority == u->least_urgent.priority;
 }
 
+void
+bb_priorities_add_refusal (struct bb_priorities *u, uint32_t priority,
+                           bb_usec now)
+{
+  if (priority < u->least_urgent.priority)
+    u->last_refusal = now;
+}
+
 void
 bb_concurrency_add_load (struct bb_concurrency *c, double pending, bb_usec now)
 {
@@ -97,7 +110,7 @@
   double pending = is_low_priority ? MAX (least, c->pending) : least;
   double ratio = is_low_priority ? ADMIT_RATIO_LOW_PRIORITY : ADMIT_RATIO;
   double expected = (double)c->service_time * (pending + 1);
-  return objective != 0 && least >= BB_FULL_LOAD
+  return objective != 0 && pending >= BB_FULL_LOAD
          && expected > ratio * (double)objective;
 }
 
--- a/marked/admission.h
+++ b/marked/admission.h
@@ -43,15 +43,21 @@
 {
   struct bb_priority_seen most_urgent;
   struct bb_priority_seen least_urgent;
+  bb_usec last_refusal; /* of a flow that was not least urgent; 0: never */
 };
 
 /* Records a new flow on a route of PRIORITY.  Returns whether the flow has low
    priority: PRIORITY is the least urgent one in recent use, and a more urgent
-   one is in use.  Priorities between these two do not count as low, since a
-   route with few flows may be the most urgent one.  */
+   flow was refused recently.  Priorities between the most and the least urgent
+   one do not count as low, since a route with few flows may be the most urgent
+   one.  */
 bool bb_priorities_add_flow (struct bb_priorities *u, uint32_t priority,
                              bb_usec now);
 
+/* Records that a new flow of PRIORITY was refused for lack of capacity.  */
+void bb_priorities_add_refusal (struct bb_priorities *u, uint32_t priority,
+                                bb_usec now);
+
 /* Pending requests of the servers of one service in the own data centre.  */
 struct bb_concurrency
 {
@@ -74,8 +80,10 @@
 /* Whether a request that is sent now would probably be answered too late for
    OBJECTIVE, the latency objective of its route (0 if it has none).  LEAST is
    the number of pending requests per slot of the server that has the fewest.
-   A lower limit applies if IS_LOW_PRIORITY.  False while a slot is free: the
-   servers may be slow, or the requests of the route long.  */
+   False while a slot is free: the servers may be slow, or the requests of the
+   route long.  If IS_LOW_PRIORITY, a lower limit applies, and the mean of all
+   servers decides: single slots that become free are left to more urgent
+   requests.  */
 bool bb_concurrency_exceeds (const struct bb_concurrency *c, double least,
                              bb_usec objective, bool is_low_priority);
 
--- a/marked/place.c
+++ b/marked/place.c
@@ -177,13 +177,14 @@
       = local_is_admitted (&p, group, objective, is_low_priority, now);
   bool remote_admitted
       = remote_is_admitted (&p, group, objective, is_low_priority, now);
-  /* Slow answers are no reason to refuse a flow while a slot is free: the
-     servers may be slow, or the requests of the route long.  */
   if ((local || remote) && !local_admitted && !remote_admitted)
     {
-      if (p.least_busy.server && p.least_busy.cost < BB_FULL_LOAD)
+      /* Slow answers are no reason to refuse a flow while a slot is free: the
+         servers may be slow, or the requests of the route long.  */
+      if (p.has_unknown_slots && p.least_busy.cost < BB_FULL_LOAD)
         return (struct bb_placement){ p.least_busy.server,
                                       BB_REASON_OWN_DATA_CENTRE };
+      bb_priorities_add_refusal (&group->priorities, route->priority, now);
       return (struct bb_placement){ NULL, BB_REASON_ALL_BUSY };
     }
   if (local
