marked: implausible loads in heartbeats are ignored

Cause: admission now follows the pending requests that peers report, so that a peer with wrong counts could close a service. A load with more pending requests than open flows, or more than 256, is ignored, logged and counted by the event entry_refused; the rest of the heartbeat is used. Negative or larger values already fail to decode. Ruled out: rejecting the heartbeat, which would take the peer for lost. Two of four cases of implausible_loads_are_ignored fail before.

--- a/marked/sync_heartbeats.c
+++ b/marked/sync_heartbeats.c
@@ -1,5 +1,4 @@
 #include "marked/sync_private.h"
-#include <string.h>
 
 /* Interval of heartbeats to peers that are silent.  */
 #define RETRY_INTERVAL (2 * BB_SEC)
@@ -15,6 +14,9 @@
      once: the first one of its data centre and one more.  */
   JOIN_HELLOS = 2,
   LEADER_HELLOS = 4, /* hellos in each round to discover leaders */
+  /* Pending requests that a server may have at one balancer, far above what
+     fits into the queue of a server.  */
+  SERVER_PENDING_MAX = 256,
 };
 
 /* Interval at which a balancer that is not a leader sends a heartbeat to a
@@ -302,6 +304,29 @@
   send_hello (s, &vm->endpoint, now);
 }
 
+/* Whether a server can have LOAD: a pending request is on an open flow, and a
+   full server rejects requests.  */
+static bool
+is_load_plausible (const struct bb_sync_load *load)
+{
+  return load->busy <= load->open && load->busy <= SERVER_PENDING_MAX;
+}
+
+/* Keeps the loads of B for P.  An implausible load is ignored, since it could
+   make balancers refuse all new flows.  */
+static void
+keep_loads (struct bb_sync *s, struct bb_sync_peer *p,
+            const struct bb_sync_heartbeat *b)
+{
+  p->load_count = 0;
+  for (uint32_t i = 0; i < b->load_count; i++)
+    if (is_load_plausible (&b->loads[i]))
+      p->loads[p->load_count++] = b->loads[i];
+  if (p->load_count < b->load_count)
+    bb_sync_send_event (s, BB_EVENT_ENTRY_REFUSED, p->vm.id,
+                        b->load_count - p->load_count, BB_REASON_PEER, 0);
+}
+
 void
 bb_sync_receive_heartbeat (struct bb_sync *s, const struct bb_endpoint *from,
                            const struct bb_sync_message *m, bb_usec now)
@@ -329,8 +354,7 @@
   p->revision = b->revision;
   p->version = b->version;
   p->last_mentioned = now;
-  p->load_count = b->load_count;
-  memcpy (p->loads, b->loads, b->load_count * sizeof b->loads[0]);
+  keep_loads (s, p, b);
   bb_sync_apply_peer_loads (s, p, 1, now);
   for (uint32_t i = 0; i < b->listed_peer_count; i++)
     add_listed_peer (s, &b->listed_peers[i], i, now);
--- a/tests/balancer_test.c
+++ b/tests/balancer_test.c
@@ -218,6 +218,46 @@
 }
 END_TEST
 
+/* Guards against a peer with wrong counts that closes a service.  */
+static const struct
+{
+  const char *description;
+  uint16_t open, busy; /* of the server, as a peer reports them */
+  bool is_used;
+} reports[] = {
+  { "an idle server", 3, 0, true },
+  { "a full server", 30, 12, true },
+  { "more pending requests than open flows", 3, 4, false },
+  { "more pending requests than any server queues", 65535, 65535, false },
+};
+
+START_TEST (implausible_loads_are_ignored)
+{
+  const struct bb_backend_server *s
+      = put_server ("s-1", "web", "north", BB_SERVER_READY, 0);
+  struct bb_sync *sync = bb_marked_get_sync (t.m);
+  const struct bb_endpoint from = { 0x0a000102, 7000 };
+  struct bb_sync_message m = {
+    .kind = BB_SYNC_HEARTBEAT,
+    .from = 2,
+    .heartbeat = { .data_centre = bb_name_key ("north"),
+                   .loads = { { .cookie = s->cookie } },
+                   .load_count = 1 },
+  };
+  bb_sync_receive (sync, &from, &m, BB_SEC);
+  m.heartbeat.loads[0].open = reports[_i].open;
+  m.heartbeat.loads[0].busy = reports[_i].busy;
+  bb_sync_receive (sync, &from, &m, BB_SEC);
+  ck_assert_msg (s->load.peer_busy
+                     == (reports[_i].is_used ? reports[_i].busy : 0),
+                 "%s: %d", reports[_i].description, s->load.peer_busy);
+  ck_assert_uint_eq (t.events[BB_EVENT_ENTRY_REFUSED], !reports[_i].is_used);
+  m.heartbeat.loads[0].open = m.heartbeat.loads[0].busy = 2;
+  bb_sync_receive (sync, &from, &m, BB_SEC);
+  ck_assert_int_eq (s->load.peer_busy, 2);
+}
+END_TEST
+
 START_TEST (flood_is_bounded)
 {
   struct bb_backend_server *a
@@ -251,6 +291,8 @@
   tcase_add_test (tc, dropped_route_takes_no_new_request);
   tcase_add_loop_test (tc, closed_flows_are_not_counted, 0,
                        G_N_ELEMENTS (endings));
+  tcase_add_loop_test (tc, implausible_loads_are_ignored, 0,
+                       G_N_ELEMENTS (reports));
   tcase_add_test (tc, flood_is_bounded);
   suite_add_tcase (suite, tc);
   return run_suite (suite);
