--- a/Makefile
+++ b/Makefile
@@ -102,6 +102,14 @@
 soak: $(BUILD)/bin/soak $(BUILD)/bin/bluebellstand
 	@soak/run.sh $(BUILD) $(SECONDS_EACH) $(SEEDS)
 
+# Load above the capacity of the servers, in simulated time; days: burst long
+# short slow slots-hidden
+DAY ?= burst
+SEED ?= 1
+.PHONY: play
+play: $(BUILD)/bench/play
+	@$(BUILD)/bench/play $(DAY) $(SEED)
+
 # Balancers of this tree and of commit OLD in one fleet; make mixed OLD=COMMIT
 .PHONY: mixed
 mixed: deps
--- /dev/null
+++ b/driver/overload.h
@@ -0,0 +1,75 @@
+/* Load that servers cannot run, in simulated time: callers with open flows,
+   retries and time limits, balancers with the real decisions of marked/ and
+   their heartbeats, and servers with slots and short queues.
+
+   Balancers see packets of callers only, as on the users' platform: an answer
+   shows when its caller acknowledges it.  A run is repeatable by its seed.
+   Left out: lost and reordered packets, the processor time of balancers, the
+   store, and answers of more than one packet.  */
+
+#ifndef BB_DRIVER_OVERLOAD_H
+#define BB_DRIVER_OVERLOAD_H
+
+#include "core/core.h"
+
+enum
+{
+  BB_OVERLOAD_KINDS = 2, /* kinds of request of a day */
+};
+
+/* A kind of request.  Each has a route of its own to the only service.  */
+struct bb_overload_kind
+{
+  const char *name;
+  uint32_t priority; /* 0: the most urgent */
+  int share;         /* percent of the requests */
+  int work_ms;       /* mean time in a slot */
+  int objective_ms;
+  int limit_ms;     /* the caller gives up */
+  bool opens_flows; /* a flow for each request; otherwise flows stay open */
+  int worth;        /* of an answer within the objective */
+};
+
+struct bb_overload_day
+{
+  const char *name;
+  struct bb_overload_kind kinds[BB_OVERLOAD_KINDS];
+  int usual_load; /* percent of what the servers can run */
+  int servers;
+  int slots; /* of each server */
+  int queue; /* of each server; more requests are rejected */
+  int balancers;
+  int callers;
+  int slow_servers; /* take four times as long while the peak lasts */
+  bool hides_slots; /* servers do not tell their slots */
+  bb_usec peak;     /* how long the peak lasts */
+};
+
+/* What became of the requests of one kind that were first sent in the peak. */
+struct bb_overload_count
+{
+  unsigned requests;
+  unsigned in_time;
+  unsigned late;
+  unsigned failed;
+};
+
+struct bb_overload_result
+{
+  struct bb_overload_count kinds[BB_OVERLOAD_KINDS];
+  unsigned refused;  /* resets of new flows */
+  unsigned rejected; /* by full servers */
+  unsigned attempts; /* of all requests */
+  double worth;      /* earned of what was owed; late answers earn nothing */
+};
+
+extern const struct bb_overload_day bb_overload_days[];
+extern const unsigned bb_overload_day_count;
+
+/* Returns the day NAME, or NULL.  */
+const struct bb_overload_day *bb_overload_find_day (const char *name);
+
+/* Plays DAY with a peak of LOAD times the usual load.  */
+struct bb_overload_result bb_overload_play (const struct bb_overload_day *day,
+                                            double load, uint32_t seed);
+#endif
