marked: routes of an older configuration do not come back when a balancer joins

Its own read gives version 7; routes that were removed before are not in it. Then a peer delivers its whole state of version 3, and the removed route comes into force, since the balancer has no record of its removal; a later read of version 7 changes nothing, because that version is in force already. Seen: one route by version 7, another one by version 3 or older, 0.6 s later.

Routes of a batch are now applied, and unlisted ones dropped, only if its configuration is not older than the one in force. Two of three cases of older_configuration_adds_no_route fail before.

--- a/marked/sync_records.c
+++ b/marked/sync_records.c
@@ -284,11 +284,12 @@
   return ++b->chunks_received == b->chunk_count ? b : NULL;
 }
 
-/* Removes the servers and routes that are not in B, a batch of the whole
-   state.  */
+/* Removes the servers that are not in B, a batch of the whole state, and the
+   routes if B HAS_ROUTES_IN_FORCE.  */
 static void
 remove_unlisted (struct bb_sync *s, const struct bb_sync_batch *b,
-                 const struct bb_sync_records *m, bb_usec now)
+                 const struct bb_sync_records *m, bool has_routes_in_force,
+                 bb_usec now)
 {
   if (s->revision == 0)
     bb_directory_start_history (s->directory, m->removals_since,
@@ -296,7 +297,8 @@
   bb_sync_remove_unlisted (s->directory, b->names, BB_SERVER_GONE, m->to,
                            BB_REASON_PEER, (bb_usec)m->verified_ms * BB_MSEC,
                            s->sink, s->context, now);
-  bb_directory_drop_unlisted_routes (s->directory, b->routes, m->to, now);
+  if (has_routes_in_force)
+    bb_directory_drop_unlisted_routes (s->directory, b->routes, m->to, now);
 }
 
 void
@@ -313,7 +315,12 @@
              const struct bb_sync_records *m, bb_usec now)
 {
   uint64_t version = bb_directory_version (s->directory);
-  apply_routes (s, b, now);
+  /* A joining balancer may have read a newer configuration from the store
+     already.  It has no record of the routes that were removed before, so
+     routes of an older configuration would come into force again.  */
+  bool has_routes_in_force = m->version >= version;
+  if (has_routes_in_force)
+    apply_routes (s, b, now);
   bb_directory_set_version (s->directory, m->version);
   if (m->version > version)
     bb_sync_send_event (s, BB_EVENT_VERSION, b->from, m->version,
@@ -321,7 +328,7 @@
   if (m->to < s->revision)
     return;
   if (m->from == 0)
-    remove_unlisted (s, b, m, now);
+    remove_unlisted (s, b, m, has_routes_in_force, now);
   uint64_t before = s->revision;
   s->revision = m->to;
   bb_sync_set_verified (s, m->verified_ms, now);
--- a/tests/sync_test.c
+++ b/tests/sync_test.c
@@ -347,6 +347,64 @@
 }
 END_TEST
 
+/* A balancer that joins has read the configuration of version 7, but not yet
+   all servers, when a peer sends its whole state.  */
+static const struct
+{
+  const char *description;
+  uint64_t version;  /* of the peer */
+  uint64_t revision; /* of the peer and of a route that version 7 lacks */
+  bool in_force;     /* that route, at the end */
+} joins[] = {
+  { "a route that was removed before version 7", 3, 30, false },
+  { "the same from a peer that is ahead with servers only", 3, 75, false },
+  { "a route that version 8 adds", 8, 80, true },
+};
+
+/* Guards against routes of an older configuration beside the newest one: the
+   balancer never held them, so it does not know that they were removed.  */
+START_TEST (older_configuration_adds_no_route)
+{
+  const struct node *n = &sim.nodes[0];
+  struct bb_endpoint from = endpoint_of (1);
+  static const struct bb_route_record newest = { .address = { 1, 443 },
+                                                 .shares = { { 1, 1 } },
+                                                 .share_count = 1,
+                                                 .revision = 70 };
+  bb_directory_configure (n->directory, 7, 70, &newest, 1, sim.now);
+  struct bb_sync_message m = {
+    .kind = BB_SYNC_RECORDS,
+    .from = 101,
+    .record_chunk = { .batch = 1,
+                      .chunk_count = 1,
+                      .to = joins[_i].revision,
+                      .version = joins[_i].version,
+                      .routes = { { .address = { 1, 444 },
+                                    .shares = { { 1, 1 } },
+                                    .share_count = 1,
+                                    .revision = joins[_i].revision },
+                                  { .address = { 1, 443 },
+                                    .shares = { { 2, 1 } },
+                                    .share_count = 1,
+                                    .revision = 20 } },
+                      /* The older configuration lacks port 443.  */
+                      .route_count = joins[_i].version < 7 ? 1 : 2 },
+  };
+  bb_sync_receive (n->sync, &from, &m, sim.now);
+  struct bb_endpoint added = { 1, 444 };
+  const struct bb_route *kept
+      = bb_directory_find_route (n->directory, &newest.address);
+  const struct bb_route *route
+      = bb_directory_find_route (n->directory, &added);
+  ck_assert_uint_eq (kept->record.share_count, 1);
+  ck_assert_uint_eq (kept->record.shares[0].service, 1);
+  ck_assert_msg ((route && route->record.share_count > 0)
+                     == joins[_i].in_force,
+                 "%s", joins[_i].description);
+  ck_assert_uint_eq (bb_sync_revision (n->sync), joins[_i].revision);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -362,6 +420,8 @@
   tcase_add_test (tc, duplicate_and_late_messages);
   tcase_add_loop_test (tc, configuration_changes_at_once, 0,
                        G_N_ELEMENTS (batches));
+  tcase_add_loop_test (tc, older_configuration_adds_no_route, 0,
+                       G_N_ELEMENTS (joins));
   suite_add_tcase (suite, tc);
   return run_suite (suite);
 }
