marked: no cold factor, no suspicion by reports of peers

Pending requests show a cold or silent server already. Reports of answers by peers stay, they prevent wrong resets. Messages keep their form: the element of a load is written as 0.

--- a/marked/place.c
+++ b/marked/place.c
@@ -4,11 +4,6 @@
    slot now; most of the open flows are idle.  */
 #define BUSY_WEIGHT 8.0
 
-/* Requests of a cold server take 1.6 times as long (server model of the
-   platform).  The factor is lower, since flows that are placed on it last
-   longer than the cold time.  */
-#define COLD_FACTOR 1.3
-
 /* A new flow goes to another data centre if the best local server has at least
    this number of requests per slot, running or queued, and the best remote
    server has less than half of that load.  Flows that stay local survive a
@@ -30,13 +25,12 @@
 }
 
 static double
-load_cost (const struct bb_backend_server *s, bb_usec now)
+load_cost (const struct bb_backend_server *s)
 {
   const struct bb_server_load *l = &s->load;
   double flows = l->open + l->peer_open;
   double busy = l->busy + l->peer_busy;
-  double cost = (flows + BUSY_WEIGHT * busy + 1) / slots_of (s);
-  return s->cold_until > now ? cost * COLD_FACTOR : cost;
+  return (flows + BUSY_WEIGHT * busy + 1) / slots_of (s);
 }
 
 const struct bb_placement_policy bb_placement_by_load = {
@@ -114,7 +108,7 @@
           update_candidate (&candidates.least_busy, s, load_per_slot (s),
                             random);
         }
-      update_candidate (candidate, s, policy->cost (s, now), random);
+      update_candidate (candidate, s, policy->cost (s), random);
     }
   return candidates;
 }
--- a/marked/place.h
+++ b/marked/place.h
@@ -13,7 +13,7 @@
   const char *name;
   /* Expected load of SERVER with one more flow.  The server of the lowest cost
    * is chosen.  */
-  double (*cost) (const struct bb_backend_server *server, bb_usec now);
+  double (*cost) (const struct bb_backend_server *server);
 };
 
 extern const struct bb_placement_policy bb_placement_by_load;
--- a/marked/suspicion.c
+++ b/marked/suspicion.c
@@ -36,8 +36,6 @@
 {
   *e = (struct bb_suspicion_evidence){ .last_answer = e->last_answer,
                                        .last_peer_answer = e->last_peer_answer,
-                                       .peer_suspect_until
-                                       = e->peer_suspect_until,
                                        .silent_since = now,
                                        .silence_id = e->silence_id + 1 };
 }
@@ -65,16 +63,6 @@
   return !was_suspect;
 }
 
-void
-bb_suspicion_add_peer_silence (struct bb_suspicion_evidence *e, bb_usec until)
-{
-  /* UNTIL is 1 s, BB_SYNC_PEER_TIMEOUT, after the receipt of the heartbeat.
-     An answer that was observed here at that time or later is newer than the
-     report of the peer.  */
-  if (until - BB_SEC > e->last_answer)
-    e->peer_suspect_until = MAX (e->peer_suspect_until, until);
-}
-
 void
 bb_suspicion_add_peer_answer (struct bb_suspicion_evidence *e, bb_usec now)
 {
@@ -89,12 +77,6 @@
 
 bool
 bb_suspicion_is_suspect (const struct bb_suspicion_evidence *e, bb_usec now)
-{
-  return e->suspect_until > now || e->peer_suspect_until > now;
-}
-
-bool
-bb_suspicion_is_reportable (const struct bb_suspicion_evidence *e, bb_usec now)
 {
   return e->suspect_until > now;
 }
@@ -108,7 +90,7 @@
 bool
 bb_suspicion_is_dead (const struct bb_suspicion_evidence *e, bb_usec now)
 {
-  if (!bb_suspicion_is_silent (e, now) || !bb_suspicion_is_reportable (e, now))
+  if (!bb_suspicion_is_silent (e, now) || !bb_suspicion_is_suspect (e, now))
     return false;
   if (e->last_peer_answer >= e->silent_since)
     return false;
--- a/marked/suspicion.h
+++ b/marked/suspicion.h
@@ -30,8 +30,7 @@
   uint32_t silence_id;  /* number of the current or last silence */
   uint32_t repeats;     /* retransmissions since silent_since */
   uint32_t silent_flows; /* flows with retransmissions since silent_since */
-  bb_usec suspect_until; /* by the packets at this balancer */
-  bb_usec peer_suspect_until; /* by reports of peers */
+  bb_usec suspect_until;
   bb_usec last_peer_answer; /* last report of an answer by a peer; 0: never */
   /* A silence is evidence against the server only while the link of this
      balancer works.  */
@@ -53,10 +52,6 @@
 bool bb_suspicion_add_repeat (struct bb_suspicion_evidence *e,
                               uint32_t *flow_silence_id, bb_usec now);
 
-/* Records the report of a peer that the server is suspect.  */
-void bb_suspicion_add_peer_silence (struct bb_suspicion_evidence *e,
-                                    bb_usec until);
-
 /* Records the report of a peer that the server answered recently.  */
 void bb_suspicion_add_peer_answer (struct bb_suspicion_evidence *e,
                                    bb_usec now);
@@ -70,11 +65,6 @@
 bool bb_suspicion_is_suspect (const struct bb_suspicion_evidence *e,
                               bb_usec now);
 
-/* Whether to report the server to peers as suspect.  Reports from peers are
-   not passed on, or balancers would confirm each other for ever.  */
-bool bb_suspicion_is_reportable (const struct bb_suspicion_evidence *e,
-                                 bb_usec now);
-
 /* Whether callers retransmitted recently without an answer.  */
 bool bb_suspicion_is_silent (const struct bb_suspicion_evidence *e,
                              bb_usec now);
--- a/marked/sync_heartbeats.c
+++ b/marked/sync_heartbeats.c
@@ -78,14 +78,12 @@
       const struct bb_backend_server *server
           = BB_LINKED (at, struct bb_backend_server, by_revision);
       const struct bb_server_load *load = &server->load;
-      bool is_suspect = bb_suspicion_is_reportable (&load->evidence, now);
-      if (load->open <= 0 && load->busy <= 0 && !is_suspect)
+      if (load->open <= 0 && load->busy <= 0)
         continue;
       b->loads[b->load_count++] = (struct bb_sync_load){
         .cookie = server->cookie,
         .open = (uint16_t)CLAMP (load->open, 0, UINT16_MAX),
         .busy = (uint16_t)CLAMP (load->busy, 0, UINT16_MAX),
-        .is_suspect = is_suspect,
         .is_answering = bb_suspicion_is_answering (&load->evidence, now),
       };
     }
--- a/marked/sync_messages.h
+++ b/marked/sync_messages.h
@@ -49,7 +49,6 @@
   uint32_t cookie;
   uint16_t open;
   uint16_t busy;
-  bool is_suspect;
   bool is_answering; /* answered since the last heartbeat */
 };
 
--- a/marked/sync_peers.c
+++ b/marked/sync_peers.c
@@ -114,9 +114,6 @@
           = MAX (server->load.peer_busy + sign * load->busy, 0);
       if (sign > 0 && load->is_answering)
         bb_suspicion_add_peer_answer (&server->load.evidence, now);
-      if (sign > 0 && load->is_suspect)
-        bb_suspicion_add_peer_silence (&server->load.evidence,
-                                       now + BB_SYNC_PEER_TIMEOUT);
     }
 }
 
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -13,6 +13,8 @@
   HEADER_FIELDS = 4,
   VM_FIELDS = 4,
   LOAD_FIELDS = 5,
+  /* Older builds put the suspicion of a server into a load.  */
+  LOAD_NOT_SUSPECT = 0,
   SERVER_FIELDS = 13,
   ROUTE_FIELDS = 5,
 };
@@ -47,7 +49,7 @@
       bb_writer_put_uint (pk, h->loads[i].cookie);
       bb_writer_put_uint (pk, h->loads[i].open);
       bb_writer_put_uint (pk, h->loads[i].busy);
-      bb_writer_put_uint (pk, h->loads[i].is_suspect);
+      bb_writer_put_uint (pk, LOAD_NOT_SUSPECT);
       bb_writer_put_uint (pk, h->loads[i].is_answering);
     }
 }
@@ -181,7 +183,7 @@
       h->loads[i].cookie = bb_reader_get_u32 (&inner);
       h->loads[i].open = (uint16_t)bb_reader_get_uint (&inner, UINT16_MAX);
       h->loads[i].busy = (uint16_t)bb_reader_get_uint (&inner, UINT16_MAX);
-      h->loads[i].is_suspect = bb_reader_get_uint (&inner, 1) != 0;
+      bb_reader_get_uint (&inner, 1); /* suspicion, from older builds */
       h->loads[i].is_answering = bb_reader_get_uint (&inner, 1) != 0;
     }
   r->is_invalid |= inner.is_invalid;
