--- /dev/null
+++ b/review/standin/scenes.c
@@ -0,0 +1,341 @@
+/* The scenes: the deployment of Umunyu Depots, six balancers in three zones,
+   and a schedule for each case.  */
+
+#include "scene.h"
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+const char *service_names[2] = { "depot-ledger", "note-printer" };
+
+enum
+{
+  STOCK_FEED,
+  RELEASE_ORDER,
+  DELIVERY_NOTE,
+  CHANGED_ROUTES = 5,
+};
+
+/* Runs its statement once, when the time WHEN has come.  */
+#define ONCE(name, when)                                                      \
+  static bool done_##name;                                                    \
+  if (!done_##name && t >= (when) && (done_##name = true))
+
+static void
+add_route (const char *name, uint32_t host, uint16_t port, const char *kind,
+           const char *service)
+{
+  struct route *r = &routes[route_count++];
+  *r = (struct route){ .host = host,
+                       .port = port,
+                       .kind = kind,
+                       .service = service,
+                       .listed = true };
+  g_strlcpy (r->name, name, sizeof r->name);
+}
+
+static void
+add_deployment (unsigned idle_routes)
+{
+  add_route ("stock-feed", 0xc6120001, 443, "safe", service_names[0]);
+  add_route ("release-order", 0xc6120001, 8080, "unsafe", service_names[0]);
+  add_route ("delivery-note", 0xc6120002, 8443, "download", service_names[1]);
+  for (unsigned i = 0; i < idle_routes; i++)
+    {
+      char name[16];
+      g_snprintf (name, sizeof name, "idle-%u", i);
+      add_route (name, 0xc6120100 + i, 443, "safe", service_names[0]);
+    }
+  for (unsigned i = 0; i < 14; i++)
+    server_start (service_names[0], i % ZONES);
+  for (unsigned i = 0; i < 4; i++)
+    server_start (service_names[1], i % ZONES);
+}
+
+static void
+add_callers (unsigned feeds, usec pause)
+{
+  for (unsigned i = 0; i < HOSTS; i++)
+    {
+      for (unsigned k = 0; k < feeds; k++)
+        flow_add (LONG, i, STOCK_FEED, -1, pause);
+      for (unsigned k = 0; k < feeds / 3; k++)
+        flow_add (LONG, i, RELEASE_ORDER, -1, pause);
+      flow_add (FRESH, i, DELIVERY_NOTE, -1, SEC);
+    }
+}
+
+/* Toggles one of the last idle routes.  */
+static void
+change_route (void)
+{
+  static unsigned next;
+  struct route *r = &routes[route_count - 1 - next++ % CHANGED_ROUTES];
+  r->listed = !r->listed;
+  r->changed = now;
+  store_publish ();
+}
+
+/* Case 1: the process that reads the store is killed several times.  After the
+   first of these ends each balancer loses one datagram.  */
+
+enum
+{
+  KILLS = 12,
+  KILLS_WITH_LOSS = 5,
+};
+
+static void
+mixed_prepare (void)
+{
+  add_deployment (110);
+  add_callers (12, 4 * SEC);
+}
+
+static void
+mixed_step (double t)
+{
+  static double next_change = 5, next_kill = 6, next_server = 5.5,
+                next_roll = 40;
+  static unsigned rolled, kills;
+  if (t >= next_change && t < 35)
+    {
+      next_change += 0.33;
+      change_route ();
+    }
+  if (t >= next_server && t < 28)
+    {
+      next_server += 4;
+      server_start (service_names[0], (unsigned)next_server % ZONES);
+    }
+  if (trouble && t >= next_kill && kills < KILLS)
+    {
+      next_kill += 2.5;
+      node_signal (store_last_caller (), SIGKILL);
+      for (unsigned i = 0; i < NODES; i++)
+        nodes[i].loses = kills < KILLS_WITH_LOSS;
+      kills++;
+    }
+  if (t >= next_roll && rolled < NODES)
+    {
+      next_roll += 4;
+      node_signal (&nodes[rolled++], SIGTERM);
+    }
+}
+
+static void
+mixed_reset (struct flow *f, const struct node *from, int64_t offset)
+{
+  (void)offset;
+  if (f->server && f->server->state == READY && node_in_touch (from))
+    broken ("%s, in touch, resets an open flow of %s, which is ready and "
+            "serves it since %.3f s",
+            from->name, f->server->id,
+            seconds () - (double)(now - f->opened) / (double)SEC);
+}
+
+/* Case 2: an entry of a server comes from another writer and lacks fields.  */
+
+static void
+entry_prepare (void)
+{
+  add_deployment (8);
+  add_callers (9, SEC);
+}
+
+static void
+write_strange_entry (const struct server *s)
+{
+  g_autofree char *key = g_strdup_printf ("servers/%s", s->id);
+  g_autofree char *text = g_strdup_printf (
+      "{\"service\":\"%s\",\"address\":\"%u.%u.%u.%u:%u\",\"zone\":"
+      "\"zone-%u\",\"state\":\"ready\"}",
+      service_names[0], s->address >> 24, s->address >> 16 & 255,
+      s->address >> 8 & 255, s->address & 255, port_of (5), s->zone);
+  store_write (key, text);
+  note ("another writer: %s %s", key, text);
+}
+
+static void
+entry_step (double t)
+{
+  if (!trouble)
+    return;
+  ONCE (first, 8) write_strange_entry (&servers[14]);
+  ONCE (second, 12) write_strange_entry (&servers[15]);
+  ONCE (third, 16) write_strange_entry (&servers[16]);
+}
+
+static void
+entry_executed (struct server *s, const struct route *r, uint64_t id)
+{
+  if (s->service != r->service)
+    broken ("request %" PRIu64 " of route %s, which leads to %s, is run by %s "
+            "of %s",
+            id, r->name, r->service, s->id, s->service);
+}
+
+/* Case 3: balancers freeze one after the other while a route is added and
+   dropped, and the store discards its history.  */
+
+enum
+{
+  LAST_AWAKE = 4, /* the balancer that sees the route */
+};
+
+static void
+gap_prepare (void)
+{
+  add_deployment (8);
+  add_callers (6, 2 * SEC);
+  routes[route_count - 1].listed = false;
+  for (unsigned i = 0; i < NODES; i++)
+    flow_add (PROBE, i, route_count - 1, (int)i, SEC / 2);
+}
+
+static void
+signal_others (int number)
+{
+  for (unsigned i = 0; i < NODES; i++)
+    if (i != LAST_AWAKE)
+      node_signal (&nodes[i], number);
+}
+
+static void
+set_route (bool listed)
+{
+  struct route *r = &routes[route_count - 1];
+  r->listed = listed;
+  r->changed = now;
+  note ("route %s is %s", r->name, listed ? "added" : "dropped");
+  store_publish ();
+}
+
+static void
+gap_step (double t)
+{
+  ONCE (added, 10.6) set_route (true);
+  ONCE (dropped, 12) set_route (false);
+  if (!trouble)
+    return;
+  ONCE (others_freeze, 9) signal_others (SIGSTOP);
+  ONCE (last_freezes, 11.2) node_signal (&nodes[LAST_AWAKE], SIGSTOP);
+  ONCE (discarded, 12.5) store_drop_history ();
+  ONCE (others_wake, 13) signal_others (SIGCONT);
+  ONCE (last_wakes, 15) node_signal (&nodes[LAST_AWAKE], SIGCONT);
+}
+
+static void
+gap_opened (struct flow *f)
+{
+  const struct route *r = &routes[f->route];
+  if (f->kind == PROBE && !r->listed && node_in_touch (&nodes[f->node])
+      && f->started - r->changed > CONFIG_BOUND + 12 * SEC)
+    broken ("%s, in touch, opens a flow on route %s, which was dropped %.1f s "
+            "before",
+            nodes[f->node].name, r->name,
+            (double)(f->started - r->changed) / (double)SEC);
+}
+
+/* Case 4: planned work only.  A balancer is added, so that flows move to it
+   from another one; later servers of its zone are emptied and leave, while
+   their callers make a pause.  */
+
+enum
+{
+  ADDED = 5,      /* the balancer that is added */
+  BUSY_FLOWS = 8, /* on each machine of callers in its zone */
+};
+
+#define PAUSE_START 15.0
+#define PAUSE_END 24.0
+
+static void
+stale_prepare (void)
+{
+  add_deployment (8);
+  nodes[ADDED].start_at = 0;
+  endless = true;
+  for (unsigned i = 0; i < HOSTS; i++)
+    for (unsigned k = 0; k < BUSY_FLOWS; k++)
+      flow_add (LONG, i, STOCK_FEED, -1,
+                i % ZONES == ADDED % ZONES ? SEC / 20 : SEC);
+}
+
+/* Empties the next server of the zone to which the balancer was added.  */
+static void
+empty_server (void)
+{
+  for (unsigned i = 0; i < server_count; i++)
+    if (servers[i].zone == ADDED % ZONES && servers[i].state == READY
+        && servers[i].service == service_names[0])
+      {
+        server_drain (&servers[i]);
+        return;
+      }
+}
+
+/* Lets the flows in the zone rest that wait for no answer.  */
+static void
+pause_flows (double t)
+{
+  for (unsigned i = 0; i < flow_count; i++)
+    if (flows[i].state == OPEN && flows[i].host % ZONES == ADDED % ZONES)
+      flows[i].next = now + (usec)((PAUSE_END - t) * (double)SEC);
+}
+
+static void
+stale_step (double t)
+{
+  static double next_leaves = 15.5;
+  ONCE (added, 8)
+  {
+    nodes[ADDED].start_at = now;
+    note ("%s is added", nodes[ADDED].name);
+  }
+  if (t >= PAUSE_START && t < PAUSE_END)
+    pause_flows (t);
+  if (trouble && t >= next_leaves && t < 18)
+    {
+      next_leaves += 0.77;
+      empty_server ();
+    }
+}
+
+static void
+stale_reset (struct flow *f, const struct node *from, int64_t offset)
+{
+  if (offset > RESET_WINDOW || offset < -RESET_WINDOW)
+    broken ("port %u: %s sends a reset whose seq is %" PRId64
+            " from the last ack of the caller; the flow is open at %s",
+            f->port, from->name, offset, f->server ? f->server->id : "?");
+}
+
+const struct scene scenes[] = {
+  { .name = "mixed",
+    .rule = "FLOW",
+    .prepare = mixed_prepare,
+    .step = mixed_step,
+    .reset = mixed_reset,
+    .length = 68 },
+  { .name = "entry",
+    .rule = "ROUTE",
+    .prepare = entry_prepare,
+    .step = entry_step,
+    .executed = entry_executed,
+    .length = 22 },
+  { .name = "gap",
+    .rule = "CONFIG",
+    .prepare = gap_prepare,
+    .step = gap_step,
+    .opened = gap_opened,
+    .length = 40 },
+  { .name = "stale",
+    .rule = "MIXED",
+    .prepare = stale_prepare,
+    .step = stale_step,
+    .reset = stale_reset,
+    .length = 27 },
+  { .name = NULL },
+};
