--- a/review/standin/scene.h
+++ b/review/standin/scene.h
@@ -34,6 +34,7 @@
 #define CONFIG_BOUND (3000 * MS)
 #define DRAIN_BOUND (3000 * MS)
 #define HEARTBEAT (1200 * MS)
+#define FLOW_LIFETIME (60 * SEC)
 
 /* A balancer.  */
 struct node
