--- a/review/standin/scenes.c
+++ b/review/standin/scenes.c
@@ -125,7 +125,7 @@
 }
 
 static void
-mixed_reset (struct flow *f, const struct node *from, int64_t offset)
+open_flow_reset (struct flow *f, const struct node *from, int64_t offset)
 {
   (void)offset;
   if (f->server && f->server->state == READY && node_in_touch (from)
@@ -239,7 +239,7 @@
             (double)(f->started - r->changed) / (double)SEC);
 }
 
-/* Case 4: planned work only.  Balancers are added in two zones, so that flows
+/* Case 5: planned work only.  Balancers are added in two zones, so that flows
    move to them from others; later servers of these zones are emptied and
    leave, while their callers make a pause.  */
 
@@ -324,12 +324,50 @@
             f->port, from->name, offset, f->server ? f->server->id : "?");
 }
 
+/* Case 4: another writer writes bytes that cannot be read over entries of
+   servers, while the process that reads the store is killed and restarted.  */
+
+static void
+unread_prepare (void)
+{
+  add_deployment (8);
+  add_callers (3, 7 * SEC);
+}
+
+/* Writes over the entries whose servers have just sent a heartbeat.  */
+static void
+write_unreadable (void)
+{
+  static usec written[SERVERS_MAX];
+  for (unsigned i = 0; i < server_count; i++)
+    if (servers[i].service == service_names[0]
+        && servers[i].next_beat - now > HEARTBEAT - 50 * MS
+        && now - written[i] > HEARTBEAT)
+      {
+        g_autofree char *key = g_strdup_printf ("servers/%s", servers[i].id);
+        store_write (key, "\x01\x02\x03");
+        note ("another writer: three bytes to %s", key);
+        written[i] = now;
+      }
+}
+
+static void
+unread_step (double t)
+{
+  if (!trouble)
+    return;
+  ONCE (first, 12) node_signal (store_last_caller (), SIGKILL);
+  ONCE (second, 20) node_signal (store_last_caller (), SIGKILL);
+  if ((t >= 12.05 && t < 12.45) || (t >= 20.05 && t < 20.45))
+    write_unreadable ();
+}
+
 const struct scene scenes[] = {
   { .name = "mixed",
     .rule = "FLOW",
     .prepare = mixed_prepare,
     .step = mixed_step,
-    .reset = mixed_reset,
+    .reset = open_flow_reset,
     .length = 68 },
   { .name = "entry",
     .rule = "ROUTE",
@@ -349,5 +387,11 @@
     .step = stale_step,
     .reset = stale_reset,
     .length = 27 },
+  { .name = "unread",
+    .rule = "FLOW",
+    .prepare = unread_prepare,
+    .step = unread_step,
+    .reset = open_flow_reset,
+    .length = 26 },
   { .name = NULL },
 };
--- a/review/standin/servers.c
+++ b/review/standin/servers.c
@@ -225,6 +225,7 @@
   s->readable = event_new (loop, s->fd, EV_READ | EV_PERSIST, on_readable, s);
   event_add (s->readable, NULL);
   write_entry (s);
+  s->next_beat -= (usec)(s->index % 12) * (HEARTBEAT / 12);
   note ("server %s of %s starts in zone-%u", s->id, service, zone);
   return s;
 }
