--- a/review/standin/callers.c
+++ b/review/standin/callers.c
@@ -194,6 +194,8 @@
       if (offset > RESET_WINDOW || offset < -RESET_WINDOW)
         return;
     }
+  else if (!has_sum && f->state == OPENING && from && scene->refused)
+    scene->refused (f, from);
   rest (f, f->kind == LONG ? 20 * MS : draw_pause (f));
 }
 
--- a/review/standin/nodes.c
+++ b/review/standin/nodes.c
@@ -45,6 +45,7 @@
 
 struct node nodes[NODES];
 static GQueue delayed = G_QUEUE_INIT;
+bool stale_seeds;
 static int links[NODES];
 static char *directory;
 static const char *const program = "target/bin/bluebellstand";
@@ -112,16 +113,18 @@
   char *path = g_strdup_printf ("%s/%s.json", directory, n->name);
   g_autofree char *address
       = g_strdup_printf ("127.10.%u.%u", n->zone, 10 + n->index);
+  const char *seeds
+      = stale_seeds ? "\"127.50.0.11:9\",\"127.50.9.1:9\",\"127.50.9.2:9\""
+                    : "\"127.50.0.10:9\",\"127.50.0.11:9\",\"127.50.0.12:9\"";
   g_autofree char *text = g_strdup_printf (
       "{\n  \"name\": \"%s\",\n  \"data_centre\": \"zone-%u\",\n"
       "  \"address\": \"%s\",\n  \"metrics_port\": %u,\n  \"marked\": {\n"
       "    \"packets\": \"%s:%u\",\n    \"ready\": \"%s:%u\",\n"
       "    \"store\": \"127.40.0.%u:%u\",\n    \"peer_port\": %u,\n"
-      "    \"seeds\": [\"127.50.0.11:9\",\"127.50.9.1:9\","
-      "\"127.50.9.2:9\"],\n    \"cpu_share\": 0.25,\n"
+      "    \"seeds\": [%s],\n    \"cpu_share\": 0.25,\n"
       "    \"flow_capacity\": 16384\n  }\n}\n",
       n->name, n->zone, address, port_of (3), address, port_of (0), address,
-      port_of (1), 10 + n->index, port_of (4), port_of (2));
+      port_of (1), 10 + n->index, port_of (4), port_of (2), seeds);
   g_file_set_contents (path, text, -1, NULL);
   return path;
 }
--- a/review/standin/scene.h
+++ b/review/standin/scene.h
@@ -132,6 +132,8 @@
   void (*reset) (struct flow *f, const struct node *from, int64_t offset);
   void (*executed) (struct server *s, const struct route *r, uint64_t id);
   void (*opened) (struct flow *f);
+  /* Balancer FROM refused to open a flow.  */
+  void (*refused) (struct flow *f, const struct node *from);
   double length;
 };
 
@@ -165,6 +167,7 @@
                     size_t length);
 
 /* nodes.c */
+extern bool stale_seeds; /* one seed and two addresses without a balancer */
 void nodes_prepare (void);
 void nodes_tick (void);
 void nodes_stop (void);
@@ -180,6 +183,10 @@
 void store_delete (const char *key);
 const char *store_read (const char *key);
 void store_drop_history (void);
+
+/* For TIME, watches hear nothing; then the history is discarded.  */
+void store_compact (usec time);
+extern unsigned store_page; /* items of one answer */
 void store_publish (void);
 struct node *store_last_caller (void);
 
--- a/review/standin/scenes.c
+++ b/review/standin/scenes.c
@@ -14,6 +14,7 @@
   STOCK_FEED,
   RELEASE_ORDER,
   DELIVERY_NOTE,
+  MAIN_ROUTES,
   CHANGED_ROUTES = 5,
 };
 
@@ -89,6 +90,7 @@
 static void
 mixed_prepare (void)
 {
+  stale_seeds = true;
   add_deployment (110);
   add_callers (12, 4 * SEC);
 }
@@ -239,8 +241,8 @@
             (double)(f->started - r->changed) / (double)SEC);
 }
 
-/* Case 5: planned work only.  Balancers are added in two zones, so that flows
-   move to them from others; later servers of these zones are emptied and
+/* Not a case: planned work only.  Balancers are added in two zones, so that
+   flows move to them from others; later servers of these zones are emptied and
    leave, while their callers make a pause.  */
 
 enum
@@ -324,7 +326,7 @@
             f->port, from->name, offset, f->server ? f->server->id : "?");
 }
 
-/* Case 4: another writer writes bytes that cannot be read over entries of
+/* Case 5: another writer writes bytes that cannot be read over entries of
    servers, while the process that reads the store is killed and restarted.  */
 
 static void
@@ -354,14 +356,150 @@
 static void
 unread_step (double t)
 {
+  static double next_kill = 12, killed;
   if (!trouble)
     return;
-  ONCE (first, 12) node_signal (store_last_caller (), SIGKILL);
-  ONCE (second, 20) node_signal (store_last_caller (), SIGKILL);
-  if ((t >= 12.05 && t < 12.45) || (t >= 20.05 && t < 20.45))
+  if (t >= next_kill && t < 40)
+    {
+      killed = next_kill;
+      next_kill += 8;
+      node_signal (store_last_caller (), SIGKILL);
+    }
+  if (killed > 0 && t >= killed + 0.05 && t < killed + 0.45)
     write_unreadable ();
 }
 
+/* Not a case of its own: as case 1, and each change adds a route that
+   stays.  */
+
+enum
+{
+  ADDED_ROUTES = KILLS + 2,
+  IDLE_ROUTES = 97 + ADDED_ROUTES, /* five datagrams of a whole state */
+};
+
+static bool was_opened[NODES][ROUTES_MAX];
+static unsigned added_routes;
+
+static void
+back_prepare (void)
+{
+  stale_seeds = true;
+  add_deployment (IDLE_ROUTES);
+  add_callers (6, 4 * SEC);
+  for (unsigned i = route_count - ADDED_ROUTES; i < route_count; i++)
+    {
+      routes[i].listed = false;
+      for (unsigned n = 0; n < NODES; n++)
+        flow_add (PROBE, i, i, (int)n, 2 * SEC);
+    }
+}
+
+static void
+add_next_route (void)
+{
+  struct route *r = &routes[route_count - ADDED_ROUTES + added_routes++];
+  r->listed = true;
+  r->changed = now;
+  note ("route %s is added", r->name);
+  store_publish ();
+}
+
+static void
+back_step (double t)
+{
+  static double next_kill = 6, next_change = 6.2;
+  static unsigned kills;
+  if (t >= next_change && added_routes < ADDED_ROUTES)
+    {
+      next_change += 2.5;
+      add_next_route ();
+    }
+  if (trouble && t >= next_kill && kills < KILLS)
+    {
+      next_kill += 2.5;
+      node_signal (store_last_caller (), SIGKILL);
+      for (unsigned i = 0; i < NODES; i++)
+        nodes[i].loses = kills < KILLS_WITH_LOSS;
+      kills++;
+    }
+}
+
+static void
+back_opened (struct flow *f)
+{
+  if (f->kind == PROBE)
+    was_opened[f->node][f->route] = true;
+}
+
+static void
+back_refused (struct flow *f, const struct node *from)
+{
+  const struct route *r = &routes[f->route];
+  if (f->kind == PROBE && r->listed && node_in_touch (from)
+      && f->started - r->changed > CONFIG_BOUND)
+    broken ("%s, in touch, refuses a flow on route %s, which was added %.1f s "
+            "before%s",
+            from->name, r->name,
+            (double)(f->started - r->changed) / (double)SEC,
+            was_opened[from->index][f->route]
+                ? " and on which it opened flows before"
+                : "");
+}
+
+/* Case 4: the reader is killed, and while it restarts the store forgets its
+   history and a route is dropped.  */
+
+enum
+{
+  ROUNDS = 5,
+  SMALL_PAGE = 5, /* items of one answer of the store */
+};
+
+static void
+joined_prepare (void)
+{
+  store_page = SMALL_PAGE;
+  add_deployment (8);
+  add_callers (6, 2 * SEC);
+  for (unsigned i = 0; i < ROUNDS; i++)
+    for (unsigned n = 0; n < NODES; n++)
+      flow_add (PROBE, n, MAIN_ROUTES + i, (int)n, SEC);
+}
+
+static void
+drop_route (struct route *r)
+{
+  r->listed = false;
+  r->changed = now;
+  note ("route %s is dropped", r->name);
+  store_publish ();
+}
+
+static void
+joined_step (double t)
+{
+  static double next_kill = 10, next_drop = 10.3, next_compact = 10.1;
+  static unsigned killed, compacted, dropped;
+  if (trouble && t >= next_kill && killed < ROUNDS)
+    {
+      next_kill += 8;
+      killed++;
+      node_signal (store_last_caller (), SIGKILL);
+    }
+  if (trouble && t >= next_compact && compacted < ROUNDS)
+    {
+      next_compact += 8;
+      compacted++;
+      store_compact (SEC);
+    }
+  if (t >= next_drop && dropped < ROUNDS)
+    {
+      next_drop += 8;
+      drop_route (&routes[MAIN_ROUTES + dropped++]);
+    }
+}
+
 const struct scene scenes[] = {
   { .name = "mixed",
     .rule = "FLOW",
@@ -392,6 +530,19 @@
     .prepare = unread_prepare,
     .step = unread_step,
     .reset = open_flow_reset,
-    .length = 26 },
+    .length = 42 },
+  { .name = "back",
+    .rule = "CONFIG",
+    .prepare = back_prepare,
+    .step = back_step,
+    .opened = back_opened,
+    .refused = back_refused,
+    .length = 52 },
+  { .name = "joined",
+    .rule = "CONFIG",
+    .prepare = joined_prepare,
+    .step = joined_step,
+    .opened = gap_opened,
+    .length = 66 },
   { .name = NULL },
 };
--- a/review/standin/store.c
+++ b/review/standin/store.c
@@ -9,11 +9,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum
-{
-  PAGE = 500, /* items */
-};
-
 #define ANSWER_TIME (4 * MS)
 
 struct item
@@ -37,6 +32,8 @@
 static GPtrArray *calls;
 static uint64_t revision = 100, oldest = 100, version = 1;
 static struct node *last_caller;
+unsigned store_page = 500;
+static usec compacted; /* watches hear nothing until then; 0: not so */
 
 static struct item *
 put (const char *key, const char *text)
@@ -80,6 +77,14 @@
   note ("store: history up to revision %" PRIu64 " is discarded", oldest);
 }
 
+void
+store_compact (usec time)
+{
+  compacted = now + time;
+  last_store_impairment = now;
+  note ("store: watches hear nothing for %.1f s", (double)time / (double)SEC);
+}
+
 struct node *
 store_last_caller (void)
 {
@@ -185,13 +190,14 @@
     }
   g_ptr_array_sort (sorted, compare_keys);
   GString *out = g_string_new ("{\"items\":[");
-  for (guint i = 0; i < sorted->len && i < PAGE; i++)
+  for (guint i = 0; i < sorted->len && i < store_page; i++)
     append_item (out, sorted->pdata[i]);
-  g_string_append_printf (out,
-                          "],\"has-more\":%s,\"store-revision\":%" PRIu64 "}",
-                          sorted->len > PAGE ? "true" : "false", revision);
+  g_string_append_printf (
+      out, "],\"has-more\":%s,\"store-revision\":%" PRIu64 "}",
+      sorted->len > store_page ? "true" : "false", revision);
   g_ptr_array_unref (sorted);
-  note ("store: %s reads all, revision %" PRIu64, c->node->name, revision);
+  note ("store: %s reads %s, revision %" PRIu64, c->node->name,
+        c->after_key ? "on" : "all", revision);
   reply (c, 200, out);
 }
 
@@ -199,6 +205,8 @@
 static bool
 answer_watch (struct call *c)
 {
+  if (compacted != 0)
+    return false;
   if (c->after < oldest)
     {
       note ("store: 410 to %s, which continues from %" PRIu64, c->node->name,
@@ -267,6 +275,11 @@
 void
 store_tick (void)
 {
+  if (compacted != 0 && now >= compacted)
+    {
+      compacted = 0;
+      store_drop_history ();
+    }
   for (guint i = calls->len; i > 0; i--)
     {
       struct call *c = calls->pdata[i - 1];
