--- a/review/standin/scenes.c
+++ b/review/standin/scenes.c
@@ -39,14 +39,14 @@
 static void
 add_deployment (unsigned idle_routes)
 {
-  add_route ("stock-feed", 0xc6120001, 443, "safe", service_names[0]);
-  add_route ("release-order", 0xc6120001, 8080, "unsafe", service_names[0]);
-  add_route ("delivery-note", 0xc6120002, 8443, "download", service_names[1]);
+  add_route ("stock-feed", 0x7f120001, 443, "safe", service_names[0]);
+  add_route ("release-order", 0x7f120001, 8080, "unsafe", service_names[0]);
+  add_route ("delivery-note", 0x7f120002, 8443, "download", service_names[1]);
   for (unsigned i = 0; i < idle_routes; i++)
     {
       char name[16];
       g_snprintf (name, sizeof name, "idle-%u", i);
-      add_route (name, 0xc6120100 + i, 443, "safe", service_names[0]);
+      add_route (name, 0x7f120100 + i, 443, "safe", service_names[0]);
     }
   for (unsigned i = 0; i < 14; i++)
     server_start (service_names[0], i % ZONES);
