log: a line for each whole state that replaces the one held

Which whole states had been adopted, from whom and at which revision was not in any log.

state_adopted has the source (store or peer), the configuration version, the revision held from then on and the age of the state. It is written once for each whole state, not for each change.

--- a/core/core.h
+++ b/core/core.h
@@ -334,6 +334,7 @@
   BB_EVENT_RELOAD,
   BB_EVENT_LINK_SUSPECT, /* most servers are silent at once */
   BB_EVENT_LINK_TRUSTED,
+  BB_EVENT_STATE_ADOPTED, /* the whole state of the store or of a peer */
   BB_EVENT_KINDS
 };
 
--- a/core/strings.c
+++ b/core/strings.c
@@ -67,6 +67,7 @@
   [BB_EVENT_RELOAD] = "reload",
   [BB_EVENT_LINK_SUSPECT] = "link_suspect",
   [BB_EVENT_LINK_TRUSTED] = "link_trusted",
+  [BB_EVENT_STATE_ADOPTED] = "state_adopted",
 };
 
 static const char *const reasons[BB_REASONS] = {
--- a/marked/balancer_state.c
+++ b/marked/balancer_state.c
@@ -90,6 +90,12 @@
   bb_sync_remove_unlisted (
       m->directory, names, removal_state (m, now), revision, BB_REASON_STORE,
       bb_sync_state_age (m->sync, now), &sync_sink, m, now);
+  struct bb_event event = { .kind = BB_EVENT_STATE_ADOPTED,
+                            .value = bb_directory_version (m->directory),
+                            .reason = BB_REASON_STORE,
+                            .revision = revision,
+                            .age = bb_sync_state_age (m->sync, now) };
+  m->sink->event (m->context, &event);
 }
 
 /* Handles a server whose entry did not come back within the grace period.  */
--- a/marked/sync_records.c
+++ b/marked/sync_records.c
@@ -327,10 +327,13 @@
                         BB_REASON_PEER, (bb_usec)m->verified_ms * BB_MSEC);
   if (m->to < s->revision)
     return;
+  uint64_t before = s->revision;
   if (m->from == 0)
     remove_unlisted (s, b, m, has_routes_in_force, now);
-  uint64_t before = s->revision;
   s->revision = m->to;
+  if (m->from == 0)
+    bb_sync_send_event (s, BB_EVENT_STATE_ADOPTED, b->from, m->version,
+                        BB_REASON_PEER, (bb_usec)m->verified_ms * BB_MSEC);
   bb_sync_set_verified (s, m->verified_ms, now);
   if (s->revision > before)
     bb_sync_publish_changes (s, before, now);
