marked: a whole read of the store takes effect when it is complete

Cause: the pages of a read were applied one by one. Between the first page, which has the newest configuration, and the last one, a restarted reader took the older whole state of a peer. The directory then had version 7 of revision 120 beside the peer's revision 119, and was sent on as 'version 7 at revision 119'. Receivers recorded the removal of the route at 119, so that it was missing in the changes after 119 that their followers got together with version 7.

A lost page is requested again: before, the pages that had arrived were in use meanwhile.

--- a/marked/balancer.h
+++ b/marked/balancer.h
@@ -12,6 +12,7 @@
 #define BB_MARKED_BALANCER_H
 
 #include "core/histogram.h"
+#include "marked/snapshot.h"
 #include "marked/sync.h"
 
 struct bb_marked_packet
@@ -91,12 +92,13 @@
                           const struct bb_route_record *routes, size_t count,
                           bb_usec now);
 
-/* Removes the listed servers whose names are not in NAMES, unless they are
-   newer than REVISION.  After a store outage, servers that were ready are set
-   to expired instead of gone, and may come back within BB_EXPIRY_GRACE_TIME.
- */
-void bb_marked_remove_unlisted (struct bb_marked *m, GHashTable *names,
-                                uint64_t revision, bb_usec now);
+/* Replaces the state held by SNAPSHOT and confirms its revision, unless a peer
+   has delivered a newer state.  Servers that it does not list are removed.
+   After a store outage, those that were ready are set to expired instead of
+   gone, and may come back within BB_EXPIRY_GRACE_TIME.  */
+void bb_marked_adopt_snapshot (struct bb_marked *m,
+                               const struct bb_snapshot *snapshot,
+                               bb_usec now);
 
 /* Counts a packet that could not be decoded.  */
 void bb_marked_count_drop (struct bb_marked *m, enum bb_drop kind);
--- a/marked/balancer_state.c
+++ b/marked/balancer_state.c
@@ -81,21 +81,41 @@
       version, BB_REASON_STORE, now);
 }
 
+static void
+put_records (struct bb_marked *m, const struct bb_snapshot *s, bb_usec now)
+{
+  for (guint i = 0; i < s->servers->len; i++)
+    bb_marked_put_server (
+        m, &g_array_index (s->servers, struct bb_server_record, i), now);
+  /* A newer configuration is among the changes after the snapshot's revision,
+     which the watch delivers.  */
+  if (s->version > 0 && s->configured <= s->revision)
+    bb_marked_configure (m, s->version, s->configured,
+                         (const struct bb_route_record *)s->routes->data,
+                         s->routes->len, now);
+}
+
 void
-bb_marked_remove_unlisted (struct bb_marked *m, GHashTable *names,
-                           uint64_t revision, bb_usec now)
-{
-  if (bb_sync_revision (m->sync) == 0)
-    bb_directory_start_history (m->directory, revision, now);
-  bb_sync_remove_unlisted (
-      m->directory, names, removal_state (m, now), revision, BB_REASON_STORE,
-      bb_sync_state_age (m->sync, now), &sync_sink, m, now);
-  struct bb_event event = { .kind = BB_EVENT_STATE_ADOPTED,
-                            .value = bb_directory_version (m->directory),
-                            .reason = BB_REASON_STORE,
-                            .revision = revision,
-                            .age = bb_sync_state_age (m->sync, now) };
-  m->sink->event (m->context, &event);
+bb_marked_adopt_snapshot (struct bb_marked *m, const struct bb_snapshot *s,
+                          bb_usec now)
+{
+  if (s->revision >= bb_sync_revision (m->sync))
+    {
+      bb_usec age = now - s->requested_at;
+      put_records (m, s, now);
+      if (bb_sync_revision (m->sync) == 0)
+        bb_directory_start_history (m->directory, s->revision, now);
+      bb_sync_remove_unlisted (m->directory, s->names, removal_state (m, now),
+                               s->revision, BB_REASON_STORE, age, &sync_sink,
+                               m, now);
+      struct bb_event event = { .kind = BB_EVENT_STATE_ADOPTED,
+                                .value = bb_directory_version (m->directory),
+                                .reason = BB_REASON_STORE,
+                                .revision = s->revision,
+                                .age = age };
+      m->sink->event (m->context, &event);
+    }
+  bb_marked_confirm_revision (m, s->revision, s->requested_at, now);
 }
 
 /* Handles a server whose entry did not come back within the grace period.  */
--- a/runtime/marked.h
+++ b/runtime/marked.h
@@ -58,11 +58,12 @@
   /* Returns whether this balancer should read the store.  Sets *REVISION to
      the revision to continue from, 0 for a full read.  */
   bool (*needs_read) (void *context, uint64_t *revision);
+  /* Deliver a change.  */
   void (*server) (void *context, const struct bb_server_record *record);
   void (*configuration) (void *context, uint64_t version, uint64_t revision,
                          const struct bb_route_record *routes, size_t count);
-  /* NAMES holds all servers that the store lists as of REVISION.  */
-  void (*listed) (void *context, GHashTable *names, uint64_t revision);
+  /* Delivers a full read when its last page has arrived.  */
+  void (*snapshot) (void *context, const struct bb_snapshot *snapshot);
   /* All changes up to REVISION have been delivered.  The delivered state was
      the current state of the store at some time after REQUESTED_AT.  */
   void (*current) (void *context, uint64_t revision, bb_usec requested_at);
--- a/runtime/marked_process.c
+++ b/runtime/marked_process.c
@@ -106,10 +106,10 @@
 }
 
 static void
-store_listed (void *context, GHashTable *names, uint64_t revision)
+store_snapshot (void *context, const struct bb_snapshot *snapshot)
 {
   struct bb_marked_process *p = context;
-  bb_marked_remove_unlisted (p->marked, names, revision, bb_clock_boot ());
+  bb_marked_adopt_snapshot (p->marked, snapshot, bb_clock_boot ());
 }
 
 static void
@@ -168,7 +168,7 @@
   .needs_read = store_needs_read,
   .server = store_server,
   .configuration = store_configuration,
-  .listed = store_listed,
+  .snapshot = store_snapshot,
   .current = store_current,
   .call_failed = store_failed,
   .refused = store_refused,
--- a/tests/balancer_test.c
+++ b/tests/balancer_test.c
@@ -137,14 +137,14 @@
    earlier services of the route until all flows of that time have ended.  */
 START_TEST (joiner_forwards_flows_of_earlier_versions)
 {
-  GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
+  struct bb_snapshot *read = bb_snapshot_new (BB_SEC);
   struct bb_backend_server *x
       = put_server ("x", "sheets", "north", BB_SERVER_READY, 0);
   configure (1, ROUTE_PORT, "desk", 0);
-  g_hash_table_add (names, (gpointer) "x");
-  bb_marked_remove_unlisted (t.m, names, t.revision, BB_SEC);
-  bb_marked_confirm_revision (t.m, t.revision, BB_SEC, BB_SEC);
-  g_hash_table_unref (names);
+  read->revision = t.revision;
+  bb_snapshot_add_server (read, &x->record);
+  bb_marked_adopt_snapshot (t.m, read, BB_SEC);
+  bb_snapshot_free (read);
   struct bb_marked_packet p = packet (4000, BB_TCP_ACK, 101, 10);
   p.cookie = x->cookie;
   ck_assert_int_eq (handle_packet (&p, 2 * BB_SEC).kind, BB_MARKED_FORWARD);
--- a/tests/ended_test.c
+++ b/tests/ended_test.c
@@ -346,10 +346,11 @@
   uint64_t read_revision = t.revision;
   struct bb_backend_server *c
       = put_server ("c", "desk", "north", BB_SERVER_READY, 0);
-  GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
-  g_hash_table_add (names, (gpointer) "a");
-  bb_marked_remove_unlisted (t.m, names, read_revision, BB_SEC);
-  g_hash_table_unref (names);
+  struct bb_snapshot *read = bb_snapshot_new (BB_SEC);
+  read->revision = read_revision;
+  bb_snapshot_add_server (read, &a->record);
+  bb_marked_adopt_snapshot (t.m, read, BB_SEC);
+  bb_snapshot_free (read);
   ck_assert_int_eq (a->record.state, BB_SERVER_READY);
   ck_assert_int_eq (b->record.state, BB_SERVER_GONE);
   ck_assert_int_eq (c->record.state, BB_SERVER_READY);
--- a/tests/store_test.c
+++ b/tests/store_test.c
@@ -28,8 +28,9 @@
   bool first_read_unanswered; /* a call without a response */
   uint64_t revision;
   bb_usec current_at;
-  unsigned servers, gone, configurations, listed, refused;
+  unsigned servers, gone, configurations, snapshots, refused;
   unsigned names;
+  unsigned delivered_before_failure; /* servers and configurations */
   unsigned failures[BB_STORE_OUTCOMES];
   uint64_t cancelled;
   bool finished;
@@ -101,12 +102,17 @@
 }
 
 static void
-sink_listed (void *context, GHashTable *names, uint64_t revision)
+sink_snapshot (void *context, const struct bb_snapshot *s)
 {
-  (void)context;
-  (void)revision;
-  t.listed++;
-  t.names = g_hash_table_size (names);
+  t.snapshots++;
+  t.names = g_hash_table_size (s->names);
+  for (guint i = 0; i < s->servers->len; i++)
+    sink_server (context,
+                 &g_array_index (s->servers, struct bb_server_record, i));
+  if (s->version > 0)
+    sink_configuration (context, s->version, s->configured,
+                        (const struct bb_route_record *)s->routes->data,
+                        s->routes->len);
 }
 
 static void
@@ -122,6 +128,7 @@
 {
   (void)context;
   t.failures[outcome]++;
+  t.delivered_before_failure = t.servers + t.configurations;
 }
 
 static void
@@ -139,7 +146,7 @@
   .needs_read = sink_needs_read,
   .server = sink_server,
   .configuration = sink_configuration,
-  .listed = sink_listed,
+  .snapshot = sink_snapshot,
   .current = sink_current,
   .call_failed = sink_failed,
   .refused = sink_refused,
@@ -229,13 +236,38 @@
   ck_assert_uint_eq (t.servers, 2);
   ck_assert_uint_eq (t.configurations, 1);
   ck_assert_uint_eq (t.refused, 2);
-  ck_assert_uint_eq (t.listed, 1);
+  ck_assert_uint_eq (t.snapshots, 1);
   ck_assert_uint_eq (t.names, 2);
   ck_assert_str_eq (t.paths[1], "/api/kv-range?prefix=&after=servers%2Fi-01");
   ck_assert_str_eq (t.paths[2], "/api/kv-watch?prefix=&after=20&wait-ms=1000");
 }
 END_TEST
 
+static const struct step lost_page[]
+    = { { 200, "{\"items\":[" ITEM (
+                   "op/config", CONFIGURATION,
+                   "4") "],\"has-more\":true,\"store-revision\":20}" },
+        { 503, NULL },
+        { 200, "{\"items\":[" ITEM (
+                   "servers/i-01", SERVER,
+                   "22") "],\"has-more\":false,\"store-revision\":25}" },
+        END };
+
+/* Guards against a part of a read that takes effect, and against a read that
+   never ends because it starts again with each response that is lost.  */
+START_TEST (lost_page_is_requested_again)
+{
+  run (lost_page);
+  ck_assert_uint_eq (t.failures[BB_STORE_REFUSED], 1);
+  ck_assert_uint_eq (t.delivered_before_failure, 0);
+  ck_assert_str_eq (t.paths[2], "/api/kv-range?prefix=&after=op%2Fconfig");
+  ck_assert_uint_eq (t.snapshots, 1);
+  ck_assert_uint_eq (t.configurations, 1);
+  ck_assert_uint_eq (t.servers, 1);
+  ck_assert_uint_eq (t.revision, 20);
+}
+END_TEST
+
 #define FULL_READ                                                             \
   {                                                                           \
     200, "{\"items\":[" ITEM (                                                \
@@ -268,7 +300,7 @@
 START_TEST (lost_history_causes_full_read)
 {
   run (lost_history);
-  ck_assert_uint_eq (t.listed, 2);
+  ck_assert_uint_eq (t.snapshots, 2);
   ck_assert (g_str_has_prefix (t.paths[2], "/api/kv-range?"));
   ck_assert (g_str_has_prefix (t.paths[3], "/api/kv-watch?"));
 }
@@ -299,7 +331,7 @@
   const struct step script[] = { faults[_i].step, FULL_READ, END };
   run (script);
   ck_assert_uint_eq (t.failures[faults[_i].outcome], 1);
-  ck_assert_uint_eq (t.listed, 1);
+  ck_assert_uint_eq (t.snapshots, 1);
   ck_assert_uint_eq (t.revision, 20);
 }
 END_TEST
@@ -315,7 +347,7 @@
   run (first_read_unanswered);
   ck_assert_uint_eq (t.cancelled, 1);
   ck_assert_uint_eq (t.failures[BB_STORE_TIMEOUT], 0);
-  ck_assert_uint_eq (t.listed, 1);
+  ck_assert_uint_eq (t.snapshots, 1);
   ck_assert (g_str_has_prefix (t.paths[1], "/api/kv-range?"));
 }
 END_TEST
@@ -327,6 +359,7 @@
   TCase *tc = tcase_create ("client");
   tcase_set_timeout (tc, 30);
   tcase_add_test (tc, pages_are_no_snapshot);
+  tcase_add_test (tc, lost_page_is_requested_again);
   tcase_add_test (tc, watch_events_are_applied);
   tcase_add_test (tc, lost_history_causes_full_read);
   tcase_add_loop_test (tc, fault_is_retried, 0, G_N_ELEMENTS (faults));
