marked: a batch older than the state held does not raise the version

A balancer at revision 80 and version 3 that got version 7 with a state of revision 70 reported version 7 with the routes of version 3, and ignored version 7 of the store from then on, so that a dropped route would stay in force.

A batch older than the state held is ignored as a whole. One whose configuration is newer than the revision that it reports, as older builds send it while they read the store, is ignored and logged.

Test: tests/sync_batch_test.c, version_is_taken_with_its_routes; three of its four cases failed before.

--- a/core/core.h
+++ b/core/core.h
@@ -335,6 +335,7 @@
   BB_EVENT_LINK_SUSPECT, /* most servers are silent at once */
   BB_EVENT_LINK_TRUSTED,
   BB_EVENT_STATE_ADOPTED, /* the whole state of the store or of a peer */
+  BB_EVENT_STATE_REFUSED, /* records of a peer that contradict each other */
   BB_EVENT_KINDS
 };
 
@@ -362,6 +363,7 @@
   BB_REASON_CLOSED,
   BB_REASON_HISTORY_LOST,
   BB_REASON_UNREADABLE,
+  BB_REASON_CONTRADICTORY,
   BB_REASONS
 };
 
--- a/core/strings.c
+++ b/core/strings.c
@@ -68,6 +68,7 @@
   [BB_EVENT_LINK_SUSPECT] = "link_suspect",
   [BB_EVENT_LINK_TRUSTED] = "link_trusted",
   [BB_EVENT_STATE_ADOPTED] = "state_adopted",
+  [BB_EVENT_STATE_REFUSED] = "state_refused",
 };
 
 static const char *const reasons[BB_REASONS] = {
@@ -92,6 +93,7 @@
   [BB_REASON_CLOSED] = "closed",
   [BB_REASON_HISTORY_LOST] = "history_lost",
   [BB_REASON_UNREADABLE] = "unreadable",
+  [BB_REASON_CONTRADICTORY] = "contradictory",
 };
 
 const char *
--- a/marked/sync_records.c
+++ b/marked/sync_records.c
@@ -309,11 +309,35 @@
         = MAX (s->last_verified, now - (bb_usec)verified_ms * BB_MSEC);
 }
 
-/* Applies the complete batch B, whose last datagram is M.  */
+/* Whether B has a configuration that is newer than its revision.  Older builds
+   send one while they read the store: with the revision of a peer's state they
+   have the routes, but not the record of those that were removed.  */
+static bool
+is_contradictory (const struct bb_sync_batch *b,
+                  const struct bb_sync_records *m)
+{
+  for (guint i = 0; i < b->records->len; i++)
+    if (g_array_index (b->records, struct bb_route_record, i).revision > m->to)
+      return true;
+  return false;
+}
+
+/* Applies the complete batch B, whose last datagram is M.  A batch that is
+   older than the state held is ignored as a whole: its version must not be
+   reported without its routes.  */
 static void
 apply_batch (struct bb_sync *s, const struct bb_sync_batch *b,
              const struct bb_sync_records *m, bb_usec now)
 {
+  if (m->to < s->revision)
+    return;
+  if (is_contradictory (b, m))
+    {
+      bb_sync_send_event (s, BB_EVENT_STATE_REFUSED, b->from, m->version,
+                          BB_REASON_CONTRADICTORY,
+                          (bb_usec)m->verified_ms * BB_MSEC);
+      return;
+    }
   uint64_t version = bb_directory_version (s->directory);
   /* A joining balancer may have read a newer configuration from the store
      already.  It has no record of the routes that were removed before, so
@@ -325,8 +349,6 @@
   if (m->version > version)
     bb_sync_send_event (s, BB_EVENT_VERSION, b->from, m->version,
                         BB_REASON_PEER, (bb_usec)m->verified_ms * BB_MSEC);
-  if (m->to < s->revision)
-    return;
   uint64_t before = s->revision;
   if (m->from == 0)
     remove_unlisted (s, b, m, has_routes_in_force, now);
--- /dev/null
+++ b/tests/sync_batch_test.c
@@ -0,0 +1,100 @@
+/* Batches of records that must not change the state of a balancer, or change
+   only a part of it.  */
+
+#include "tests/sync_fixture.h"
+
+static void
+setup (void)
+{
+  start_cluster (2, 1);
+}
+
+static const struct bb_endpoint kept_route = { 1, 443 };
+static const struct bb_endpoint other_route = { 1, 444 };
+
+static struct bb_route_record
+route_record (const struct bb_endpoint *address, uint64_t revision)
+{
+  return (struct bb_route_record){ .address = *address,
+                                   .shares = { { 1, 1 } },
+                                   .share_count = 1,
+                                   .revision = revision };
+}
+
+/* Sets node 0 to REVISION and VERSION, with both routes.  */
+static const struct node *
+start_at (uint64_t revision, uint64_t version)
+{
+  const struct node *n = &sim.nodes[0];
+  const struct bb_route_record routes[]
+      = { route_record (&kept_route, 40), route_record (&other_route, 40) };
+  bb_directory_configure (n->directory, version, 40, routes,
+                          G_N_ELEMENTS (routes), sim.now);
+  bb_directory_start_history (n->directory, 40, sim.now);
+  bb_sync_confirm_revision (n->sync, revision, sim.now, sim.now);
+  return n;
+}
+
+static bool
+is_in_force (const struct node *n, const struct bb_endpoint *address)
+{
+  const struct bb_route *route
+      = bb_directory_find_route (n->directory, address);
+  return route && route->record.share_count > 0;
+}
+
+/* A node at revision 80 and version 3 receives version 7, which drops a
+   route.  */
+static const struct
+{
+  const char *description;
+  uint64_t from;
+  uint64_t to;
+  uint64_t route_revision;
+  bool is_used;
+} states[] = {
+  { "a state that is newer", 0, 90, 90, true },
+  { "a state that is older than the one held", 0, 70, 70, false },
+  { "changes up to an older revision", 60, 70, 70, false },
+  { "a state whose configuration is newer than its revision", 0, 85, 90,
+    false },
+};
+
+/* Guards against a version that is reported without its routes: the same
+   version from the store would be ignored later.  */
+START_TEST (version_is_taken_with_its_routes)
+{
+  const struct node *n = start_at (80, 3);
+  struct bb_endpoint from = endpoint_of (1);
+  struct bb_sync_message m = {
+    .kind = BB_SYNC_RECORDS,
+    .from = 101,
+    .record_chunk
+    = { .batch = 1,
+        .chunk_count = 1,
+        .from = states[_i].from,
+        .to = states[_i].to,
+        .version = 7,
+        .routes = { route_record (&kept_route, states[_i].route_revision) },
+        .route_count = 1 },
+  };
+  bb_sync_receive (n->sync, &from, &m, sim.now);
+  bool is_used = states[_i].is_used;
+  ck_assert_uint_eq (bb_directory_version (n->directory), is_used ? 7 : 3);
+  ck_assert_uint_eq (bb_sync_revision (n->sync), is_used ? states[_i].to : 80);
+  ck_assert_msg (is_in_force (n, &other_route) == !is_used, "%s",
+                 states[_i].description);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("sync batch");
+  TCase *tc = tcase_create ("batches");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_loop_test (tc, version_is_taken_with_its_routes, 0,
+                       G_N_ELEMENTS (states));
+  suite_add_tcase (suite, tc);
+  return run_suite (suite);
+}
--- a/tests/sync_fixture.h
+++ b/tests/sync_fixture.h
@@ -346,7 +346,7 @@
   check_listed (n, held_revision);
 }
 
-static void
+static inline void
 run_for (bb_usec time)
 {
   for (bb_usec end = sim.now + time; sim.now < end; sim.now += STEP)
@@ -369,7 +369,7 @@
     }
 }
 
-static unsigned
+static inline unsigned
 readers (void)
 {
   unsigned count = 0;
@@ -378,7 +378,7 @@
   return count;
 }
 
-static struct node *
+static inline struct node *
 find_reader (void)
 {
   for (unsigned i = 0; i < sim.count; i++)
