marked: a batch of records is of one life of its sender

Cause: a batch was known by the id of its sender and a number, which starts from 1 in each life of the sender, and an incomplete batch was kept. After a restart of the sender, parts that the old batch had were skipped as repeated, and the first part that it lacked completed a mixture: names and routes of the old life under the revision and version of the new one. Servers that had started since were set to gone.

Ruled out: expired entries and an older state of a peer.

The incarnation, which each message carries, is now part of the identity. Messages keep their form, so that older builds take part.

--- a/marked/sync.c
+++ b/marked/sync.c
@@ -160,7 +160,7 @@
         bb_sync_send_records (s, from, 1, m->request.revision, now);
       break;
     case BB_SYNC_RECORDS:
-      bb_sync_receive_records (s, m->from, &m->record_chunk, now);
+      bb_sync_receive_records (s, m, now);
       break;
     case BB_SYNC_KINDS:
       break;
--- a/marked/sync_private.h
+++ b/marked/sync_private.h
@@ -39,12 +39,14 @@
 
 /* A batch of records that is being received.  Its routes are put in force
    together when it is complete, so that no flow is handled by parts of two
-   configurations.  */
+   configurations.  A balancer numbers its batches from 1 in each incarnation.
+ */
 struct bb_sync_batch
 {
   uint32_t from; /* 0: not in use */
-  bb_usec updated;
+  uint64_t incarnation;
   uint32_t number;
+  bb_usec updated;
   uint32_t chunk_count;
   uint32_t chunks_received;
   uint64_t chunks[BB_SYNC_CHUNK_WORDS];
@@ -136,8 +138,9 @@
 /* sync_records.c: exchange of records, the state of the store.  */
 void bb_sync_send_records (struct bb_sync *s, const struct bb_endpoint *to,
                            size_t count, uint64_t from, bb_usec now);
-void bb_sync_receive_records (struct bb_sync *s, uint32_t from,
-                              const struct bb_sync_records *m, bb_usec now);
+void bb_sync_receive_records (struct bb_sync *s,
+                              const struct bb_sync_message *message,
+                              bb_usec now);
 
 void bb_sync_clear_batch (struct bb_sync_batch *b);
 
--- a/marked/sync_records.c
+++ b/marked/sync_records.c
@@ -226,11 +226,12 @@
 }
 
 static void
-begin_batch (struct bb_sync_batch *b, uint32_t from,
-             const struct bb_sync_records *m)
+begin_batch (struct bb_sync_batch *b, const struct bb_sync_message *message)
 {
+  const struct bb_sync_records *m = &message->record_chunk;
   bb_sync_clear_batch (b);
-  b->from = from;
+  b->from = message->from;
+  b->incarnation = message->incarnation;
   b->number = m->batch;
   b->chunk_count = m->chunk_count;
   b->records = g_array_new (FALSE, FALSE, sizeof (struct bb_route_record));
@@ -251,30 +252,41 @@
                       bb_directory_route_key (&m->routes[i].address));
 }
 
-/* Returns the batch that M belongs to.  A new batch replaces the one whose
-   last datagram is the oldest.  */
+static bool
+is_of_batch (const struct bb_sync_batch *b,
+             const struct bb_sync_message *message)
+{
+  return b->records && b->from == message->from
+         && b->incarnation == message->incarnation
+         && b->number == message->record_chunk.batch;
+}
+
+/* Returns the batch that MESSAGE belongs to.  A new batch replaces the one
+   whose last datagram is the oldest.  */
 static struct bb_sync_batch *
-get_batch (struct bb_sync *s, uint32_t from, const struct bb_sync_records *m)
+get_batch (struct bb_sync *s, const struct bb_sync_message *message)
 {
   struct bb_sync_batch *oldest = &s->batches[0];
   for (size_t i = 0; i < G_N_ELEMENTS (s->batches); i++)
     {
       struct bb_sync_batch *b = &s->batches[i];
-      if (b->from == from && b->number == m->batch && b->records)
+      if (is_of_batch (b, message))
         return b;
       if (b->updated < oldest->updated)
         oldest = b;
     }
-  begin_batch (oldest, from, m);
+  begin_batch (oldest, message);
   return oldest;
 }
 
-/* Adds M to its batch.  Returns the batch if it is complete now, or NULL.  */
+/* Adds MESSAGE to its batch.  Returns the batch if it is complete now, or
+   NULL.  */
 static struct bb_sync_batch *
-collect_chunk (struct bb_sync *s, uint32_t from,
-               const struct bb_sync_records *m, bb_usec now)
+collect_chunk (struct bb_sync *s, const struct bb_sync_message *message,
+               bb_usec now)
 {
-  struct bb_sync_batch *b = get_batch (s, from, m);
+  const struct bb_sync_records *m = &message->record_chunk;
+  struct bb_sync_batch *b = get_batch (s, message);
   uint64_t bit = (uint64_t)1 << (m->chunk % 64);
   if (m->chunk_count != b->chunk_count || b->chunks[m->chunk / 64] & bit)
     return NULL;
@@ -362,13 +374,14 @@
 }
 
 void
-bb_sync_receive_records (struct bb_sync *s, uint32_t from,
-                         const struct bb_sync_records *m, bb_usec now)
+bb_sync_receive_records (struct bb_sync *s,
+                         const struct bb_sync_message *message, bb_usec now)
 {
+  const struct bb_sync_records *m = &message->record_chunk;
   if (m->from > s->revision)
     return;
   apply_servers (s, m, now);
-  struct bb_sync_batch *b = collect_chunk (s, from, m, now);
+  struct bb_sync_batch *b = collect_chunk (s, message, now);
   if (!b)
     return;
   apply_batch (s, b, m, now);
--- a/tests/sync_batch_test.c
+++ b/tests/sync_batch_test.c
@@ -87,6 +87,56 @@
 }
 END_TEST
 
+/* Datagrams of the whole state of a balancer that restarts, in the order of
+   their arrival.  Each life of it numbers its batches from 1.  */
+static const struct
+{
+  const char *description;
+  struct
+  {
+    uint64_t incarnation; /* 0: end of the list */
+    uint32_t chunk;
+  } steps[4];
+  uint64_t revision; /* at the end */
+} lives[] = {
+  { "parts of two lives", { { 1, 0 }, { 2, 1 } }, 80 },
+  { "parts of two lives, the later first", { { 2, 1 }, { 1, 0 } }, 80 },
+  { "the whole state of the second life",
+    { { 1, 0 }, { 2, 1 }, { 2, 0 } },
+    92 },
+  { "the rest of the first life, late", { { 1, 0 }, { 2, 1 }, { 1, 1 } }, 91 },
+};
+
+/* Guards against a state that is put together from two lives of a balancer, in
+   which servers and routes of the later one are missing.  */
+START_TEST (batch_is_of_one_life)
+{
+  const struct node *n = start_at (80, 3);
+  struct bb_endpoint from = endpoint_of (1);
+  for (size_t i = 0; lives[_i].steps[i].incarnation != 0; i++)
+    {
+      uint64_t incarnation = lives[_i].steps[i].incarnation;
+      uint32_t chunk = lives[_i].steps[i].chunk;
+      struct bb_sync_message m = {
+        .kind = BB_SYNC_RECORDS,
+        .from = 101,
+        .incarnation = incarnation,
+        .record_chunk = { .batch = 1,
+                          .chunk = chunk,
+                          .chunk_count = 2,
+                          .to = 90 + incarnation,
+                          .version = 3 + incarnation,
+                          .routes = { route_record (
+                              chunk ? &other_route : &kept_route, 85) },
+                          .route_count = 1 },
+      };
+      bb_sync_receive (n->sync, &from, &m, sim.now);
+    }
+  ck_assert_msg (bb_sync_revision (n->sync) == lives[_i].revision, "%s",
+                 lives[_i].description);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -95,6 +145,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_loop_test (tc, version_is_taken_with_its_routes, 0,
                        G_N_ELEMENTS (states));
+  tcase_add_loop_test (tc, batch_is_of_one_life, 0, G_N_ELEMENTS (lives));
   suite_add_tcase (suite, tc);
   return run_suite (suite);
 }
