tests: odd entries that ended the programs of other operators

Reports of other operators: one very deeply nested entry, a number that is too large or a port out of range ends the readers of a list again and again. None of these ends the decoder here: json-c stops at its depth of 32, ports are read as decimal numbers within a range, and a number of another type or size is no integer. Ten entries, 100,000 levels deep among them, are refused one by one.

--- a/tests/adapter_test.c
+++ b/tests/adapter_test.c
@@ -149,6 +149,62 @@
 }
 END_TEST
 
+/* Entries that other operators saw end their programs.  %s is replaced by
+   NESTING opening and, where it comes again, closing brackets.  */
+enum
+{
+  NESTING = 100000,
+};
+
+static const struct
+{
+  const char *guards;
+  const char *value;
+  bool usable;
+} odd_entries[] = {
+  { "deep nesting", "%s", false },
+  { "deep nesting in a field", "{\"service\":%s}", false },
+  { "deep nesting in an unknown field", ENTRY (",\"later\":%s"), false },
+  { "a port above the range", ENTRY (",\"address\":\"10.0.0.9:65536\""),
+    false },
+  { "port 0", ENTRY (",\"address\":\"10.0.0.9:0\""), false },
+  { "a negative port", ENTRY (",\"address\":\"10.0.0.9:-1\""), false },
+  { "a port that wraps to a valid one",
+    ENTRY (",\"address\":\"10.0.0.9:4294975376\""), false },
+  { "a port beyond 64 bits",
+    ENTRY (",\"address\":\"10.0.0.9:99999999999999999999999\""), false },
+  { "an address that is a number", ENTRY (",\"address\":1e999"), false },
+  { "an address beyond its range", ENTRY (",\"address\":\"256.0.0.1:80\""),
+    false },
+};
+
+static char *
+nest (const char *value)
+{
+  g_autofree char *open = g_strnfill (NESTING, '[');
+  g_autofree char *close = g_strnfill (NESTING, ']');
+  g_autofree char *nested = g_strconcat (open, close, NULL);
+  char **parts = g_strsplit (value, "%s", -1);
+  char *text = g_strjoinv (nested, parts);
+  g_strfreev (parts);
+  return text;
+}
+
+START_TEST (odd_entry_is_refused)
+{
+  struct bb_server_record r;
+  GError *error = NULL;
+  g_autofree char *value = nest (odd_entries[_i].value);
+  bool usable = bb_platform_decode_server (
+      "servers/i-01", (const uint8_t *)value, strlen (value), &r, &error);
+  ck_assert_msg (usable == odd_entries[_i].usable, "%s",
+                 odd_entries[_i].guards);
+  ck_assert (usable || g_error_matches (error, BB_ERROR, BB_ERROR_PROTOCOL));
+  ck_assert_str_eq (r.name, "i-01");
+  g_clear_error (&error);
+}
+END_TEST
+
 /* Configurations, with ' in place of ".  */
 static const char two_routes[]
     = "{'version':7,'routes':["
@@ -242,6 +298,8 @@
   suite_add_tcase (suite, tc);
   tc = tcase_create ("store");
   tcase_add_loop_test (tc, entry_is_decoded, 0, G_N_ELEMENTS (entries));
+  tcase_add_loop_test (tc, odd_entry_is_refused, 0,
+                       G_N_ELEMENTS (odd_entries));
   tcase_add_loop_test (tc, configuration_is_decoded, 0,
                        G_N_ELEMENTS (configurations));
   suite_add_tcase (suite, tc);
