--- a/tests/joining_test.c
+++ b/tests/joining_test.c
@@ -215,8 +215,8 @@
 static void
 tear_down (void)
 {
-  bb_marked_process_free (t.p);
   evhttp_free (t.store);
+  bb_marked_process_free (t.p);
   bb_sync_free (t.peer);
   bb_directory_free (t.directory);
   close (t.peer_socket);
