platform: an entry that lacks a field names no server

Cause: read_entry needed four of the fields of an entry and passed over the others if they were missing or of another type.

All eight fields are needed now, with their types.

--- a/tests/adapter_test.c
+++ b/tests/adapter_test.c
@@ -95,7 +95,8 @@
 
 #define ENTRY(extra)                                                          \
   "{\"service\":\"huvo11a\",\"address\":\"10.128.0.9:8080\",\"zone\":"        \
-  "\"itagui\",\"version\":\"v1\",\"slots\":2,\"state\":\"ready\"" extra "}"
+  "\"itagui\",\"version\":\"v1\",\"slots\":2,\"state\":\"ready\","            \
+  "\"cold-left-ms\":0,\"seq-no\":4" extra "}"
 
 static const struct
 {
@@ -107,9 +108,19 @@
   { "servers/i-7f3a91c2", ENTRY (""), true, 0x7f3a91c2 },
   { "servers/i-77ec6ea082", ENTRY (",\"born\":1784118115169"), true,
     0x77ec6ea082 },
-  { "servers/i-01", ENTRY (",\"seq-no\":4,\"later\":[{}]"), true, 1 },
-  { "servers/i-01", ENTRY (",\"slots\":\"two\",\"cold-left-ms\":-1"), true,
-    1 },
+  { "servers/i-01", ENTRY (",\"later\":[{}]"), true, 1 },
+  { "servers/i-01", ENTRY (",\"cold-left-ms\":12.5"), true, 1 },
+  { "servers/i-01", ENTRY (",\"slots\":\"two\",\"cold-left-ms\":-1"), false,
+    0 },
+  { "servers/i-01", ENTRY (",\"slots\":\"two\""), false, 0 },
+  { "servers/i-01", ENTRY (",\"slots\":99999999999999999999"), false, 0 },
+  { "servers/i-01", ENTRY (",\"cold-left-ms\":-1"), false, 0 },
+  { "servers/i-01", ENTRY (",\"cold-left-ms\":1e999"), false, 0 },
+  { "servers/i-01", ENTRY (",\"cold-left-ms\":\"0\""), false, 0 },
+  { "servers/i-01", ENTRY (",\"seq-no\":null"), false, 0 },
+  { "servers/i-01", ENTRY (",\"version\":1"), false, 0 },
+  { "servers/i-01", ENTRY (",\"born\":\"1784118115169\""), false, 0 },
+  { "servers/i-01", ENTRY (",\"born\":1784118115169.5"), false, 0 },
   { "servers/i-01", "", false, 0 },
   { "servers/i-01", "\xff\xfe{", false, 0 },
   { "servers/i-01", "[]", false, 0 },
@@ -149,6 +160,27 @@
 }
 END_TEST
 
+/* Guards against the use of an entry that lacks a field: it may come from
+   another writer, and name a server of another service.  */
+START_TEST (entry_without_a_field_is_refused)
+{
+  static const char *const fields[]
+      = { "service", "address", "zone",         "version",
+          "slots",   "state",   "cold-left-ms", "seq-no" };
+  struct json_object *entry = json_tokener_parse (ENTRY (""));
+  struct bb_server_record r;
+  GError *error = NULL;
+  json_object_object_del (entry, fields[_i]);
+  const char *text = json_object_to_json_string (entry);
+  ck_assert (!bb_platform_decode_server ("servers/i-01", (const uint8_t *)text,
+                                         strlen (text), &r, &error));
+  ck_assert_msg (g_str_has_prefix (error->message, fields[_i]), "%s: %s",
+                 fields[_i], error->message);
+  g_error_free (error);
+  json_object_put (entry);
+}
+END_TEST
+
 /* Entries that other operators saw end their programs.  %s is replaced by
    NESTING opening and, where it comes again, closing brackets.  */
 enum
@@ -298,6 +330,7 @@
   suite_add_tcase (suite, tc);
   tc = tcase_create ("store");
   tcase_add_loop_test (tc, entry_is_decoded, 0, G_N_ELEMENTS (entries));
+  tcase_add_loop_test (tc, entry_without_a_field_is_refused, 0, 8);
   tcase_add_loop_test (tc, odd_entry_is_refused, 0,
                        G_N_ELEMENTS (odd_entries));
   tcase_add_loop_test (tc, configuration_is_decoded, 0,
--- a/tests/store_test.c
+++ b/tests/store_test.c
@@ -199,10 +199,12 @@
     -1, NULL                                                                  \
   }
 
-/* {"service":"a","address":"10.0.0.1:80","zone":"z","state":"ready"} */
+/* {"service":"a","address":"10.0.0.1:80","zone":"z","version":"1","slots":2,
+   "state":"ready","cold-left-ms":0,"seq-no":1} */
 #define SERVER                                                                \
-  "eyJzZXJ2aWNlIjoiYSIsImFkZHJlc3MiOiIxMC4wLjAuMTo4MCIsInpvbmUiOiJ6Iiwic3Rh"  \
-  "dGUiOiJyZWFkeSJ9"
+  "eyJzZXJ2aWNlIjoiYSIsImFkZHJlc3MiOiIxMC4wLjAuMTo4MCIsInpvbmUiOiJ6Iiwi"      \
+  "dmVyc2lvbiI6IjEiLCJzbG90cyI6Miwic3RhdGUiOiJyZWFkeSIsImNvbGQtbGVmdC1t"      \
+  "cyI6MCwic2VxLW5vIjoxfQ=="
 /* {"version":7,"routes":[{"host":"198.18.0.1","prefix":"/80/","service":"a"}]}
  */
 #define CONFIGURATION                                                         \
