marked: a whole read leaves a gap in the record of removals

Cause: a balancer that reads everything at a later revision, after its watch got 410, never held what was added and removed in between, but reported to have all removals since its start. A balancer that held such a record, at a revision in between, was sent the changes since then without its removal.

The directory now records the gap, and sends all records to a balancer whose revision is inside it. The gap is passed on: a balancer that takes the result from a peer has the same one (removals_since, which the messages carry already). Followers at the revision before the read get changes as before; starting the record anew would send them everything.

--- a/marked/balancer_state.c
+++ b/marked/balancer_state.c
@@ -99,12 +99,15 @@
 bb_marked_adopt_snapshot (struct bb_marked *m, const struct bb_snapshot *s,
                           bb_usec now)
 {
-  if (s->revision >= bb_sync_revision (m->sync))
+  uint64_t held = bb_sync_revision (m->sync);
+  if (s->revision >= held)
     {
       bb_usec age = now - s->requested_at;
       put_records (m, s, now);
-      if (bb_sync_revision (m->sync) == 0)
+      if (held == 0)
         bb_directory_start_history (m->directory, s->revision, now);
+      else
+        bb_directory_add_gap (m->directory, held, s->revision, now);
       bb_sync_remove_unlisted (m->directory, s->names, removal_state (m, now),
                                s->revision, BB_REASON_STORE, age, &sync_sink,
                                m, now);
--- a/marked/directory.c
+++ b/marked/directory.c
@@ -283,6 +283,15 @@
   d->removals_since = MAX (d->removals_since, revision);
 }
 
+void
+bb_directory_add_gap (struct bb_directory *d, uint64_t start, uint64_t end,
+                      bb_usec history_start)
+{
+  d->gap_start = d->gap_end ? MIN (d->gap_start, start) : start;
+  d->gap_end = MAX (d->gap_end, end);
+  d->history_start = MAX (d->history_start, history_start);
+}
+
 bb_usec
 bb_directory_history_start (const struct bb_directory *d)
 {
@@ -292,7 +301,15 @@
 uint64_t
 bb_directory_removals_since (const struct bb_directory *d)
 {
-  return d->removals_since;
+  return MAX (d->removals_since, d->gap_end);
+}
+
+bool
+bb_directory_has_changes_after (const struct bb_directory *d,
+                                uint64_t revision)
+{
+  return revision >= d->removals_since
+         && (revision <= d->gap_start || revision >= d->gap_end);
 }
 
 /* Expiry.  */
--- a/marked/directory.h
+++ b/marked/directory.h
@@ -173,6 +173,12 @@
 void bb_directory_start_history (struct bb_directory *d, uint64_t revision,
                                  bb_usec history_start);
 
+/* Records that the directory went from revision START to END without the
+   changes in between, and without the configurations before HISTORY_START.  A
+   record that was added and removed in between was never held here.  */
+void bb_directory_add_gap (struct bb_directory *d, uint64_t start,
+                           uint64_t end, bb_usec history_start);
+
 /* Returns the time at which the recorded history of configurations begins.
    The history may have begun at another balancer and been continued here.  For
    BB_DIRECTORY_RETENTION after it there may be flows of earlier
@@ -182,6 +188,11 @@
 /* Revision after which all removals are recorded.  */
 uint64_t bb_directory_removals_since (const struct bb_directory *d);
 
+/* Whether the changes after REVISION, as recorded here, lead from the state of
+   REVISION to the one held.  */
+bool bb_directory_has_changes_after (const struct bb_directory *d,
+                                     uint64_t revision);
+
 /* Configuration version in force; 0: none.  bb_directory_set_version never
    lowers the version.  */
 uint64_t bb_directory_version (const struct bb_directory *d);
--- a/marked/directory_private.h
+++ b/marked/directory_private.h
@@ -9,7 +9,9 @@
 {
   char data_centre[BB_NAME_MAX];
   uint64_t version;
-  uint64_t removals_since; /* all removals after this revision are recorded */
+  uint64_t removals_since; /* all removals after this revision are recorded, */
+  uint64_t gap_start;      /* but for what was added after this revision */
+  uint64_t gap_end;        /* and removed up to this one */
   bb_usec history_start;
   GHashTable *names;    /* name to struct bb_backend_server, owned */
   GHashTable *cookies;  /* cookie to struct bb_backend_server */
--- a/marked/sync_messages.h
+++ b/marked/sync_messages.h
@@ -91,7 +91,7 @@
   uint32_t chunk_count;
   uint64_t from;
   uint64_t to;
-  uint64_t removals_since; /* sender holds all removals after this revision */
+  uint64_t removals_since;   /* sender records all removals after this one */
   uint32_t route_history_ms; /* time for which the sender has had all routes */
   uint64_t version;
   uint32_t verified_ms;
--- a/marked/sync_records.c
+++ b/marked/sync_records.c
@@ -71,8 +71,7 @@
 {
   struct packer packer
       = { .sync = s, .to = to, .to_count = count, .is_counting = true };
-  /* If removals after FROM are not recorded here, the whole state is sent.  */
-  if (from < bb_directory_removals_since (s->directory))
+  if (!bb_directory_has_changes_after (s->directory, from))
     from = 0;
   struct bb_sync_records *m = &packer.message.record_chunk;
   packer.message.kind = BB_SYNC_RECORDS;
@@ -296,6 +295,18 @@
   return ++b->chunks_received == b->chunk_count ? b : NULL;
 }
 
+/* Takes over from when the sender of M records removals.  */
+static void
+record_history (struct bb_sync *s, const struct bb_sync_records *m,
+                bb_usec now)
+{
+  bb_usec start = now - (bb_usec)m->route_history_ms * BB_MSEC;
+  if (s->revision == 0)
+    bb_directory_start_history (s->directory, m->removals_since, start);
+  else if (m->removals_since > s->revision)
+    bb_directory_add_gap (s->directory, s->revision, m->removals_since, start);
+}
+
 /* Removes the servers that are not in B, a batch of the whole state, and the
    routes if B HAS_ROUTES_IN_FORCE.  */
 static void
@@ -303,9 +314,6 @@
                  const struct bb_sync_records *m, bool has_routes_in_force,
                  bb_usec now)
 {
-  if (s->revision == 0)
-    bb_directory_start_history (s->directory, m->removals_since,
-                                now - (bb_usec)m->route_history_ms * BB_MSEC);
   bb_sync_remove_unlisted (s->directory, b->names, BB_SERVER_GONE, m->to,
                            BB_REASON_PEER, (bb_usec)m->verified_ms * BB_MSEC,
                            s->sink, s->context, now);
@@ -362,6 +370,7 @@
     bb_sync_send_event (s, BB_EVENT_VERSION, b->from, m->version,
                         BB_REASON_PEER, (bb_usec)m->verified_ms * BB_MSEC);
   uint64_t before = s->revision;
+  record_history (s, m, now);
   if (m->from == 0)
     remove_unlisted (s, b, m, has_routes_in_force, now);
   s->revision = m->to;
