marked: an unusable entry neither ends a server nor gives it new flows

Cause: 'listed, but not described' had no state. A watch ignored such an entry, a whole read left it out of the names that the store lists. The state of a reader that never had a good entry then lacked the server, which is a removal for its peers; and a later removal was missing in the changes of that reader, which ignored it.

Now there is one rule from a watch, a whole read and a peer: the server gets no new flows and keeps the open ones, until a usable entry replaces that one or it is removed. Without any usable entry the name and the revision are kept. For older builds such a server is draining, or, without data, expired, which leaves the data they hold; messages keep their form.

--- a/marked/directory.c
+++ b/marked/directory.c
@@ -6,10 +6,9 @@
 bb_server_state_name (enum bb_server_state state)
 {
   static const char *const names[BB_SERVER_STATES] = {
-    [BB_SERVER_READY] = "ready",
-    [BB_SERVER_DRAINING] = "draining",
-    [BB_SERVER_GONE] = "gone",
-    [BB_SERVER_EXPIRED] = "lapsed",
+    [BB_SERVER_READY] = "ready",       [BB_SERVER_DRAINING] = "draining",
+    [BB_SERVER_GONE] = "gone",         [BB_SERVER_EXPIRED] = "lapsed",
+    [BB_SERVER_UNUSABLE] = "unusable",
   };
   return (unsigned)state < BB_SERVER_STATES ? names[state] : "unknown";
 }
@@ -150,13 +149,27 @@
     each (context, group);
 }
 
-/* Whether RECORD is a removal, whose data except the name may be empty.  */
 static bool
 is_removal (const struct bb_server_record *record)
 {
   return record->state == BB_SERVER_GONE || record->state == BB_SERVER_EXPIRED;
 }
 
+/* Whether RECORD changes the state of a server and may lack all other data but
+   the name.  */
+static bool
+changes_state_only (const struct bb_server_record *record)
+{
+  return is_removal (record) || record->state == BB_SERVER_UNUSABLE;
+}
+
+/* Whether only the name of a server is known.  */
+static bool
+is_placeholder (const struct bb_server_record *record)
+{
+  return record->address.port == 0;
+}
+
 /* Copies RECORD into S and updates what depends on it.  */
 static void
 apply_record (struct bb_directory *d, struct bb_backend_server *s,
@@ -179,7 +192,7 @@
   bb_list_remove (&s->of_service);
   s->gone_since
       = is_removal (record) ? MAX (now - record->gone_ms * BB_MSEC, 1) : 0;
-  if (record->state != BB_SERVER_GONE)
+  if (record->state != BB_SERVER_GONE && !is_placeholder (record))
     {
       s->group = get_server_group (d, s->service, s->record.service);
       bb_list_append (&s->group->servers, &s->of_service);
@@ -206,11 +219,11 @@
     return BB_DIRECTORY_STALE;
   bool same = is_same_record (&s->record, record);
   bool was_gone = s->record.state == BB_SERVER_GONE;
-  bool restarted = !is_removal (record) && record->born_ms != 0
+  bool restarted = !changes_state_only (record) && record->born_ms != 0
                    && s->record.born_ms != 0
                    && record->born_ms != s->record.born_ms;
   struct bb_server_record kept = *record;
-  if (is_removal (record))
+  if (changes_state_only (record))
     {
       kept = s->record;
       kept.state = was_gone ? BB_SERVER_GONE : record->state;
@@ -223,6 +236,8 @@
     s->gone_since = gone_since;
   if (restarted)
     s->load = (struct bb_server_load){ 0 };
+  if (is_placeholder (&kept))
+    return BB_DIRECTORY_UNCHANGED;
   if (kept.state == BB_SERVER_GONE)
     return was_gone ? BB_DIRECTORY_UNCHANGED : BB_DIRECTORY_GONE;
   if (restarted)
@@ -232,27 +247,42 @@
   return same ? BB_DIRECTORY_UNCHANGED : BB_DIRECTORY_CHANGED;
 }
 
+static struct bb_backend_server *
+add_name (struct bb_directory *d, const char *name)
+{
+  struct bb_backend_server *s = g_new0 (struct bb_backend_server, 1);
+  bb_list_init (&s->by_revision);
+  bb_list_init (&s->of_service);
+  g_strlcpy (s->record.name, name, sizeof s->record.name);
+  g_hash_table_insert (d->names, s->record.name, s);
+  return s;
+}
+
 enum bb_directory_change
 bb_directory_put (struct bb_directory *d,
                   const struct bb_server_record *record, bb_usec now,
                   struct bb_backend_server **server)
 {
   struct bb_backend_server *s = bb_directory_find_server (d, record->name);
+  bool is_new
+      = !s || (is_placeholder (&s->record) && !is_placeholder (record));
   *server = s;
-  if (s)
+  if (!is_new)
     return update_server (d, s, record, now);
-  if (is_removal (record) && record->address.port == 0)
+  if (is_removal (record) && is_placeholder (record))
     return BB_DIRECTORY_UNCHANGED;
-  s = g_new0 (struct bb_backend_server, 1);
-  bb_list_init (&s->by_revision);
-  bb_list_init (&s->of_service);
+  if (s && record->revision <= s->record.revision)
+    return BB_DIRECTORY_STALE;
+  if (!s)
+    s = add_name (d, record->name);
   s->first_listed = now;
   apply_record (d, s, record, now);
-  g_hash_table_insert (d->names, s->record.name, s);
-  assign_cookie (d, s);
+  if (!is_placeholder (record))
+    assign_cookie (d, s);
   *server = s;
-  return record->state == BB_SERVER_GONE ? BB_DIRECTORY_UNCHANGED
-                                         : BB_DIRECTORY_ADDED;
+  return record->state == BB_SERVER_GONE || is_placeholder (record)
+             ? BB_DIRECTORY_UNCHANGED
+             : BB_DIRECTORY_ADDED;
 }
 
 struct bb_backend_server *
--- a/marked/directory.h
+++ b/marked/directory.h
@@ -34,6 +34,9 @@
   BB_SERVER_DRAINING,
   BB_SERVER_GONE,
   BB_SERVER_EXPIRED, /* expired in a store outage; used for a grace time */
+  /* Its entry does not describe a server: it gets no new flows, and keeps the
+     open ones, until a usable entry replaces that one or it is removed.  */
+  BB_SERVER_UNUSABLE,
   BB_SERVER_STATES
 };
 
@@ -140,7 +143,8 @@
 /* Applies RECORD and sets *SERVER to the server.  A record of state
    BB_SERVER_GONE is also kept if the server was not held before, since packets
    with its cookie may arrive.  If it has no address then, it is ignored and
-   *SERVER is NULL.  */
+   *SERVER is NULL.  One of state BB_SERVER_UNUSABLE has no address; of a
+   server that was not held before, the name and the revision are kept.  */
 enum bb_directory_change
 bb_directory_put (struct bb_directory *d,
                   const struct bb_server_record *record, bb_usec now,
--- a/tests/store_test.c
+++ b/tests/store_test.c
@@ -28,7 +28,7 @@
   bool first_read_unanswered; /* a call without a response */
   uint64_t revision;
   bb_usec current_at;
-  unsigned servers, gone, configurations, snapshots, refused;
+  unsigned servers, unusable, gone, configurations, snapshots, refused;
   unsigned names;
   unsigned delivered_before_failure; /* servers and configurations */
   unsigned failures[BB_STORE_OUTCOMES];
@@ -84,10 +84,9 @@
 sink_server (void *context, const struct bb_server_record *record)
 {
   (void)context;
-  if (record->state == BB_SERVER_GONE)
-    t.gone++;
-  else
-    t.servers++;
+  t.gone += record->state == BB_SERVER_GONE;
+  t.unusable += record->state == BB_SERVER_UNUSABLE;
+  t.servers += record->state == BB_SERVER_READY;
 }
 
 static void
@@ -230,7 +229,7 @@
 
 /* Guards against losing changes made between the reads of two pages: the watch
    must continue from the revision of the first page.  Also, entries that do
-   not describe a server must not affect the others.  */
+   not describe a server must not affect the others, nor count as removed.  */
 START_TEST (pages_are_no_snapshot)
 {
   run (pages);
@@ -239,7 +238,8 @@
   ck_assert_uint_eq (t.configurations, 1);
   ck_assert_uint_eq (t.refused, 2);
   ck_assert_uint_eq (t.snapshots, 1);
-  ck_assert_uint_eq (t.names, 2);
+  ck_assert_uint_eq (t.unusable, 2);
+  ck_assert_uint_eq (t.names, 4);
   ck_assert_str_eq (t.paths[1], "/api/kv-range?prefix=&after=servers%2Fi-01");
   ck_assert_str_eq (t.paths[2], "/api/kv-watch?prefix=&after=20&wait-ms=1000");
 }
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -16,9 +16,13 @@
   /* Older builds put the suspicion of a server into a load.  */
   LOAD_NOT_SUSPECT = 0,
   SERVER_FIELDS = 13,
+  SERVER_STATE_MAX = BB_SERVER_EXPIRED, /* that older builds accept */
   ROUTE_FIELDS = 5,
 };
 
+/* Stands for a name that is not known; a name cannot be empty.  */
+#define NO_NAME "-"
+
 static const size_t body_fields[BB_SYNC_KINDS] = {
   [BB_SYNC_HEARTBEAT] = 8,
   [BB_SYNC_REQUEST] = 1,
@@ -54,15 +58,33 @@
     }
 }
 
+/* Older builds have no state for a server whose entry is unusable.  One that
+   is draining gets no new flows and keeps the open ones, too.  If only the
+   name is known, the record must leave the data held by the receiver, as that
+   of an expired server does.  */
+static enum bb_server_state
+encode_state (const struct bb_server_record *r)
+{
+  if (r->state != BB_SERVER_UNUSABLE)
+    return r->state;
+  return r->address.port ? BB_SERVER_DRAINING : BB_SERVER_EXPIRED;
+}
+
+static const char *
+encode_name (const char *name)
+{
+  return *name ? name : NO_NAME;
+}
+
 static void
 put_server (msgpack_packer *pk, const struct bb_server_record *r)
 {
   bb_writer_put_name (pk, r->name);
-  bb_writer_put_name (pk, r->service);
-  bb_writer_put_name (pk, r->data_centre);
+  bb_writer_put_name (pk, encode_name (r->service));
+  bb_writer_put_name (pk, encode_name (r->data_centre));
   bb_writer_put_endpoint (pk, &r->address);
   bb_writer_put_uint (pk, r->tag);
-  bb_writer_put_uint (pk, r->state);
+  bb_writer_put_uint (pk, encode_state (r));
   bb_writer_put_uint (pk, r->cold_ms);
   bb_writer_put_uint (pk, r->gone_ms);
   bb_writer_put_uint (pk, r->slots);
@@ -197,8 +219,13 @@
   bb_reader_get_name (r, s->data_centre);
   bb_reader_get_endpoint (r, &s->address);
   s->tag = bb_reader_get_uint (r, UINT64_MAX);
-  s->state
-      = (enum bb_server_state)bb_reader_get_uint (r, BB_SERVER_STATES - 1);
+  s->state = (enum bb_server_state)bb_reader_get_uint (r, SERVER_STATE_MAX);
+  if (s->address.port == 0)
+    {
+      s->service[0] = s->data_centre[0] = 0;
+      if (s->state == BB_SERVER_EXPIRED)
+        s->state = BB_SERVER_UNUSABLE;
+    }
   s->cold_ms = bb_reader_get_u32 (r);
   s->gone_ms = bb_reader_get_u32 (r);
   s->slots = (uint16_t)bb_reader_get_uint (r, UINT16_MAX);
