marked: a flow that may have moved is reset only in answer to a packet

Cause: the flow table keeps an entry for 15 s after its last packet, and an idle flow looks like one that the fabric moved to another balancer. When the server ended, both were reset with the numbers in the entry.

A flow is now reset unasked only if it was seen here more than 2 s after the last change of the balancers of the data centre, or freeze of this one.

--- a/marked/balancer_private.h
+++ b/marked/balancer_private.h
@@ -22,6 +22,8 @@
   struct bb_marked_flows *flows;
   GRand *random;
   bb_usec last_sweep;
+  bb_usec last_tick;
+  bb_usec last_freeze_end;   /* 0: never frozen */
   bb_usec removal_grace_end; /* expired entries may come back before this */
   bb_usec last_repeat;       /* last retransmission by any caller */
   /* Most servers are silent: the link of this balancer may have failed.  */
--- a/marked/balancer_state.c
+++ b/marked/balancer_state.c
@@ -2,6 +2,10 @@
 
 #define SWEEP_INTERVAL BB_SEC
 
+/* A balancer that does not tick for this time may have been taken out of
+   rotation, since it misses two polls of the fabric.  */
+#define FREEZE_TIME BB_SEC
+
 /* State age above which, after a failed store call, the store is considered to
    have been unreachable.  A watch, its margin and the heartbeats in between
    take less time.  */
@@ -135,6 +139,9 @@
 void
 bb_marked_tick (struct bb_marked *m, bb_usec now)
 {
+  if (m->last_tick != 0 && now - m->last_tick >= FREEZE_TIME)
+    m->last_freeze_end = now;
+  m->last_tick = now;
   bb_sync_tick (m->sync, now);
   bb_directory_remove_expired (m->directory, now, handle_expired_server, m);
   bb_marked_check_link (m, now);
--- a/marked/flow_resets.c
+++ b/marked/flow_resets.c
@@ -6,13 +6,32 @@
    is alive.  */
 #define RECENT_ANSWER_TIME (3 * BB_SEC)
 
+/* Time by which the fabric follows a change of the balancers: it polls each
+   one twice a second and acts on the second miss.  */
+#define ROTATION_TIME (2 * BB_SEC)
+
+/* Whether F has certainly stayed at this balancer since its last packet. After
+   a change of the balancers, or while this one was frozen, the fabric may have
+   moved it, and its caller may have received more since.  */
+static bool
+has_stayed (const struct bb_marked *m, const struct bb_marked_flow *f)
+{
+  bb_usec changed
+      = MAX (bb_sync_members_changed (m->sync), m->last_freeze_end);
+  return changed == 0
+         || (int32_t)(f->seen_ms - bb_marked_time_ms (changed + ROTATION_TIME))
+                > 0;
+}
+
 /* Resets one flow of a server that has ended.  A caller with an idle flow
-   opens a new one for its next request, so that no request is lost.  */
+   opens a new one for its next request, so that no request is lost.  The reset
+   of a flow that has moved would have an old sequence number; the balancer
+   that has the flow now resets it.  */
 static void
 reset_flow (void *context, struct bb_marked_flow *f)
 {
   struct bb_marked *m = context;
-  if (f->state != BB_FLOW_OPEN)
+  if (f->state != BB_FLOW_OPEN || !has_stayed (m, f))
     return;
   struct bb_marked_packet packet = {
     .packet = { .source = f->caller.address,
--- a/marked/sync.c
+++ b/marked/sync.c
@@ -183,6 +183,7 @@
 bb_sync_announce_leave (struct bb_sync *s, bb_usec now)
 {
   s->is_leaving = true;
+  s->members_changed = now;
   update_role (s, now);
   bb_sync_send_heartbeats (s, now);
 }
@@ -229,6 +230,12 @@
   return s->last_store_failure != 0;
 }
 
+bb_usec
+bb_sync_members_changed (const struct bb_sync *s)
+{
+  return s->members_changed;
+}
+
 uint64_t
 bb_sync_revision (const struct bb_sync *s)
 {
--- a/marked/sync.h
+++ b/marked/sync.h
@@ -105,6 +105,10 @@
 
 uint64_t bb_sync_revision (const struct bb_sync *s);
 
+/* Last time that a balancer of the own data centre joined, was lost, or began
+   to leave, this one included; 0: never.  */
+bb_usec bb_sync_members_changed (const struct bb_sync *s);
+
 /* Age of the state in the directory; BB_AGE_UNKNOWN if there is none.  */
 bb_usec bb_sync_state_age (const struct bb_sync *s, bb_usec now);
 uint32_t bb_sync_count_live_peers (const struct bb_sync *s, bb_usec now);
--- a/marked/sync_heartbeats.c
+++ b/marked/sync_heartbeats.c
@@ -343,6 +343,9 @@
                         BB_REASON_NONE, 0);
   else
     bb_sync_apply_peer_loads (s, p, -1, now);
+  if (bb_sync_peer_is_local (s, p)
+      && (p->last_received == 0 || (b->flags & ~p->flags & BB_SYNC_LEAVING)))
+    s->members_changed = now;
   p->vm = vm;
   p->incarnation = m->incarnation;
   p->last_received = now;
--- a/marked/sync_peers.c
+++ b/marked/sync_peers.c
@@ -120,6 +120,8 @@
 static void
 mark_peer_lost (struct bb_sync *s, struct bb_sync_peer *p, bb_usec now)
 {
+  if (bb_sync_peer_is_local (s, p))
+    s->members_changed = now;
   if (bb_sync_peer_is_local (s, p) || p->was_leader)
     bb_sync_send_event (s, BB_EVENT_PEER_LOST, p->vm.id, 0, BB_REASON_TIMEOUT,
                         now - p->last_received);
--- a/tests/ended_test.c
+++ b/tests/ended_test.c
@@ -14,7 +14,9 @@
   send_request (1000, cookie, 151, 500, BB_SEC + 50 * BB_MSEC);
   send_request (1000, cookie, 201, 900, BB_SEC + 90 * BB_MSEC);
   put_server ("a", "desk", "north", BB_SERVER_DRAINING, 2 * BB_SEC);
-  bb_marked_tick (t.m, 2 * BB_SEC);
+  /* A balancer that does not tick for a second counts as frozen.  */
+  for (bb_usec now = 2 * BB_SEC; now < 6 * BB_SEC; now += 50 * BB_MSEC)
+    bb_marked_tick (t.m, now);
   ck_assert_uint_eq (t.reset_count, 0);
   put_server ("a", "desk", "north", BB_SERVER_GONE, 6 * BB_SEC);
   ck_assert_int_eq (a->record.state, BB_SERVER_GONE);
