--- a/marked/sync_private.h
+++ b/marked/sync_private.h
@@ -37,6 +37,11 @@
   uint32_t load_count;
 };
 
+/* Time without a datagram after which an incomplete batch is dropped.  A
+   sender sends all datagrams of a batch at once; lost ones are not sent again.
+ */
+#define BB_SYNC_BATCH_TIMEOUT (2 * BB_SEC)
+
 /* A batch of records that is being received.  Its routes are put in force
    together when it is complete, so that no flow is handled by parts of two
    configurations.  A balancer numbers its batches from 1 in each incarnation.
@@ -144,6 +149,8 @@
                               bb_usec now);
 
 void bb_sync_clear_batch (struct bb_sync_batch *b);
+/* Drops the batches that have been incomplete for too long.  */
+void bb_sync_expire_batches (struct bb_sync *s, bb_usec now);
 
 /* Sends all changes after revision BEFORE: a leader to its followers, a reader
    also to the other leaders.  */
--- a/marked/sync_records.c
+++ b/marked/sync_records.c
@@ -224,6 +224,17 @@
   *b = (struct bb_sync_batch){ 0 };
 }
 
+void
+bb_sync_expire_batches (struct bb_sync *s, bb_usec now)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (s->batches); i++)
+    {
+      struct bb_sync_batch *b = &s->batches[i];
+      if (b->records && now - b->updated >= BB_SYNC_BATCH_TIMEOUT)
+        bb_sync_clear_batch (b);
+    }
+}
+
 static void
 begin_batch (struct bb_sync_batch *b, const struct bb_sync_message *message)
 {
--- a/tests/sync_batch_test.c
+++ b/tests/sync_batch_test.c
@@ -137,6 +137,26 @@
 }
 END_TEST
 
+/* Guards against a batch that is completed long after its first datagram, and
+   against memory that stays in use for one that never is.  */
+START_TEST (incomplete_batch_expires)
+{
+  const struct node *n = start_at (80, 3);
+  struct bb_endpoint from = endpoint_of (1);
+  struct bb_sync_message m = {
+    .kind = BB_SYNC_RECORDS,
+    .from = 101,
+    .record_chunk = { .batch = 1, .chunk_count = 2, .to = 90, .version = 3 },
+  };
+  bb_sync_receive (n->sync, &from, &m, sim.now);
+  sim.now += 2 * BB_SEC;
+  bb_sync_tick (n->sync, sim.now);
+  m.record_chunk.chunk = 1;
+  bb_sync_receive (n->sync, &from, &m, sim.now);
+  ck_assert_uint_eq (bb_sync_revision (n->sync), 80);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -146,6 +166,7 @@
   tcase_add_loop_test (tc, version_is_taken_with_its_routes, 0,
                        G_N_ELEMENTS (states));
   tcase_add_loop_test (tc, batch_is_of_one_life, 0, G_N_ELEMENTS (lives));
+  tcase_add_test (tc, incomplete_batch_expires);
   suite_add_tcase (suite, tc);
   return run_suite (suite);
 }
