marked: invariants of the state, checked in builds with a sanitizer

Builds with a sanitizer check after each adopted state that no route is newer than the revision reported and that the record of removals does not begin after it (bb_sync_check_state).

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,9 @@
 ifeq ($(filter gue, $(TRANSPORTS)),)
 CFLAGS += -DBB_WITHOUT_GUE
 endif
+ifdef SANITIZE
+CFLAGS += -DBB_CHECK_INVARIANTS
+endif
 ifdef STATIC
 LDLIBS = -Wl,-Bstatic -levent_extra -levent_core -ljson-c -lglib-2.0 \
   -lpcre2-8 -llog4c -lexpat -lmsgpackc -lxxhash -Wl,-Bdynamic -lm -lpthread
--- a/marked/sync.c
+++ b/marked/sync.c
@@ -203,6 +203,22 @@
   return s->is_reader;
 }
 
+void
+bb_sync_check_state (struct bb_sync *s)
+{
+#ifdef BB_CHECK_INVARIANTS
+  struct bb_link *head = bb_directory_routes (s->directory);
+  for (struct bb_link *at = head->next; at != head; at = at->next)
+    g_assert_cmpuint (
+        BB_LINKED (at, struct bb_route, by_revision)->record.revision, <=,
+        s->revision);
+  g_assert_cmpuint (bb_directory_removals_since (s->directory), <=,
+                    s->revision);
+#else
+  (void)s;
+#endif
+}
+
 void
 bb_sync_confirm_revision (struct bb_sync *s, uint64_t revision,
                           bb_usec requested, bb_usec now)
@@ -213,6 +229,7 @@
     return;
   uint64_t before = s->revision;
   s->revision = revision;
+  bb_sync_check_state (s);
   bb_sync_publish_changes (s, before, now);
 }
 
--- a/marked/sync_private.h
+++ b/marked/sync_private.h
@@ -99,6 +99,10 @@
                                                uint32_t data_centre,
                                                bb_usec now);
 
+/* Aborts if the state held is not one of its revision.  Does nothing in a
+   build without BB_CHECK_INVARIANTS.  */
+void bb_sync_check_state (struct bb_sync *s);
+
 /* sync_peers.c: the list of peers.  */
 bool bb_sync_peer_is_live (const struct bb_sync_peer *p, bb_usec now);
 bool bb_sync_peer_is_local (const struct bb_sync *s,
--- a/marked/sync_records.c
+++ b/marked/sync_records.c
@@ -389,6 +389,8 @@
     bb_sync_send_event (s, BB_EVENT_STATE_ADOPTED, b->from, m->version,
                         BB_REASON_PEER, (bb_usec)m->verified_ms * BB_MSEC);
   bb_sync_set_verified (s, m->verified_ms, now);
+  if (has_routes_in_force)
+    bb_sync_check_state (s);
   if (s->revision > before)
     bb_sync_publish_changes (s, before, now);
 }
