marked: a change of a server that is not held is passed on

Found by tests/sync_random_test.c: a balancer whose whole read missed a server, since it was removed while the pages arrived, ignored the removal that its watch then delivered, but reported to have it. A balancer that held the server at that revision kept it. The same held for an unusable entry of a server that was removed before: a peer that had not held it kept the unusable one after its removal.

The name and the revision of such records are kept, without data.

Test: change_of_an_unlisted_server_is_passed_on in tests/unusable_test.c; two of three cases failed before.

--- a/marked/directory.c
+++ b/marked/directory.c
@@ -226,7 +226,8 @@
   if (changes_state_only (record))
     {
       kept = s->record;
-      kept.state = was_gone ? BB_SERVER_GONE : record->state;
+      kept.state
+          = was_gone && is_removal (record) ? BB_SERVER_GONE : record->state;
       kept.revision = record->revision;
       kept.gone_ms = record->gone_ms;
     }
@@ -269,8 +270,6 @@
   *server = s;
   if (!is_new)
     return update_server (d, s, record, now);
-  if (is_removal (record) && is_placeholder (record))
-    return BB_DIRECTORY_UNCHANGED;
   if (s && record->revision <= s->record.revision)
     return BB_DIRECTORY_STALE;
   if (!s)
--- a/tests/unusable_test.c
+++ b/tests/unusable_test.c
@@ -196,6 +196,47 @@
 }
 END_TEST
 
+/* Guards against a reader that missed the last entry of a server, since it was
+   removed while the pages of a read arrived, and against one that had removed
+   it earlier.  Both must pass on what the store reports next.  */
+static const struct
+{
+  const char *description;
+  bool was_known;
+  enum bb_server_state next; /* without data */
+  enum bb_server_state sent;
+} unknown[] = {
+  { "removal of a server never held", false, BB_SERVER_GONE, BB_SERVER_GONE },
+  { "unusable entry of a server never held", false, BB_SERVER_UNUSABLE,
+    BB_SERVER_UNUSABLE },
+  { "unusable entry of a removed server", true, BB_SERVER_UNUSABLE,
+    BB_SERVER_DRAINING },
+};
+
+START_TEST (change_of_an_unlisted_server_is_passed_on)
+{
+  struct bb_marked *fixture = t.m;
+  struct bb_marked *reader = t.m = new_reader ();
+  if (unknown[_i].was_known)
+    {
+      put_server ("a", "desk", "north", BB_SERVER_READY, 0);
+      put_without_data ("a", BB_SERVER_GONE, 0);
+    }
+  read_store_with_unusable ("b", BB_SEC);
+  uint64_t before = t.revision;
+  put_without_data ("a", unknown[_i].next, 2 * BB_SEC);
+  bb_marked_confirm_revision (reader, t.revision, 2 * BB_SEC, 2 * BB_SEC);
+  synchronize (reader, fixture, before, 2 * BB_SEC);
+  ck_assert_uint_eq (sent_count, 1);
+  ck_assert_uint_eq (sent[0].record_chunk.server_count, 1);
+  ck_assert_str_eq (sent[0].record_chunk.servers[0].name, "a");
+  ck_assert_msg (sent[0].record_chunk.servers[0].state == unknown[_i].sent,
+                 "%s", unknown[_i].description);
+  bb_marked_free (reader);
+  t.m = fixture;
+}
+END_TEST
+
 int
 main (void)
 {
@@ -207,6 +248,8 @@
   tcase_add_test (tc, unusable_entry_in_a_whole_read);
   tcase_add_loop_test (tc, peer_of_a_reader_that_never_knew_the_server, 0,
                        G_N_ELEMENTS (later));
+  tcase_add_loop_test (tc, change_of_an_unlisted_server_is_passed_on, 0,
+                       G_N_ELEMENTS (unknown));
   suite_add_tcase (suite, tc);
   return run_suite (suite);
 }
