marked: a removed record of a whole state is not listed

Found by tests/sync_random_test.c: a whole state has tombstones, and their names counted as listed. A route that the sender had dropped long ago, and that was added and dropped again while the sender skipped these revisions, stayed in force at a receiver that had seen it added: the tombstone is older than its record, and the route was not missing. The same for servers.

Test: removed_record_is_not_listed in tests/sync_batch_test.c, failed before.

--- a/marked/sync_records.c
+++ b/marked/sync_records.c
@@ -251,15 +251,19 @@
   b->routes = g_hash_table_new (NULL, NULL);
 }
 
+/* What was removed is not listed: the receiver may have held it again since,
+   and its tombstone is then too old to be applied.  */
 static void
 add_to_batch (struct bb_sync_batch *b, const struct bb_sync_records *m)
 {
   g_array_append_vals (b->records, m->routes, m->route_count);
   for (uint32_t i = 0; b->names && i < m->server_count; i++)
-    g_hash_table_add (b->names, g_strdup (m->servers[i].name));
+    if (m->servers[i].state != BB_SERVER_GONE)
+      g_hash_table_add (b->names, g_strdup (m->servers[i].name));
   for (uint32_t i = 0; b->routes && i < m->route_count; i++)
-    g_hash_table_add (b->routes,
-                      bb_directory_route_key (&m->routes[i].address));
+    if (m->routes[i].share_count > 0)
+      g_hash_table_add (b->routes,
+                        bb_directory_route_key (&m->routes[i].address));
 }
 
 static bool
--- a/tests/sync_batch_test.c
+++ b/tests/sync_batch_test.c
@@ -137,6 +137,42 @@
 }
 END_TEST
 
+/* Guards against a route and a server that stay: the sender recorded an older
+   removal of them, and never held them again, while the receiver did.  */
+START_TEST (removed_record_is_not_listed)
+{
+  const struct node *n = start_at (80, 3);
+  struct bb_endpoint from = endpoint_of (1);
+  struct bb_backend_server *server;
+  struct bb_server_record r = { .name = "i-01",
+                                .service = "s",
+                                .data_centre = "dc-0",
+                                .address = { 1, 1 },
+                                .created = 60,
+                                .revision = 60 };
+  bb_directory_put (n->directory, &r, sim.now, &server);
+  r.state = BB_SERVER_GONE;
+  r.revision = 30;
+  struct bb_sync_message m = {
+    .kind = BB_SYNC_RECORDS,
+    .from = 101,
+    .record_chunk = { .batch = 1,
+                      .chunk_count = 1,
+                      .to = 90,
+                      .version = 7,
+                      .servers = { r },
+                      .server_count = 1,
+                      .routes = { route_record (&kept_route, 85),
+                                  { .address = other_route, .revision = 30 } },
+                      .route_count = 2 },
+  };
+  bb_sync_receive (n->sync, &from, &m, sim.now);
+  ck_assert (is_in_force (n, &kept_route));
+  ck_assert (!is_in_force (n, &other_route));
+  ck_assert_int_eq (server->record.state, BB_SERVER_GONE);
+}
+END_TEST
+
 /* Guards against a batch that is completed long after its first datagram, and
    against memory that stays in use for one that never is.  */
 START_TEST (incomplete_batch_expires)
@@ -166,6 +202,7 @@
   tcase_add_loop_test (tc, version_is_taken_with_its_routes, 0,
                        G_N_ELEMENTS (states));
   tcase_add_loop_test (tc, batch_is_of_one_life, 0, G_N_ELEMENTS (lives));
+  tcase_add_test (tc, removed_record_is_not_listed);
   tcase_add_test (tc, incomplete_batch_expires);
   suite_add_tcase (suite, tc);
   return run_suite (suite);
