marked: a whole read renews its routes

Found by tests/sync_random_test.c: a route that was dropped and added again between two reads of a balancer looked unchanged there and kept its old revision. A peer that had recorded the removal, later than that revision, ignored the route in the state it got, and refused a route in force with the newest version.

All routes of a read get its revision. Without a read in between changes are sent one by one as before.

Test: read_renews_its_routes in tests/snapshot_test.c, failed before.

--- a/marked/balancer_state.c
+++ b/marked/balancer_state.c
@@ -85,6 +85,18 @@
       version, BB_REASON_STORE, now);
 }
 
+/* Gives the routes of S its revision.  A route that looks the same may have
+   been dropped and added again since the state held; a peer that recorded its
+   removal then needs it as a change after that.  */
+static void
+renew_routes (struct bb_marked *m, const struct bb_snapshot *s, bb_usec now)
+{
+  for (guint i = 0; i < s->routes->len; i++)
+    bb_directory_put_route (
+        m->directory, &g_array_index (s->routes, struct bb_route_record, i),
+        now);
+}
+
 static void
 put_records (struct bb_marked *m, const struct bb_snapshot *s, bb_usec now)
 {
@@ -93,10 +105,13 @@
         m, &g_array_index (s->servers, struct bb_server_record, i), now);
   /* A newer configuration is among the changes after the snapshot's revision,
      which the watch delivers.  */
-  if (s->version > 0 && s->configured <= s->revision)
-    bb_marked_configure (m, s->version, s->configured,
-                         (const struct bb_route_record *)s->routes->data,
-                         s->routes->len, now);
+  if (s->version == 0 || s->configured > s->revision)
+    return;
+  bb_marked_configure (m, s->version, s->configured,
+                       (const struct bb_route_record *)s->routes->data,
+                       s->routes->len, now);
+  if (s->version == bb_directory_version (m->directory))
+    renew_routes (m, s, now);
 }
 
 void
--- a/tests/snapshot_test.c
+++ b/tests/snapshot_test.c
@@ -124,8 +124,24 @@
 }
 END_TEST
 
-/* Guards against the same at a balancer that got the result of such a read
-   from a peer, as changes or as a whole state.  */
+/* Guards against a route in force that a peer refuses: it was dropped and
+   added again between two reads of this balancer, and the peer recorded its
+   removal.
+ */
+START_TEST (read_renews_its_routes)
+{
+  read_store (40, 4, BB_SEC);
+  read_store (60, 6, 2 * BB_SEC);
+  request_records (40, 2 * BB_SEC);
+  ck_assert_uint_eq (t.sent_count, 1);
+  ck_assert_uint_eq (t.sent[0].from, 40);
+  ck_assert_uint_eq (t.sent[0].route_count, 1);
+  ck_assert_uint_eq (t.sent[0].routes[0].revision, 60);
+}
+END_TEST
+
+/* Guards against missing removals at a balancer that got the result of such a
+   read from a peer, as changes or as a whole state.  */
 START_TEST (peers_record_what_a_read_skipped)
 {
   read_store (40, 4, BB_SEC);
@@ -158,6 +174,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_loop_test (tc, read_records_what_it_skipped, 0,
                        G_N_ELEMENTS (requests));
+  tcase_add_test (tc, read_renews_its_routes);
   tcase_add_loop_test (tc, peers_record_what_a_read_skipped, 0, 2);
   suite_add_tcase (suite, tc);
   return run_suite (suite);
