marked: changes that skip a removal are not used

Found by tests/sync_random_test.c: a reader published the changes since the revision it held before a whole read to all followers that reported that revision or a later one. One whose revision was inside the gap had seen a route added that the reader never held; the changes had the version that drops it, without the removal.

The sender sends a follower inside the gap the whole state.

--- a/marked/sync_records.c
+++ b/marked/sync_records.c
@@ -111,7 +111,8 @@
       const struct bb_sync_peer *p = s->peers[i];
       if (!is_follower (s, p, now))
         continue;
-      if (p->revision >= before)
+      if (p->revision >= before
+          && bb_directory_has_changes_after (s->directory, p->revision))
         s->targets[count++] = p->vm.endpoint;
       else
         bb_sync_send_records (s, &p->vm.endpoint, 1, p->revision, now);
@@ -357,6 +358,15 @@
   return false;
 }
 
+/* Whether M may lack the removal of a record that is held here: its changes
+   start before the revision held, which is inside a gap of the sender.  */
+static bool
+may_lack_removals (const struct bb_sync *s, const struct bb_sync_records *m)
+{
+  return m->from > 0 && m->from < s->revision
+         && m->removals_since > s->revision;
+}
+
 /* Applies the complete batch B, whose last datagram is M.  A batch that is
    older than the state held is ignored as a whole: its version must not be
    reported without its routes.  */
@@ -364,7 +374,7 @@
 apply_batch (struct bb_sync *s, const struct bb_sync_batch *b,
              const struct bb_sync_records *m, bb_usec now)
 {
-  if (m->to < s->revision)
+  if (m->to < s->revision || may_lack_removals (s, m))
     return;
   if (is_contradictory (b, m))
     {
--- a/tests/snapshot_test.c
+++ b/tests/snapshot_test.c
@@ -166,6 +166,65 @@
 }
 END_TEST
 
+/* Changes that a balancer at revision 50 receives.  */
+static const struct
+{
+  const char *description;
+  uint64_t from;
+  uint64_t removals_since;
+  bool is_used;
+} changes[] = {
+  { "changes from the revision held", 50, 60, true },
+  { "changes from before it, with all removals", 40, 45, true },
+  { "changes from before it, with removals from a later revision on", 40, 60,
+    false },
+};
+
+/* Guards against a dropped route that stays in force: it was added and dropped
+   while the sender skipped these revisions.  */
+START_TEST (changes_must_have_all_removals)
+{
+  read_store (50, 4, BB_SEC);
+  struct bb_sync_message m = {
+    .kind = BB_SYNC_RECORDS,
+    .from = 3,
+    .incarnation = 1,
+    .record_chunk = { .batch = 1,
+                      .chunk_count = 1,
+                      .from = changes[_i].from,
+                      .to = 60,
+                      .removals_since = changes[_i].removals_since,
+                      .version = 6 },
+  };
+  bb_sync_receive (bb_marked_get_sync (t.m), &requester, &m, 2 * BB_SEC);
+  ck_assert_msg ((bb_sync_revision (bb_marked_get_sync (t.m)) == 60)
+                     == changes[_i].is_used,
+                 "%s", changes[_i].description);
+}
+END_TEST
+
+/* Guards against the same at the sender: a follower that is ahead of it before
+   its read is sent the whole state.  */
+START_TEST (follower_inside_a_gap_gets_the_whole_state)
+{
+  read_store (40, 4, BB_SEC);
+  struct bb_sync_message m
+      = { .kind = BB_SYNC_HEARTBEAT,
+          .from = 2,
+          .incarnation = 1,
+          .heartbeat = { .data_centre = bb_name_key ("north"),
+                         .capacity = 100,
+                         .revision = 50,
+                         .verified_ms = UINT32_MAX } };
+  bb_sync_receive (bb_marked_get_sync (t.m), &requester, &m, BB_SEC);
+  bb_marked_tick (t.m, BB_SEC);
+  t.sent_count = 0;
+  read_store (60, 6, BB_SEC + 100 * BB_MSEC);
+  ck_assert_uint_eq (t.sent_count, 1);
+  ck_assert_uint_eq (t.sent[0].from, 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -176,6 +235,9 @@
                        G_N_ELEMENTS (requests));
   tcase_add_test (tc, read_renews_its_routes);
   tcase_add_loop_test (tc, peers_record_what_a_read_skipped, 0, 2);
+  tcase_add_loop_test (tc, changes_must_have_all_removals, 0,
+                       G_N_ELEMENTS (changes));
+  tcase_add_test (tc, follower_inside_a_gap_gets_the_whole_state);
   suite_add_tcase (suite, tc);
   return run_suite (suite);
 }
