--- a/marked/directory.h
+++ b/marked/directory.h
@@ -142,9 +142,9 @@
 
 /* Applies RECORD and sets *SERVER to the server.  A record of state
    BB_SERVER_GONE is also kept if the server was not held before, since packets
-   with its cookie may arrive.  If it has no address then, it is ignored and
-   *SERVER is NULL.  One of state BB_SERVER_UNUSABLE has no address; of a
-   server that was not held before, the name and the revision are kept.  */
+   with its cookie may arrive.  A removal or an unusable entry needs no data
+   but the name; of a server that was not held before, the name and the
+   revision are kept, so that peers get the change.  */
 enum bb_directory_change
 bb_directory_put (struct bb_directory *d,
                   const struct bb_server_record *record, bb_usec now,
--- a/marked/sync_records.c
+++ b/marked/sync_records.c
@@ -311,7 +311,7 @@
   return ++b->chunks_received == b->chunk_count ? b : NULL;
 }
 
-/* Takes over from when the sender of M records removals.  */
+/* Takes over from which revision on the sender of M has all removals.  */
 static void
 record_history (struct bb_sync *s, const struct bb_sync_records *m,
                 bb_usec now)
