--- a/tests/sync_random_test.c
+++ b/tests/sync_random_test.c
@@ -201,6 +201,7 @@
 {
   struct bb_route_record routes[ROUTES];
   n->called = 0;
+  ck_assert_ptr_nonnull (n->snapshot);
   if (n->snapshot->revision == 0)
     n->snapshot->revision = w.revision;
   for (unsigned items = 0; n->next_item <= SERVERS && items < PAGE_ITEMS;
