--- a/marked/sync_private.h
+++ b/marked/sync_private.h
@@ -152,6 +152,12 @@
                               const struct bb_sync_message *message,
                               bb_usec now);
 
+/* sync_batches.c: the batches that are being received.  */
+/* Adds MESSAGE to its batch.  Returns the batch if it is complete now, to be
+   cleared by the caller, or NULL.  */
+struct bb_sync_batch *
+bb_sync_collect_chunk (struct bb_sync *s,
+                       const struct bb_sync_message *message, bb_usec now);
 void bb_sync_clear_batch (struct bb_sync_batch *b);
 /* Drops the batches that have been incomplete for too long.  */
 void bb_sync_expire_batches (struct bb_sync *s, bb_usec now);
