marked: rooms for state, sync, placement and evidence

Moves only: 36 files in one directory were about to grow by evacuations, cold starts and eras. evidence/ is used by state/, state/ by sync/ and placement/, and all of them by the balancer itself; no include leads back.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,8 @@
   -lpcre2-8 -llog4c -lexpat -lmsgpackc -lxxhash -Wl,-Bdynamic -lm -lpthread
 endif
 
-sources = $(filter-out $(1)/main.c, $(wildcard $(1)/*.c))
+sources = $(filter-out $(1)/main.c $(1)/standins/%, \
+  $(wildcard $(1)/*.c $(1)/*/*.c))
 objects = $(patsubst %.c, $(BUILD)/%.o, $(1))
 
 LIBS = $(foreach p, $(PACKAGES), $(if $(wildcard $(p)/*.c), $(BUILD)/lib$(p).a))
--- a/marked/balancer.c
+++ b/marked/balancer.c
@@ -1,6 +1,6 @@
 #include "core/engine.h"
 #include "marked/balancer_private.h"
-#include "marked/place.h"
+#include "marked/placement/place.h"
 
 /* Callers send copies of a first packet up to 600 ms after it.  The rest of
    the time covers packets in queues.  */
--- a/marked/balancer.h
+++ b/marked/balancer.h
@@ -12,8 +12,8 @@
 #define BB_MARKED_BALANCER_H
 
 #include "core/histogram.h"
-#include "marked/snapshot.h"
-#include "marked/sync.h"
+#include "marked/state/snapshot.h"
+#include "marked/sync/sync.h"
 
 struct bb_marked_packet
 {
--- a/marked/balancer_private.h
+++ b/marked/balancer_private.h
@@ -4,8 +4,8 @@
 #define BB_MARKED_BALANCER_PRIVATE_H
 
 #include "marked/balancer.h"
+#include "marked/evidence/path_delay.h"
 #include "marked/flows.h"
-#include "marked/path_delay.h"
 
 enum
 {
--- a/marked/admission.c
+++ b/marked/evidence/admission.c
@@ -1,4 +1,4 @@
-#include "marked/admission.h"
+#include "marked/evidence/admission.h"
 
 #include <math.h>
 
--- a/marked/path_delay.c
+++ b/marked/evidence/path_delay.c
@@ -1,4 +1,4 @@
-#include "marked/path_delay.h"
+#include "marked/evidence/path_delay.h"
 
 /* Length of a window.  A queue at a link lasts longer than the time between
    the first packets of two flows at a balancer with little traffic.  */
--- a/marked/suspicion.c
+++ b/marked/evidence/suspicion.c
@@ -1,4 +1,4 @@
-#include "marked/suspicion.h"
+#include "marked/evidence/suspicion.h"
 
 /* A caller retransmits 200 ms after a packet without an answer.  These times
    are counted from the first retransmission.  */
--- a/marked/place.c
+++ b/marked/placement/place.c
@@ -1,4 +1,4 @@
-#include "marked/place.h"
+#include "marked/placement/place.h"
 
 /* Cost of a pending request relative to an open flow.  The request occupies a
    slot now; most of the open flows are idle.  */
--- a/marked/place.h
+++ b/marked/placement/place.h
@@ -5,7 +5,7 @@
 #ifndef BB_MARKED_PLACE_H
 #define BB_MARKED_PLACE_H
 
-#include "marked/directory.h"
+#include "marked/state/directory.h"
 
 /* How the servers of a service are compared.  */
 struct bb_placement_policy
--- a/marked/directory.c
+++ b/marked/state/directory.c
@@ -1,5 +1,5 @@
 #include "core/hash.h"
-#include "marked/directory_private.h"
+#include "marked/state/directory_private.h"
 #include <string.h>
 
 const char *
--- a/marked/directory.h
+++ b/marked/state/directory.h
@@ -9,9 +9,9 @@
 #define BB_MARKED_DIRECTORY_H
 
 #include "core/histogram.h"
-#include "marked/admission.h"
-#include "marked/list.h"
-#include "marked/suspicion.h"
+#include "marked/evidence/admission.h"
+#include "marked/evidence/suspicion.h"
+#include "marked/state/list.h"
 
 enum
 {
--- a/marked/directory_private.h
+++ b/marked/state/directory_private.h
@@ -3,7 +3,7 @@
 #ifndef BB_MARKED_DIRECTORY_PRIVATE_H
 #define BB_MARKED_DIRECTORY_PRIVATE_H
 
-#include "marked/directory.h"
+#include "marked/state/directory.h"
 
 struct bb_directory
 {
--- a/marked/directory_routes.c
+++ b/marked/state/directory_routes.c
@@ -1,4 +1,4 @@
-#include "marked/directory_private.h"
+#include "marked/state/directory_private.h"
 
 static uint64_t
 route_revision (const struct bb_link *link)
--- a/marked/directory_sort.c
+++ b/marked/state/directory_sort.c
@@ -1,4 +1,4 @@
-#include "marked/directory_private.h"
+#include "marked/state/directory_private.h"
 
 void
 bb_directory_append (struct bb_link *head, struct bb_link *link,
--- a/marked/snapshot.c
+++ b/marked/state/snapshot.c
@@ -1,4 +1,4 @@
-#include "marked/snapshot.h"
+#include "marked/state/snapshot.h"
 
 struct bb_snapshot *
 bb_snapshot_new (bb_usec requested_at)
--- a/marked/snapshot.h
+++ b/marked/state/snapshot.h
@@ -5,7 +5,7 @@
 #ifndef BB_MARKED_SNAPSHOT_H
 #define BB_MARKED_SNAPSHOT_H
 
-#include "marked/directory.h"
+#include "marked/state/directory.h"
 
 struct bb_snapshot
 {
--- a/marked/sync.c
+++ b/marked/sync/sync.c
@@ -1,4 +1,4 @@
-#include "marked/sync_private.h"
+#include "marked/sync/sync_private.h"
 #include <string.h>
 
 /* Time by which a follower delays becoming a reader, for each balancer before
--- a/marked/sync.h
+++ b/marked/sync/sync.h
@@ -11,7 +11,7 @@
 #ifndef BB_MARKED_SYNC_H
 #define BB_MARKED_SYNC_H
 
-#include "marked/sync_messages.h"
+#include "marked/sync/sync_messages.h"
 
 /* A peer is silent after three lost heartbeats.  */
 #define BB_SYNC_HEARTBEAT_INTERVAL (300 * BB_MSEC)
--- a/marked/sync_batches.c
+++ b/marked/sync/sync_batches.c
@@ -1,4 +1,4 @@
-#include "marked/sync_private.h"
+#include "marked/sync/sync_private.h"
 
 void
 bb_sync_clear_batch (struct bb_sync_batch *b)
--- a/marked/sync_heartbeats.c
+++ b/marked/sync/sync_heartbeats.c
@@ -1,4 +1,4 @@
-#include "marked/sync_private.h"
+#include "marked/sync/sync_private.h"
 
 /* Interval of heartbeats to peers that are silent.  */
 #define RETRY_INTERVAL (2 * BB_SEC)
--- a/marked/sync_messages.h
+++ b/marked/sync/sync_messages.h
@@ -5,7 +5,7 @@
 #ifndef BB_MARKED_SYNC_MESSAGES_H
 #define BB_MARKED_SYNC_MESSAGES_H
 
-#include "marked/directory.h"
+#include "marked/state/directory.h"
 
 enum
 {
--- a/marked/sync_peer_list.c
+++ b/marked/sync/sync_peer_list.c
@@ -1,4 +1,4 @@
-#include "marked/sync_private.h"
+#include "marked/sync/sync_private.h"
 
 /* Recipient of a peer list.  */
 struct recipient
--- a/marked/sync_peers.c
+++ b/marked/sync/sync_peers.c
@@ -1,4 +1,4 @@
-#include "marked/sync_private.h"
+#include "marked/sync/sync_private.h"
 
 /* Balancers of other data centres that are not leaders send heartbeats rarely.
  */
--- a/marked/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -3,7 +3,7 @@
 #ifndef BB_MARKED_SYNC_PRIVATE_H
 #define BB_MARKED_SYNC_PRIVATE_H
 
-#include "marked/sync.h"
+#include "marked/sync/sync.h"
 
 enum
 {
--- a/marked/sync_records.c
+++ b/marked/sync/sync_records.c
@@ -1,4 +1,4 @@
-#include "marked/sync_private.h"
+#include "marked/sync/sync_private.h"
 
 /* Packs records into the datagrams of a batch.  If IS_COUNTING, counts the
    datagrams without sending them.  */
--- a/tests/admission_estimates_test.c
+++ b/tests/admission_estimates_test.c
@@ -1,7 +1,7 @@
 /* What admission control knows: estimates of answer times, pending requests
    and priorities in use.  */
 
-#include "marked/admission.h"
+#include "marked/evidence/admission.h"
 #include "tests/suite.h"
 
 enum
--- a/tests/admission_test.c
+++ b/tests/admission_test.c
@@ -2,7 +2,7 @@
    and queues.  Requests on open flows are not subject to admission control;
    rejected requests are retried on new flows.  */
 
-#include "marked/place.h"
+#include "marked/placement/place.h"
 #include "tests/suite.h"
 #include <string.h>
 
--- a/tests/directory_test.c
+++ b/tests/directory_test.c
@@ -1,4 +1,4 @@
-#include "marked/directory.h"
+#include "marked/state/directory.h"
 #include "tests/suite.h"
 #include <string.h>
 
--- a/tests/placement_test.c
+++ b/tests/placement_test.c
@@ -1,6 +1,6 @@
 /* Placement under critical loads, replayed without I/O.  */
 
-#include "marked/place.h"
+#include "marked/placement/place.h"
 #include "tests/suite.h"
 #include <string.h>
 
--- a/tests/sync_fixture.h
+++ b/tests/sync_fixture.h
@@ -5,7 +5,7 @@
 #ifndef BB_TESTS_SYNC_FIXTURE_H
 #define BB_TESTS_SYNC_FIXTURE_H
 
-#include "marked/sync.h"
+#include "marked/sync/sync.h"
 #include "tests/suite.h"
 #include "wire/sync.h"
 #include <string.h>
--- a/wire/sync.h
+++ b/wire/sync.h
@@ -5,7 +5,7 @@
 #ifndef BB_WIRE_SYNC_H
 #define BB_WIRE_SYNC_H
 
-#include "marked/sync_messages.h"
+#include "marked/sync/sync_messages.h"
 
 /* Encodes MESSAGE; free the result with g_byte_array_unref.  */
 GByteArray *bb_sync_encode (const struct bb_sync_message *message);
