wire: eras, evacuations and service limits in messages of balancers

Elements are appended, so that builds of before go on reading the messages; their own messages decode as era 0 without evacuations and limits (records_of_older_versions_decode). Revisions of one message have one era, which is sent once. Nothing fills the new elements yet.

--- a/marked/state/directory.h
+++ b/marked/state/directory.h
@@ -12,6 +12,7 @@
 #include "marked/evidence/admission.h"
 #include "marked/evidence/suspicion.h"
 #include "marked/state/list.h"
+#include "marked/state/revision.h"
 
 enum
 {
@@ -80,6 +81,7 @@
   struct bb_answer_time remote_dc;
   struct bb_histogram answer_times; /* local and remote */
   struct bb_priorities priorities;
+  uint32_t cold_rate; /* of its struct bb_service_record */
   char name[BB_NAME_MAX];
 };
 
@@ -92,6 +94,7 @@
   uint32_t cookie;
   bool has_announced_end; /* was draining before it was removed */
   bool is_local;          /* in the data centre of this balancer */
+  bool is_evacuated;      /* its data centre gets no new flows */
   bb_usec first_listed;   /* first time it was listed here */
   bb_usec gone_since;     /* 0: listed; else time of removal or expiry */
   bb_usec cold_until;
@@ -125,6 +128,25 @@
   struct bb_link by_revision;
 };
 
+/* Request of the operator that the servers of a data centre get no new
+   flows.  */
+struct bb_evacuation_record
+{
+  char data_centre[BB_NAME_MAX];
+  bool is_active; /* false: taken back */
+  uint64_t revision;
+};
+
+/* What the configuration says of a service.  */
+struct bb_service_record
+{
+  uint32_t service;
+  /* New requests in 1,000 s that a server bears while it is cold; 0: no limit
+     is known.  */
+  uint32_t cold_rate;
+  uint64_t revision;
+};
+
 enum bb_directory_change
 {
   BB_DIRECTORY_UNCHANGED,
--- a/marked/sync/sync_messages.h
+++ b/marked/sync/sync_messages.h
@@ -16,6 +16,8 @@
   BB_SYNC_LOADS_MAX = 64,        /* servers whose load is in a heartbeat */
   BB_SYNC_SERVERS_MAX = 8,       /* servers in one datagram of records */
   BB_SYNC_ROUTES_MAX = 24,       /* routes in one datagram of records */
+  BB_SYNC_EVACUATIONS_MAX = 12,  /* evacuations in one datagram of records */
+  BB_SYNC_SERVICES_MAX = 48,     /* services in one datagram of records */
   BB_SYNC_CHUNKS_MAX = 512,      /* datagrams of one batch */
 };
 
@@ -99,6 +101,10 @@
   uint32_t server_count;
   struct bb_route_record routes[BB_SYNC_ROUTES_MAX];
   uint32_t route_count;
+  struct bb_evacuation_record evacuations[BB_SYNC_EVACUATIONS_MAX];
+  uint32_t evacuation_count;
+  struct bb_service_record services[BB_SYNC_SERVICES_MAX];
+  uint32_t service_count;
 };
 
 struct bb_sync_message
--- a/tests/sync_message_test.c
+++ b/tests/sync_message_test.c
@@ -63,6 +63,10 @@
                       .revision = 89 },
                     { .address = { 0xc6120001, 444 }, .revision = 90 } },
         .route_count = 2,
+        .evacuations = { { "itagui", true, 87 }, { "bello", false, 86 } },
+        .evacuation_count = 2,
+        .services = { { 1, 8500, 89 } },
+        .service_count = 1,
       };
     }
   return m;
@@ -101,6 +105,10 @@
       ck_assert_uint_eq (decoded.record_chunk.routes[0].objective_ms, 150);
       ck_assert_uint_eq (decoded.record_chunk.routes[0].priority, 2);
       ck_assert_uint_eq (decoded.record_chunk.routes[1].share_count, 0);
+      ck_assert_str_eq (decoded.record_chunk.evacuations[1].data_centre,
+                        "bello");
+      ck_assert (decoded.record_chunk.evacuations[0].is_active);
+      ck_assert_uint_eq (decoded.record_chunk.services[0].cold_rate, 8500);
     }
   GByteArray *again = bb_sync_encode (&decoded);
   ck_assert_uint_eq (again->len, bytes->len);
@@ -110,30 +118,64 @@
 }
 END_TEST
 
-/* Guards against rejecting messages of earlier releases, which send routes
-   without priorities, or without both objectives and priorities.  Their
-   messages have one or two elements less.  */
+/* Guards against rejecting messages of earlier releases, which have fewer
+   elements: no service limits, evacuations and era, then no priorities, then
+   no objectives.  The last elements of the message, from the end.  */
+static const struct
+{
+  uint8_t bytes[3];
+  size_t length;
+} appended[] = {
+  { { 0x90 }, 1 },       /* no service limits */
+  { { 0x90 }, 1 },       /* no evacuations */
+  { { 0 }, 1 },          /* era */
+  { { 0x92, 0, 0 }, 3 }, /* priorities */
+  { { 0x92, 0, 0 }, 3 }, /* objectives */
+};
+
 START_TEST (records_of_older_versions_decode)
 {
   struct bb_sync_message m = make_message (BB_SYNC_RECORDS), decoded;
   m.record_chunk.routes[0].objective_ms = 0;
   m.record_chunk.routes[0].priority = 0;
+  m.record_chunk.evacuation_count = m.record_chunk.service_count = 0;
   GByteArray *bytes = bb_sync_encode (&m);
-  /* The last elements are arrays of two zeros; the first byte holds the number
-     of elements.  */
-  const uint8_t last[] = { 0x92, 0, 0 };
+  /* The third byte holds the number of elements.  */
   ck_assert_uint_eq (bytes->data[0], 0xdc);
   size_t length = bytes->len;
-  for (int missing = 0; missing <= _i; missing++)
+  for (int i = 0; i <= _i; i++)
     {
-      length -= sizeof last;
-      ck_assert_mem_eq (bytes->data + length, last, sizeof last);
+      length -= appended[i].length;
+      ck_assert_mem_eq (bytes->data + length, appended[i].bytes,
+                        appended[i].length);
       bytes->data[2]--;
     }
   ck_assert (bb_sync_decode (bytes->data, length, &decoded, NULL));
   ck_assert_uint_eq (decoded.record_chunk.route_count, 2);
   ck_assert_uint_eq (decoded.record_chunk.routes[0].objective_ms, 0);
   ck_assert_uint_eq (decoded.record_chunk.routes[0].share_count, 2);
+  ck_assert_uint_eq (decoded.record_chunk.to, 90);
+  g_byte_array_unref (bytes);
+}
+END_TEST
+
+/* Guards against revisions that lose the era of the store.  */
+START_TEST (eras_round_trip)
+{
+  const uint64_t number = 90, era = 3;
+  struct bb_sync_message m = make_message (BB_SYNC_RECORDS), decoded;
+  m.record_chunk.to = bb_revision_make (era, number);
+  m.record_chunk.servers[0].revision = bb_revision_make (era, 88);
+  GByteArray *bytes = bb_sync_encode (&m);
+  ck_assert (bb_sync_decode (bytes->data, bytes->len, &decoded, NULL));
+  ck_assert_uint_eq (decoded.record_chunk.to, m.record_chunk.to);
+  ck_assert_uint_eq (decoded.record_chunk.from, 0);
+  ck_assert_uint_eq (bb_revision_era (decoded.record_chunk.routes[0].revision),
+                     era);
+  ck_assert_uint_eq (decoded.record_chunk.servers[0].revision,
+                     m.record_chunk.servers[0].revision);
+  ck_assert_uint_lt (bb_revision_make (era - 1, number + 1),
+                     m.record_chunk.to);
   g_byte_array_unref (bytes);
 }
 END_TEST
@@ -222,7 +264,9 @@
   Suite *suite = suite_create ("sync messages");
   TCase *tc = tcase_create ("codec");
   tcase_add_loop_test (tc, messages_round_trip, 0, BB_SYNC_KINDS);
-  tcase_add_loop_test (tc, records_of_older_versions_decode, 0, 2);
+  tcase_add_loop_test (tc, records_of_older_versions_decode, 0,
+                       G_N_ELEMENTS (appended));
+  tcase_add_test (tc, eras_round_trip);
   tcase_add_loop_test (tc, messages_fit_a_frame, 0, 4);
   tcase_add_loop_test (tc, truncated_messages_are_refused, 0, BB_SYNC_KINDS);
   tcase_add_test (tc, changed_bytes_stay_in_bounds);
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -1,6 +1,9 @@
 /* Codec of the sync messages.  A message is one flat msgpack array: [version,
    kind, from, incarnation, fields of the kind ...].  Later releases may append
-   elements, which older receivers ignore.  */
+   elements, which older receivers ignore.
+
+   Revisions are sent without their era, which is one for all revisions of a
+   message and an element of its own: older builds know no eras.  */
 
 #include "wire/sync.h"
 #include "wire/message.h"
@@ -18,26 +21,34 @@
   SERVER_FIELDS = 13,
   SERVER_STATE_MAX = BB_SERVER_EXPIRED, /* that older builds accept */
   ROUTE_FIELDS = 5,
+  EVACUATION_FIELDS = 3,
+  SERVICE_LIMIT_FIELDS = 3,
 };
 
 /* Stands for a name that is not known; a name cannot be empty.  */
 #define NO_NAME "-"
 
 static const size_t body_fields[BB_SYNC_KINDS] = {
-  [BB_SYNC_HEARTBEAT] = 8,
-  [BB_SYNC_REQUEST] = 1,
-  [BB_SYNC_RECORDS] = 13,
+  [BB_SYNC_HEARTBEAT] = 9,
+  [BB_SYNC_REQUEST] = 2,
+  [BB_SYNC_RECORDS] = 16,
 };
 
 /* Encoding.  */
 
+static void
+put_revision (msgpack_packer *pk, uint64_t revision)
+{
+  bb_writer_put_uint (pk, bb_revision_number (revision));
+}
+
 static void
 put_heartbeat (msgpack_packer *pk, const struct bb_sync_heartbeat *h)
 {
   bb_writer_put_uint (pk, h->data_centre);
   bb_writer_put_uint (pk, h->flags);
   bb_writer_put_uint (pk, h->capacity);
-  bb_writer_put_uint (pk, h->revision);
+  put_revision (pk, h->revision);
   bb_writer_put_uint (pk, h->version);
   bb_writer_put_uint (pk, h->verified_ms);
   msgpack_pack_array (pk, h->listed_peer_count * VM_FIELDS);
@@ -56,6 +67,14 @@
       bb_writer_put_uint (pk, LOAD_NOT_SUSPECT);
       bb_writer_put_uint (pk, h->loads[i].is_answering);
     }
+  bb_writer_put_uint (pk, bb_revision_era (h->revision));
+}
+
+static void
+put_request (msgpack_packer *pk, const struct bb_sync_request *m)
+{
+  put_revision (pk, m->revision);
+  bb_writer_put_uint (pk, bb_revision_era (m->revision));
 }
 
 /* Older builds have no state for a server whose entry is unusable.  One that
@@ -90,14 +109,14 @@
   bb_writer_put_uint (pk, r->slots);
   bb_writer_put_uint (pk, (uint64_t)r->born_ms);
   bb_writer_put_uint (pk, r->created);
-  bb_writer_put_uint (pk, r->revision);
+  put_revision (pk, r->revision);
 }
 
 static void
 put_route (msgpack_packer *pk, const struct bb_route_record *r)
 {
   bb_writer_put_endpoint (pk, &r->address);
-  bb_writer_put_uint (pk, r->revision);
+  put_revision (pk, r->revision);
   msgpack_pack_array (pk, 2 * r->share_count);
   for (uint32_t i = 0; i < r->share_count; i++)
     {
@@ -109,15 +128,39 @@
     bb_writer_put_uint (pk, r->allowed[i]);
 }
 
+static void
+put_evacuations (msgpack_packer *pk, const struct bb_sync_records *m)
+{
+  msgpack_pack_array (pk, m->evacuation_count * EVACUATION_FIELDS);
+  for (uint32_t i = 0; i < m->evacuation_count; i++)
+    {
+      bb_writer_put_name (pk, m->evacuations[i].data_centre);
+      bb_writer_put_uint (pk, m->evacuations[i].is_active);
+      put_revision (pk, m->evacuations[i].revision);
+    }
+}
+
+static void
+put_service_limits (msgpack_packer *pk, const struct bb_sync_records *m)
+{
+  msgpack_pack_array (pk, m->service_count * SERVICE_LIMIT_FIELDS);
+  for (uint32_t i = 0; i < m->service_count; i++)
+    {
+      bb_writer_put_uint (pk, m->services[i].service);
+      bb_writer_put_uint (pk, m->services[i].cold_rate);
+      put_revision (pk, m->services[i].revision);
+    }
+}
+
 static void
 put_records (msgpack_packer *pk, const struct bb_sync_records *m)
 {
   bb_writer_put_uint (pk, m->batch);
   bb_writer_put_uint (pk, m->chunk);
   bb_writer_put_uint (pk, m->chunk_count);
-  bb_writer_put_uint (pk, m->from);
-  bb_writer_put_uint (pk, m->to);
-  bb_writer_put_uint (pk, m->removals_since);
+  put_revision (pk, m->from);
+  put_revision (pk, m->to);
+  put_revision (pk, m->removals_since);
   bb_writer_put_uint (pk, m->route_history_ms);
   bb_writer_put_uint (pk, m->version);
   bb_writer_put_uint (pk, m->verified_ms);
@@ -133,6 +176,9 @@
   msgpack_pack_array (pk, m->route_count);
   for (uint32_t i = 0; i < m->route_count; i++)
     bb_writer_put_uint (pk, m->routes[i].priority);
+  bb_writer_put_uint (pk, bb_revision_era (m->to));
+  put_evacuations (pk, m);
+  put_service_limits (pk, m);
 }
 
 GByteArray *
@@ -152,7 +198,7 @@
       put_heartbeat (&pk, &m->heartbeat);
       break;
     case BB_SYNC_REQUEST:
-      bb_writer_put_uint (&pk, m->request.revision);
+      put_request (&pk, &m->request);
       break;
     case BB_SYNC_RECORDS:
       put_records (&pk, &m->record_chunk);
@@ -181,13 +227,27 @@
   return inner;
 }
 
+static uint64_t
+read_revision (struct bb_reader *r)
+{
+  return bb_reader_get_uint (r, BB_REVISION_NUMBER_MAX);
+}
+
+/* Reads the era of the revisions of a message.  Earlier releases send none.
+ */
+static uint64_t
+read_era (struct bb_reader *r)
+{
+  return r->remaining ? bb_reader_get_uint (r, BB_REVISION_ERA_MAX) : 0;
+}
+
 static void
 read_heartbeat (struct bb_reader *r, struct bb_sync_heartbeat *h)
 {
   h->data_centre = bb_reader_get_u32 (r);
   h->flags = bb_reader_get_u32 (r);
   h->capacity = bb_reader_get_u32 (r);
-  h->revision = bb_reader_get_uint (r, UINT64_MAX);
+  h->revision = read_revision (r);
   h->version = bb_reader_get_uint (r, UINT64_MAX);
   h->verified_ms = bb_reader_get_u32 (r);
   struct bb_reader inner = read_groups (r, VM_FIELDS, BB_SYNC_LISTED_PEERS_MAX,
@@ -209,6 +269,7 @@
       h->loads[i].is_answering = bb_reader_get_uint (&inner, 1) != 0;
     }
   r->is_invalid |= inner.is_invalid;
+  h->revision = bb_revision_make (read_era (r), h->revision);
 }
 
 static void
@@ -231,14 +292,14 @@
   s->slots = (uint16_t)bb_reader_get_uint (r, UINT16_MAX);
   s->born_ms = (int64_t)bb_reader_get_uint (r, INT64_MAX);
   s->created = bb_reader_get_uint (r, UINT64_MAX);
-  s->revision = bb_reader_get_uint (r, UINT64_MAX);
+  s->revision = read_revision (r);
 }
 
 static void
 read_route (struct bb_reader *r, struct bb_route_record *route)
 {
   bb_reader_get_endpoint (r, &route->address);
-  route->revision = bb_reader_get_uint (r, UINT64_MAX);
+  route->revision = read_revision (r);
   struct bb_reader inner
       = read_groups (r, 2, BB_ROUTE_SERVICES, &route->share_count);
   for (uint32_t i = 0; i < route->share_count; i++)
@@ -253,15 +314,81 @@
   r->is_invalid |= inner.is_invalid;
 }
 
+static void
+read_evacuations (struct bb_reader *r, struct bb_sync_records *m)
+{
+  struct bb_reader inner = read_groups (
+      r, EVACUATION_FIELDS, BB_SYNC_EVACUATIONS_MAX, &m->evacuation_count);
+  for (uint32_t i = 0; i < m->evacuation_count; i++)
+    {
+      bb_reader_get_name (&inner, m->evacuations[i].data_centre);
+      m->evacuations[i].is_active = bb_reader_get_uint (&inner, 1) != 0;
+      m->evacuations[i].revision = read_revision (&inner);
+    }
+  r->is_invalid |= inner.is_invalid;
+}
+
+static void
+read_service_limits (struct bb_reader *r, struct bb_sync_records *m)
+{
+  struct bb_reader inner = read_groups (
+      r, SERVICE_LIMIT_FIELDS, BB_SYNC_SERVICES_MAX, &m->service_count);
+  for (uint32_t i = 0; i < m->service_count; i++)
+    {
+      m->services[i].service = bb_reader_get_u32 (&inner);
+      m->services[i].cold_rate = bb_reader_get_u32 (&inner);
+      m->services[i].revision = read_revision (&inner);
+    }
+  r->is_invalid |= inner.is_invalid;
+}
+
+static void
+read_objectives (struct bb_reader *r, struct bb_sync_records *m)
+{
+  struct bb_reader inner = bb_reader_get_array (r);
+  for (uint32_t i = 0; i < m->route_count; i++)
+    m->routes[i].objective_ms = bb_reader_get_u32 (&inner);
+  r->is_invalid |= inner.is_invalid;
+}
+
+static void
+read_priorities (struct bb_reader *r, struct bb_sync_records *m)
+{
+  struct bb_reader inner = bb_reader_get_array (r);
+  for (uint32_t i = 0; i < m->route_count; i++)
+    m->routes[i].priority = bb_reader_get_u32 (&inner);
+  r->is_invalid |= inner.is_invalid;
+}
+
+/* Adds ERA to all revisions of M.  */
+static void
+set_era (struct bb_sync_records *m, uint64_t era)
+{
+  uint64_t *const revisions[] = { &m->from, &m->to, &m->removals_since };
+  for (size_t i = 0; i < G_N_ELEMENTS (revisions); i++)
+    *revisions[i] = bb_revision_make (era, *revisions[i]);
+  for (uint32_t i = 0; i < m->server_count; i++)
+    m->servers[i].revision = bb_revision_make (era, m->servers[i].revision);
+  for (uint32_t i = 0; i < m->route_count; i++)
+    m->routes[i].revision = bb_revision_make (era, m->routes[i].revision);
+  for (uint32_t i = 0; i < m->evacuation_count; i++)
+    m->evacuations[i].revision
+        = bb_revision_make (era, m->evacuations[i].revision);
+  for (uint32_t i = 0; i < m->service_count; i++)
+    m->services[i].revision = bb_revision_make (era, m->services[i].revision);
+}
+
+/* The elements after the routes are missing in messages of earlier releases,
+   which end after the routes, the objectives or the priorities.  */
 static void
 read_records (struct bb_reader *r, struct bb_sync_records *m)
 {
   m->batch = bb_reader_get_u32 (r);
   m->chunk = (uint32_t)bb_reader_get_uint (r, BB_SYNC_CHUNKS_MAX - 1);
   m->chunk_count = (uint32_t)bb_reader_get_uint (r, BB_SYNC_CHUNKS_MAX);
-  m->from = bb_reader_get_uint (r, UINT64_MAX);
-  m->to = bb_reader_get_uint (r, UINT64_MAX);
-  m->removals_since = bb_reader_get_uint (r, UINT64_MAX);
+  m->from = read_revision (r);
+  m->to = read_revision (r);
+  m->removals_since = read_revision (r);
   m->route_history_ms = bb_reader_get_u32 (r);
   m->version = bb_reader_get_uint (r, UINT64_MAX);
   m->verified_ms = bb_reader_get_u32 (r);
@@ -276,18 +403,18 @@
   for (uint32_t i = 0; i < m->route_count; i++)
     read_route (&inner, &m->routes[i]);
   r->is_invalid |= inner.is_invalid;
-  if (r->remaining == 0)
-    return; /* sent by an earlier release, without objectives */
-  inner = bb_reader_get_array (r);
-  for (uint32_t i = 0; i < m->route_count; i++)
-    m->routes[i].objective_ms = bb_reader_get_u32 (&inner);
-  r->is_invalid |= inner.is_invalid;
-  if (r->remaining == 0)
-    return; /* sent by an earlier release, without priorities */
-  inner = bb_reader_get_array (r);
-  for (uint32_t i = 0; i < m->route_count; i++)
-    m->routes[i].priority = bb_reader_get_u32 (&inner);
-  r->is_invalid |= inner.is_invalid;
+  uint64_t era = 0;
+  if (r->remaining > 0)
+    read_objectives (r, m);
+  if (r->remaining > 0)
+    read_priorities (r, m);
+  if (r->remaining > 0)
+    era = read_era (r);
+  if (r->remaining > 0)
+    read_evacuations (r, m);
+  if (r->remaining > 0)
+    read_service_limits (r, m);
+  set_era (m, era);
 }
 
 static void
@@ -299,7 +426,9 @@
       read_heartbeat (r, &m->heartbeat);
       break;
     case BB_SYNC_REQUEST:
-      m->request.revision = bb_reader_get_uint (r, UINT64_MAX);
+      m->request.revision = read_revision (r);
+      m->request.revision
+          = bb_revision_make (read_era (r), m->request.revision);
       break;
     case BB_SYNC_RECORDS:
       read_records (r, &m->record_chunk);
