--- a/marked/state/directory.c
+++ b/marked/state/directory.c
@@ -116,39 +116,6 @@
     g_hash_table_remove (d->cookies, GUINT_TO_POINTER (s->cookie));
 }
 
-struct bb_server_group *
-bb_directory_find_service (const struct bb_directory *d, uint32_t service)
-{
-  return g_hash_table_lookup (d->services, GUINT_TO_POINTER (service));
-}
-
-static struct bb_server_group *
-get_server_group (struct bb_directory *d, uint32_t service, const char *name)
-{
-  struct bb_server_group *group = bb_directory_find_service (d, service);
-  if (group)
-    return group;
-  group = g_new0 (struct bb_server_group, 1);
-  group->service = service;
-  g_strlcpy (group->name, name, sizeof group->name);
-  bb_list_init (&group->servers);
-  g_hash_table_insert (d->services, GUINT_TO_POINTER (service), group);
-  return group;
-}
-
-void
-bb_directory_foreach_service (
-    const struct bb_directory *d,
-    void (*each) (void *context, const struct bb_server_group *group),
-    void *context)
-{
-  GHashTableIter iter;
-  gpointer group;
-  g_hash_table_iter_init (&iter, d->services);
-  while (g_hash_table_iter_next (&iter, NULL, &group))
-    each (context, group);
-}
-
 static bool
 is_removal (const struct bb_server_record *record)
 {
@@ -194,7 +161,7 @@
       = is_removal (record) ? MAX (now - record->gone_ms * BB_MSEC, 1) : 0;
   if (record->state != BB_SERVER_GONE && !is_placeholder (record))
     {
-      s->group = get_server_group (d, s->service, s->record.service);
+      s->group = bb_directory_get_service (d, s->service, s->record.service);
       bb_list_append (&s->group->servers, &s->of_service);
     }
   append_server (d, s);
--- a/marked/state/directory_private.h
+++ b/marked/state/directory_private.h
@@ -33,4 +33,10 @@
 int bb_directory_compare_revisions (uint64_t a, uint64_t b);
 void bb_directory_sort_list (struct bb_link *head, bool *unsorted,
                              GCompareFunc order);
+
+/* Returns the servers of SERVICE, which is called NAME; adds an empty group
+   for a new service.  */
+struct bb_server_group *bb_directory_get_service (struct bb_directory *d,
+                                                  uint32_t service,
+                                                  const char *name);
 #endif
