marked: data centres are evacuated, services have limits

A key of the operator that evacuates a data centre was not read: new flows went on to its servers. In a batch it takes effect when the batch is complete, before the routes. Placement skips servers of evacuated data centres. If the own data centre is evacuated, a flow of low priority is placed remotely without an estimate of the answer time. If no other server is left, it is refused at once (evacuated).

What a configuration holds is one structure now, in place of longer parameter lists.

--- a/core/core.h
+++ b/core/core.h
@@ -336,6 +336,7 @@
   BB_EVENT_LINK_TRUSTED,
   BB_EVENT_STATE_ADOPTED, /* the whole state of the store or of a peer */
   BB_EVENT_STATE_REFUSED, /* records of a peer that contradict each other */
+  BB_EVENT_EVACUATION,    /* of a data centre; value: 1 begins, 0 ends */
   BB_EVENT_KINDS
 };
 
@@ -364,6 +365,7 @@
   BB_REASON_HISTORY_LOST,
   BB_REASON_UNREADABLE,
   BB_REASON_CONTRADICTORY,
+  BB_REASON_EVACUATED, /* the servers' data centre is evacuated */
   BB_REASONS
 };
 
@@ -374,10 +376,11 @@
 struct bb_event
 {
   enum bb_event_kind kind;
-  uint32_t peer;   /* VM id, 0: none */
-  uint32_t server; /* key, 0: none */
-  uint64_t flow;   /* hash, 0: none */
-  uint64_t value;  /* by kind: a version, a count or microseconds */
+  uint32_t peer;        /* VM id, 0: none */
+  uint32_t server;      /* key, 0: none */
+  uint32_t data_centre; /* key, 0: none */
+  uint64_t flow;        /* hash, 0: none */
+  uint64_t value;       /* by kind: a version, a count or microseconds */
   enum bb_reason reason;
   uint64_t revision; /* of the state that the decision used, 0: none */
   bb_usec age;       /* of that state; 0: not given */
--- a/driver/overload_nodes.c
+++ b/driver/overload_nodes.c
@@ -93,7 +93,11 @@
         .revision = 100,
       };
     }
-  bb_marked_configure (m, 1, 100, routes, BB_OVERLOAD_KINDS, w->now);
+  const struct bb_configuration c = { .version = 1,
+                                      .revision = 100,
+                                      .routes = routes,
+                                      .route_count = BB_OVERLOAD_KINDS };
+  bb_marked_configure (m, &c, w->now);
 }
 
 void
--- a/marked/balancer.c
+++ b/marked/balancer.c
@@ -95,6 +95,8 @@
   m->counters.placed++;
   if (!s->is_local)
     m->counters.placed_remote++;
+  if (choice.reason == BB_REASON_EVACUATED)
+    m->counters.placed_evacuated++;
   bb_marked_send_event (m, BB_EVENT_FLOW_PLACED, s, hash,
                         (uint64_t)s->load.open + (uint64_t)s->load.peer_open,
                         choice.reason, now);
--- a/marked/balancer.h
+++ b/marked/balancer.h
@@ -54,6 +54,8 @@
   uint64_t forwarded;
   uint64_t placed;
   uint64_t placed_remote; /* in another data centre */
+  /* In another data centre, because the own one is evacuated.  */
+  uint64_t placed_evacuated;
   uint64_t syn_copies;    /* copies of first packets */
   uint64_t refused[BB_REASONS];
   uint64_t resets;
@@ -87,15 +89,17 @@
    only a name and a revision.  */
 void bb_marked_put_server (struct bb_marked *m,
                            const struct bb_server_record *record, bb_usec now);
-void bb_marked_configure (struct bb_marked *m, uint64_t version,
-                          uint64_t revision,
-                          const struct bb_route_record *routes, size_t count,
-                          bb_usec now);
+void bb_marked_configure (struct bb_marked *m,
+                          const struct bb_configuration *c, bb_usec now);
+void bb_marked_put_evacuation (struct bb_marked *m,
+                               const struct bb_evacuation_record *record,
+                               bb_usec now);
 
 /* Replaces the state held by SNAPSHOT and confirms its revision, unless a peer
    has delivered a newer state.  Servers that it does not list are removed.
    After a store outage, those that were ready are set to expired instead of
-   gone, and may come back within BB_EXPIRY_GRACE_TIME.  */
+   gone, and may come back within BB_EXPIRY_GRACE_TIME.  Evacuations that it
+   does not list are taken back.  */
 void bb_marked_adopt_snapshot (struct bb_marked *m,
                                const struct bb_snapshot *snapshot,
                                bb_usec now);
--- a/marked/balancer_state.c
+++ b/marked/balancer_state.c
@@ -74,27 +74,37 @@
 }
 
 void
-bb_marked_configure (struct bb_marked *m, uint64_t version, uint64_t revision,
-                     const struct bb_route_record *routes, size_t count,
+bb_marked_configure (struct bb_marked *m, const struct bb_configuration *c,
                      bb_usec now)
 {
-  int changed = bb_directory_configure (m->directory, version, revision,
-                                        routes, count, now);
+  int changed = bb_directory_configure (m->directory, c, now);
   bb_marked_send_event (
       m, changed >= 0 ? BB_EVENT_VERSION : BB_EVENT_VERSION_STALE, NULL, 0,
-      version, BB_REASON_STORE, now);
+      c->version, BB_REASON_STORE, now);
 }
 
-/* Gives the routes of S its revision.  A route that looks the same may have
-   been dropped and added again since the state held; a peer that recorded its
-   removal then needs it as a change after that.  */
+void
+bb_marked_put_evacuation (struct bb_marked *m,
+                          const struct bb_evacuation_record *record,
+                          bb_usec now)
+{
+  bb_sync_apply_evacuation (m->directory, record, BB_REASON_STORE,
+                            record->revision, bb_sync_state_age (m->sync, now),
+                            &sync_sink, m, now);
+}
+
+/* Evacuations are in force before the routes: no flow is placed between.  */
 static void
-renew_routes (struct bb_marked *m, const struct bb_snapshot *s, bb_usec now)
+adopt_evacuations (struct bb_marked *m, const struct bb_snapshot *s,
+                   bb_usec now)
 {
-  for (guint i = 0; i < s->routes->len; i++)
-    bb_directory_put_route (
-        m->directory, &g_array_index (s->routes, struct bb_route_record, i),
+  for (guint i = 0; i < s->evacuations->len; i++)
+    bb_marked_put_evacuation (
+        m, &g_array_index (s->evacuations, struct bb_evacuation_record, i),
         now);
+  bb_sync_end_unlisted_evacuations (m->directory, s->evacuated, s->revision,
+                                    BB_REASON_STORE, now - s->requested_at,
+                                    &sync_sink, m, now);
 }
 
 static void
@@ -107,11 +117,13 @@
      which the watch delivers.  */
   if (s->version == 0 || s->configured > s->revision)
     return;
-  bb_marked_configure (m, s->version, s->configured,
-                       (const struct bb_route_record *)s->routes->data,
-                       s->routes->len, now);
-  if (s->version == bb_directory_version (m->directory))
-    renew_routes (m, s, now);
+  const struct bb_configuration c = bb_snapshot_get_configuration (s);
+  bb_marked_configure (m, &c, now);
+  /* A route that looks the same may have been dropped and added again since
+     the state held; a peer that recorded its removal then needs it as a change
+     after that.  */
+  if (c.version == bb_directory_version (m->directory))
+    bb_directory_renew_configuration (m->directory, &c, now);
 }
 
 void
@@ -122,6 +134,7 @@
   if (s->revision >= held)
     {
       bb_usec age = now - s->requested_at;
+      adopt_evacuations (m, s, now);
       put_records (m, s, now);
       if (held == 0)
         bb_directory_start_history (m->directory, s->revision, now);
--- a/marked/placement/place.c
+++ b/marked/placement/place.c
@@ -74,7 +74,9 @@
   struct candidate suspect;
   double local_pending; /* of the local servers that are not suspect */
   double local_slots;
-  bool has_unknown_slots; /* a local server does not tell its slots */
+  bool has_unknown_slots;  /* a local server does not tell its slots */
+  bool has_evacuated;      /* servers of an evacuated data centre */
+  bool is_local_evacuated; /* the own data centre is among them */
 };
 
 static void
@@ -85,6 +87,14 @@
   p->has_unknown_slots |= s->record.slots == 0;
 }
 
+static bool
+skip_evacuated (struct candidates *p, const struct bb_backend_server *s)
+{
+  p->has_evacuated |= s->is_evacuated;
+  p->is_local_evacuated |= s->is_evacuated && s->is_local;
+  return s->is_evacuated;
+}
+
 static struct candidates
 find_candidates (const struct bb_link *servers,
                  const struct bb_placement_policy *policy, GRand *random,
@@ -100,6 +110,8 @@
       if (s->record.state != BB_SERVER_READY
           && s->record.state != BB_SERVER_EXPIRED)
         continue;
+      if (skip_evacuated (&candidates, s))
+        continue;
       if (bb_suspicion_is_suspect (&s->load.evidence, now))
         candidate = &candidates.suspect;
       else if (s->is_local)
@@ -140,14 +152,15 @@
 
 /* Whether a new flow may go to another data centre, because answers arrive in
    time there.  For a flow of low priority there must be an estimate of the
-   answer time, since the data centre may be unreachable.  */
+   answer time, since the data centre may be unreachable, unless the own data
+   centre is evacuated.  */
 static bool
 remote_is_admitted (const struct candidates *p,
                     const struct bb_server_group *group, bb_usec objective,
                     bool is_low_priority, bb_usec now)
 {
   return p->remote_dc.server
-         && (!is_low_priority
+         && (!is_low_priority || p->is_local_evacuated
              || bb_answer_time_is_known (&group->remote_dc, now))
          && !bb_answer_time_exceeds (&group->remote_dc, objective,
                                      is_low_priority, now);
@@ -186,7 +199,11 @@
            && (!local_admitted || prefers_remote (local, remote))))
     return (struct bb_placement){ local, BB_REASON_OWN_DATA_CENTRE };
   if (remote)
-    return (struct bb_placement){ remote, BB_REASON_OTHER_DATA_CENTRE };
+    return (struct bb_placement){ remote, p.is_local_evacuated
+                                              ? BB_REASON_EVACUATED
+                                              : BB_REASON_OTHER_DATA_CENTRE };
+  if (!p.suspect.server && p.has_evacuated)
+    return (struct bb_placement){ NULL, BB_REASON_EVACUATED };
   /* If all servers seem dead, one of them is used anyway.  The evidence may be
      wrong, and a failed flow costs the caller no more than a refusal.  */
   return (struct bb_placement){ p.suspect.server, p.suspect.server
--- a/marked/state/directory.c
+++ b/marked/state/directory.c
@@ -24,6 +24,8 @@
   d->routes = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   bb_list_init (&d->servers_by_revision);
   bb_list_init (&d->routes_by_revision);
+  bb_directory_init_evacuations (d);
+  bb_directory_init_limits (d);
   return d;
 }
 
@@ -35,6 +37,8 @@
   g_hash_table_unref (d->cookies);
   g_hash_table_unref (d->services);
   g_hash_table_unref (d->routes);
+  g_hash_table_unref (d->evacuations);
+  g_hash_table_unref (d->limits);
   g_hash_table_unref (d->names);
   g_free (d);
 }
@@ -151,6 +155,7 @@
   s->key = bb_server_key (record->service, record->name);
   s->service = bb_name_key (record->service);
   s->is_local = strcmp (record->data_centre, d->data_centre) == 0;
+  s->is_evacuated = bb_directory_is_evacuated (d, record->data_centre);
   s->cold_until = record->cold_ms ? now + record->cold_ms * BB_MSEC : 0;
   if (record->state == BB_SERVER_DRAINING)
     s->has_announced_end = true;
@@ -375,4 +380,6 @@
   void *context[] = { d, &now };
   g_hash_table_foreach_remove (d->names, expire_server, context);
   g_hash_table_foreach_remove (d->routes, expire_route, context);
+  bb_directory_sweep_evacuations (d, now);
+  bb_directory_sweep_limits (d, now);
 }
--- a/marked/state/directory.h
+++ b/marked/state/directory.h
@@ -147,6 +147,31 @@
   uint64_t revision;
 };
 
+struct bb_evacuation
+{
+  struct bb_evacuation_record record;
+  bb_usec ended; /* 0: active */
+  struct bb_link by_revision;
+};
+
+struct bb_service_limit
+{
+  struct bb_service_record record;
+  bb_usec dropped; /* 0: in force */
+  struct bb_link by_revision;
+};
+
+/* What a configuration holds.  The records have its revision.  */
+struct bb_configuration
+{
+  uint64_t version;
+  uint64_t revision;
+  struct bb_route_record *routes;
+  size_t route_count;
+  struct bb_service_record *services; /* those that have a limit */
+  size_t service_count;
+};
+
 enum bb_directory_change
 {
   BB_DIRECTORY_UNCHANGED,
@@ -177,13 +202,17 @@
 bb_directory_put_route (struct bb_directory *d,
                         const struct bb_route_record *record, bb_usec now);
 
-/* Puts the COUNT routes of a whole configuration VERSION in force and drops
-   the routes that are not among them.  Returns the number of routes changed,
-   or -1 if this version or a newer one is in force.  */
-int bb_directory_configure (struct bb_directory *d, uint64_t version,
-                            uint64_t revision,
-                            const struct bb_route_record *routes, size_t count,
-                            bb_usec now);
+/* Puts the routes and limits of C in force and drops those that are not among
+   them.  Returns the number of routes changed, or -1 if this version or a
+   newer one is in force.  */
+int bb_directory_configure (struct bb_directory *d,
+                            const struct bb_configuration *c, bb_usec now);
+
+/* Gives the routes and limits of C, the configuration in force, its
+   revision.  */
+void bb_directory_renew_configuration (struct bb_directory *d,
+                                       const struct bb_configuration *c,
+                                       bb_usec now);
 
 /* Drops the routes in force that are not in LISTED, a set of
    bb_directory_route_key, unless they are newer than REVISION.  Returns the
@@ -193,6 +222,28 @@
                                        bb_usec now);
 gpointer bb_directory_route_key (const struct bb_endpoint *address);
 
+/* Applies the limits of one service.  */
+enum bb_directory_change
+bb_directory_put_service (struct bb_directory *d,
+                          const struct bb_service_record *record, bb_usec now);
+
+/* Drops the limits in force of services that are not in LISTED, a set of
+   GUINT_TO_POINTER (service), unless they are newer than REVISION.  */
+void bb_directory_drop_unlisted_services (struct bb_directory *d,
+                                          GHashTable *listed,
+                                          uint64_t revision, bb_usec now);
+
+/* Applies the record of one evacuation.  Returns BB_DIRECTORY_ADDED if it
+   becomes active and BB_DIRECTORY_GONE if it ends.  The end of an evacuation
+   that was not held is kept, so that peers get the change.  */
+enum bb_directory_change
+bb_directory_put_evacuation (struct bb_directory *d,
+                             const struct bb_evacuation_record *record,
+                             bb_usec now);
+bool bb_directory_is_evacuated (const struct bb_directory *d,
+                                const char *data_centre);
+uint32_t bb_directory_count_evacuations (const struct bb_directory *d);
+
 /* Records that the directory was empty and now holds the whole state of
    REVISION, without a record of earlier removals or of configurations before
    HISTORY_START.  */
@@ -246,10 +297,12 @@
     void (*each) (void *context, const struct bb_server_group *group),
     void *context);
 
-/* List heads of all servers and routes, oldest revision first, linked by
-   by_revision.  */
+/* List heads of all servers, routes, evacuations and limits of services, with
+   those that have ended, oldest revision first, linked by by_revision.  */
 struct bb_link *bb_directory_servers (struct bb_directory *d);
 struct bb_link *bb_directory_routes (struct bb_directory *d);
+struct bb_link *bb_directory_evacuations (struct bb_directory *d);
+struct bb_link *bb_directory_service_limits (struct bb_directory *d);
 
 /* Sets expired servers whose grace period has ended to gone and calls GONE for
    each of them.  */
@@ -258,7 +311,7 @@
     void (*gone) (void *context, struct bb_backend_server *server),
     void *context);
 
-/* Removes servers and routes that have been gone for longer than the
-   retention.  */
+/* Removes servers, routes, evacuations and limits that have been gone for
+   longer than the retention.  */
 void bb_directory_sweep (struct bb_directory *d, bb_usec now);
 #endif
--- a/marked/state/directory_private.h
+++ b/marked/state/directory_private.h
@@ -13,15 +13,21 @@
   uint64_t gap_start;      /* but for what was added after this revision */
   uint64_t gap_end;        /* and removed up to this one */
   bb_usec history_start;
-  GHashTable *names;    /* name to struct bb_backend_server, owned */
-  GHashTable *cookies;  /* cookie to struct bb_backend_server */
-  GHashTable *services; /* service to struct bb_server_group, owned */
-  GHashTable *routes;   /* address and port to struct bb_route, owned */
+  GHashTable *names;       /* name to struct bb_backend_server, owned */
+  GHashTable *cookies;     /* cookie to struct bb_backend_server */
+  GHashTable *services;    /* service to struct bb_server_group, owned */
+  GHashTable *routes;      /* address and port to struct bb_route, owned */
+  GHashTable *evacuations; /* name to struct bb_evacuation, owned */
+  GHashTable *limits;      /* service to struct bb_service_limit, owned */
   struct bb_link servers_by_revision;
   struct bb_link routes_by_revision;
+  struct bb_link evacuations_by_revision;
+  struct bb_link limits_by_revision;
   uint32_t expired_count; /* servers of state BB_SERVER_EXPIRED */
   bool servers_unsorted;
   bool routes_unsorted;
+  bool evacuations_unsorted;
+  bool limits_unsorted;
 };
 
 /* The lists by revision are sorted only when they are read, since a whole read
@@ -39,4 +45,18 @@
 struct bb_server_group *bb_directory_get_service (struct bb_directory *d,
                                                   uint32_t service,
                                                   const char *name);
+
+/* Create the tables, freed by bb_directory_free.  */
+void bb_directory_init_evacuations (struct bb_directory *d);
+void bb_directory_init_limits (struct bb_directory *d);
+
+/* Puts the limits of services in C in force and drops all others.  */
+void bb_directory_configure_limits (struct bb_directory *d,
+                                    const struct bb_configuration *c,
+                                    bb_usec now);
+
+/* Remove the evacuations and limits that ended longer ago than the retention.
+ */
+void bb_directory_sweep_evacuations (struct bb_directory *d, bb_usec now);
+void bb_directory_sweep_limits (struct bb_directory *d, bb_usec now);
 #endif
--- a/marked/state/directory_routes.c
+++ b/marked/state/directory_routes.c
@@ -129,34 +129,52 @@
   return changed;
 }
 
-int
-bb_directory_configure (struct bb_directory *d, uint64_t version,
-                        uint64_t revision,
-                        const struct bb_route_record *routes, size_t count,
-                        bb_usec now)
+static int
+configure_routes (struct bb_directory *d, const struct bb_configuration *c,
+                  bb_usec now)
 {
-  if (version <= d->version)
-    return -1;
-  d->version = version;
   GHashTable *listed = g_hash_table_new (NULL, NULL);
-  for (size_t i = 0; i < count; i++)
-    g_hash_table_add (listed, bb_directory_route_key (&routes[i].address));
-  int changed = bb_directory_drop_unlisted_routes (d, listed, revision, now);
+  for (size_t i = 0; i < c->route_count; i++)
+    g_hash_table_add (listed, bb_directory_route_key (&c->routes[i].address));
+  int changed
+      = bb_directory_drop_unlisted_routes (d, listed, c->revision, now);
   g_hash_table_unref (listed);
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; i < c->route_count; i++)
     {
       const struct bb_route *route
-          = bb_directory_find_route (d, &routes[i].address);
-      if (route && is_same_route (&route->record, &routes[i]))
+          = bb_directory_find_route (d, &c->routes[i].address);
+      if (route && is_same_route (&route->record, &c->routes[i]))
         continue;
       enum bb_directory_change change
-          = bb_directory_put_route (d, &routes[i], now);
+          = bb_directory_put_route (d, &c->routes[i], now);
       if (change != BB_DIRECTORY_STALE)
         changed++;
     }
   return changed;
 }
 
+int
+bb_directory_configure (struct bb_directory *d,
+                        const struct bb_configuration *c, bb_usec now)
+{
+  if (c->version <= d->version)
+    return -1;
+  d->version = c->version;
+  bb_directory_configure_limits (d, c, now);
+  return configure_routes (d, c, now);
+}
+
+void
+bb_directory_renew_configuration (struct bb_directory *d,
+                                  const struct bb_configuration *c,
+                                  bb_usec now)
+{
+  for (size_t i = 0; i < c->route_count; i++)
+    bb_directory_put_route (d, &c->routes[i], now);
+  for (size_t i = 0; i < c->service_count; i++)
+    bb_directory_put_service (d, &c->services[i], now);
+}
+
 uint64_t
 bb_directory_version (const struct bb_directory *d)
 {
--- a/marked/state/snapshot.c
+++ b/marked/state/snapshot.c
@@ -8,6 +8,10 @@
   s->servers = g_array_new (FALSE, FALSE, sizeof (struct bb_server_record));
   s->names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   s->routes = g_array_new (FALSE, FALSE, sizeof (struct bb_route_record));
+  s->services = g_array_new (FALSE, FALSE, sizeof (struct bb_service_record));
+  s->evacuations
+      = g_array_new (FALSE, FALSE, sizeof (struct bb_evacuation_record));
+  s->evacuated = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return s;
 }
 
@@ -19,6 +23,9 @@
   g_array_unref (s->servers);
   g_hash_table_unref (s->names);
   g_array_unref (s->routes);
+  g_array_unref (s->services);
+  g_array_unref (s->evacuations);
+  g_hash_table_unref (s->evacuated);
   g_free (s);
 }
 
@@ -31,13 +38,34 @@
 }
 
 void
-bb_snapshot_set_configuration (struct bb_snapshot *s, uint64_t version,
-                               uint64_t revision,
-                               const struct bb_route_record *routes,
-                               size_t count)
+bb_snapshot_set_configuration (struct bb_snapshot *s,
+                               const struct bb_configuration *c)
 {
-  s->version = version;
-  s->configured = revision;
+  s->version = c->version;
+  s->configured = c->revision;
   g_array_set_size (s->routes, 0);
-  g_array_append_vals (s->routes, routes, (guint)count);
+  g_array_append_vals (s->routes, c->routes, (guint)c->route_count);
+  g_array_set_size (s->services, 0);
+  g_array_append_vals (s->services, c->services, (guint)c->service_count);
+}
+
+struct bb_configuration
+bb_snapshot_get_configuration (const struct bb_snapshot *s)
+{
+  return (struct bb_configuration){
+    .version = s->version,
+    .revision = s->configured,
+    .routes = (struct bb_route_record *)(void *)s->routes->data,
+    .route_count = s->routes->len,
+    .services = (struct bb_service_record *)(void *)s->services->data,
+    .service_count = s->services->len,
+  };
+}
+
+void
+bb_snapshot_add_evacuation (struct bb_snapshot *s,
+                            const struct bb_evacuation_record *record)
+{
+  g_array_append_vals (s->evacuations, record, 1);
+  g_hash_table_add (s->evacuated, g_strdup (record->data_centre));
 }
--- a/marked/state/snapshot.h
+++ b/marked/state/snapshot.h
@@ -12,11 +12,14 @@
   /* Of the first page.  Records of later pages may be newer.  */
   uint64_t revision;
   bb_usec requested_at;
-  GArray *servers;     /* struct bb_server_record */
-  GHashTable *names;   /* of all servers that are listed */
-  uint64_t version;    /* of the configuration; 0: none was read */
-  uint64_t configured; /* revision of the configuration */
-  GArray *routes;      /* struct bb_route_record */
+  GArray *servers;       /* struct bb_server_record */
+  GHashTable *names;     /* of all servers that are listed */
+  uint64_t version;      /* of the configuration; 0: none was read */
+  uint64_t configured;   /* revision of the configuration */
+  GArray *routes;        /* struct bb_route_record */
+  GArray *services;      /* struct bb_service_record */
+  GArray *evacuations;   /* struct bb_evacuation_record */
+  GHashTable *evacuated; /* data centres of the evacuations */
 };
 
 /* Returns an empty snapshot, whose first page is requested at REQUESTED_AT.
@@ -26,8 +29,13 @@
 
 void bb_snapshot_add_server (struct bb_snapshot *s,
                              const struct bb_server_record *record);
-void bb_snapshot_set_configuration (struct bb_snapshot *s, uint64_t version,
-                                    uint64_t revision,
-                                    const struct bb_route_record *routes,
-                                    size_t count);
+void bb_snapshot_set_configuration (struct bb_snapshot *s,
+                                    const struct bb_configuration *c);
+void bb_snapshot_add_evacuation (struct bb_snapshot *s,
+                                 const struct bb_evacuation_record *record);
+
+/* Returns the configuration that was read, whose records S owns.  Its version
+   is 0 if none was read.  */
+struct bb_configuration
+bb_snapshot_get_configuration (const struct bb_snapshot *s);
 #endif
--- a/marked/sync/sync.h
+++ b/marked/sync/sync.h
@@ -59,6 +59,21 @@
                               bb_usec age, const struct bb_sync_sink *sink,
                               void *context, bb_usec now);
 
+/* Applies RECORD, received from FROM, to DIRECTORY and reports the change.  */
+void bb_sync_apply_evacuation (struct bb_directory *directory,
+                               const struct bb_evacuation_record *record,
+                               enum bb_reason from, uint64_t revision,
+                               bb_usec age, const struct bb_sync_sink *sink,
+                               void *context, bb_usec now);
+
+/* Takes back the evacuations of data centres that are not in LISTED, unless
+   they are newer than REVISION.  */
+void bb_sync_end_unlisted_evacuations (struct bb_directory *directory,
+                                       GHashTable *listed, uint64_t revision,
+                                       enum bb_reason from, bb_usec age,
+                                       const struct bb_sync_sink *sink,
+                                       void *context, bb_usec now);
+
 struct bb_sync_options
 {
   struct bb_sync_vm self;
--- a/marked/sync/sync_batches.c
+++ b/marked/sync/sync_batches.c
@@ -9,6 +9,7 @@
     g_hash_table_unref (b->routes);
   if (b->records)
     g_array_unref (b->records);
+  bb_sync_clear_evacuations (b);
   *b = (struct bb_sync_batch){ 0 };
 }
 
@@ -33,6 +34,7 @@
   b->number = m->batch;
   b->chunk_count = m->chunk_count;
   b->records = g_array_new (FALSE, FALSE, sizeof (struct bb_route_record));
+  bb_sync_begin_evacuations (b, m->from == 0);
   if (m->from > 0)
     return;
   b->names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -45,6 +47,7 @@
 add_to_batch (struct bb_sync_batch *b, const struct bb_sync_records *m)
 {
   g_array_append_vals (b->records, m->routes, m->route_count);
+  bb_sync_collect_evacuations (b, m);
   for (uint32_t i = 0; b->names && i < m->server_count; i++)
     if (m->servers[i].state != BB_SERVER_GONE)
       g_hash_table_add (b->names, g_strdup (m->servers[i].name));
--- a/marked/sync/sync_messages.h
+++ b/marked/sync/sync_messages.h
@@ -105,6 +105,9 @@
   uint32_t evacuation_count;
   struct bb_service_record services[BB_SYNC_SERVICES_MAX];
   uint32_t service_count;
+  /* False from an older build, which knows neither evacuations nor limits of
+     services.  */
+  bool has_evacuations;
 };
 
 struct bb_sync_message
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -55,9 +55,15 @@
   uint32_t chunk_count;
   uint32_t chunks_received;
   uint64_t chunks[BB_SYNC_CHUNK_WORDS];
-  GHashTable *names;  /* servers of a whole state; else NULL */
-  GHashTable *routes; /* bb_directory_route_key of its routes; else NULL */
-  GArray *records;    /* struct bb_route_record */
+  GHashTable *names;     /* servers of a whole state; else NULL */
+  GHashTable *routes;    /* bb_directory_route_key of its routes; else NULL */
+  GArray *records;       /* struct bb_route_record */
+  GArray *evacuations;   /* struct bb_evacuation_record */
+  GArray *limits;        /* struct bb_service_record */
+  GHashTable *evacuated; /* data centres, of a whole state; else NULL */
+  GHashTable *services;  /* that have limits, of a whole state; else NULL */
+  /* From an older build, which knows neither evacuations nor limits.  */
+  bool lacks_evacuations;
 };
 
 struct bb_sync
@@ -162,6 +168,27 @@
 /* Drops the batches that have been incomplete for too long.  */
 void bb_sync_expire_batches (struct bb_sync *s, bb_usec now);
 
+/* sync_evacuations.c: evacuations and limits of services in batches.  Both
+   take effect with the routes.  */
+void bb_sync_begin_evacuations (struct bb_sync_batch *b, bool is_whole);
+void bb_sync_clear_evacuations (struct bb_sync_batch *b);
+void bb_sync_collect_evacuations (struct bb_sync_batch *b,
+                                  const struct bb_sync_records *m);
+void bb_sync_apply_evacuations (struct bb_sync *s,
+                                const struct bb_sync_batch *b,
+                                const struct bb_sync_records *m, bb_usec now);
+void bb_sync_apply_limits (struct bb_sync *s, const struct bb_sync_batch *b,
+                           const struct bb_sync_records *m, bb_usec now);
+
+/* Whether a record of REVISION is newer than the directory.  The directory
+   holds everything up to its revision, so an older record that it lacks was
+   removed in the meantime.  Only an older removal may still be missing.  */
+static inline bool
+bb_sync_is_newer (const struct bb_sync *s, uint64_t revision)
+{
+  return revision > s->revision;
+}
+
 /* Sends all changes after revision BEFORE: a leader to its followers, a reader
    also to the other leaders.  */
 void bb_sync_publish_changes (struct bb_sync *s, uint64_t before, bb_usec now);
--- a/marked/sync/sync_records.c
+++ b/marked/sync/sync_records.c
@@ -21,10 +21,49 @@
     bb_sync_send (packer->sync, packer->to, packer->to_count,
                   &packer->message);
   m->server_count = m->route_count = 0;
+  m->evacuation_count = m->service_count = 0;
 }
 
-/* Packs the records that are newer than FROM.  Servers and routes are in
-   separate datagrams.  */
+static void
+pack_evacuations (struct packer *packer, uint64_t from)
+{
+  struct bb_sync_records *m = &packer->message.record_chunk;
+  struct bb_link *head = bb_directory_evacuations (packer->sync->directory);
+  for (struct bb_link *at = head->previous; at != head; at = at->previous)
+    {
+      const struct bb_evacuation *e
+          = BB_LINKED (at, struct bb_evacuation, by_revision);
+      if (e->record.revision <= from)
+        break;
+      m->evacuations[m->evacuation_count++] = e->record;
+      if (m->evacuation_count == BB_SYNC_EVACUATIONS_MAX)
+        flush_chunk (packer);
+    }
+  if (m->evacuation_count > 0)
+    flush_chunk (packer);
+}
+
+static void
+pack_limits (struct packer *packer, uint64_t from)
+{
+  struct bb_sync_records *m = &packer->message.record_chunk;
+  struct bb_link *head = bb_directory_service_limits (packer->sync->directory);
+  for (struct bb_link *at = head->previous; at != head; at = at->previous)
+    {
+      const struct bb_service_limit *limit
+          = BB_LINKED (at, struct bb_service_limit, by_revision);
+      if (limit->record.revision <= from)
+        break;
+      m->services[m->service_count++] = limit->record;
+      if (m->service_count == BB_SYNC_SERVICES_MAX)
+        flush_chunk (packer);
+    }
+  if (m->service_count > 0)
+    flush_chunk (packer);
+}
+
+/* Packs the records that are newer than FROM, each kind in datagrams of its
+   own.  */
 static void
 pack_records (struct packer *packer, uint64_t from, bb_usec now)
 {
@@ -50,6 +89,8 @@
     }
   if (m->server_count > 0)
     flush_chunk (packer);
+  pack_evacuations (packer, from);
+  pack_limits (packer, from);
   head = bb_directory_routes (d);
   for (struct bb_link *at = head->previous; at != head; at = at->previous)
     {
@@ -82,6 +123,7 @@
   m->route_history_ms
       = bb_sync_age_ms (bb_directory_history_start (s->directory), now);
   m->version = bb_directory_version (s->directory);
+  m->has_evacuations = true;
   m->verified_ms = bb_sync_age_ms (s->last_verified, now);
   pack_records (&packer, from, now);
   m->chunk_count = packer.chunks;
@@ -150,20 +192,11 @@
   sink->event (context, &event);
 }
 
-/* Whether a record of REVISION is newer than the directory.  The directory
-   holds everything up to its revision, so an older record that it lacks was
-   removed in the meantime.  Only an older removal may still be missing.  */
-static bool
-is_newer (const struct bb_sync *s, uint64_t revision)
-{
-  return revision > s->revision;
-}
-
 static void
 apply_servers (struct bb_sync *s, const struct bb_sync_records *m, bb_usec now)
 {
   for (uint32_t i = 0; i < m->server_count; i++)
-    if (is_newer (s, m->servers[i].revision)
+    if (bb_sync_is_newer (s, m->servers[i].revision)
         || m->servers[i].state == BB_SERVER_GONE)
       bb_sync_apply_server (s->directory, &m->servers[i], BB_REASON_PEER,
                             m->to, (bb_usec)m->verified_ms * BB_MSEC, s->sink,
@@ -177,7 +210,7 @@
     {
       const struct bb_route_record *r
           = &g_array_index (b->records, struct bb_route_record, i);
-      if (is_newer (s, r->revision))
+      if (bb_sync_is_newer (s, r->revision))
         bb_directory_put_route (s->directory, r, now);
     }
 }
@@ -290,8 +323,12 @@
      already.  It has no record of the routes that were removed before, so
      routes of an older configuration would come into force again.  */
   bool has_routes_in_force = m->version >= version;
+  bb_sync_apply_evacuations (s, b, m, now);
   if (has_routes_in_force)
-    apply_routes (s, b, now);
+    {
+      bb_sync_apply_limits (s, b, m, now);
+      apply_routes (s, b, now);
+    }
   bb_directory_set_version (s->directory, m->version);
   if (m->version > version)
     bb_sync_send_event (s, BB_EVENT_VERSION, b->from, m->version,
--- a/runtime/marked.h
+++ b/runtime/marked.h
@@ -60,16 +60,17 @@
   bool (*needs_read) (void *context, uint64_t *revision);
   /* Deliver a change.  */
   void (*server) (void *context, const struct bb_server_record *record);
-  void (*configuration) (void *context, uint64_t version, uint64_t revision,
-                         const struct bb_route_record *routes, size_t count);
+  void (*configuration) (void *context, const struct bb_configuration *c);
+  void (*evacuation) (void *context,
+                      const struct bb_evacuation_record *record);
   /* Delivers a full read when its last page has arrived.  */
   void (*snapshot) (void *context, const struct bb_snapshot *snapshot);
   /* All changes up to REVISION have been delivered.  The delivered state was
      the current state of the store at some time after REQUESTED_AT.  */
   void (*current) (void *context, uint64_t revision, bb_usec requested_at);
   void (*call_failed) (void *context, enum bb_store_outcome outcome);
-  /* An entry does not describe a usable server, or a configuration cannot be
-     used.  */
+  /* An entry does not describe a usable server, or a configuration or an
+     evacuation cannot be used.  */
   void (*refused) (void *context, const char *key, uint64_t revision,
                    const GError *error);
 };
--- a/runtime/marked_process.c
+++ b/runtime/marked_process.c
@@ -97,12 +97,17 @@
 }
 
 static void
-store_configuration (void *context, uint64_t version, uint64_t revision,
-                     const struct bb_route_record *routes, size_t count)
+store_configuration (void *context, const struct bb_configuration *c)
 {
   struct bb_marked_process *p = context;
-  bb_marked_configure (p->marked, version, revision, routes, count,
-                       bb_clock_boot ());
+  bb_marked_configure (p->marked, c, bb_clock_boot ());
+}
+
+static void
+store_evacuation (void *context, const struct bb_evacuation_record *record)
+{
+  struct bb_marked_process *p = context;
+  bb_marked_put_evacuation (p->marked, record, bb_clock_boot ());
 }
 
 static void
@@ -168,6 +173,7 @@
   .needs_read = store_needs_read,
   .server = store_server,
   .configuration = store_configuration,
+  .evacuation = store_evacuation,
   .snapshot = store_snapshot,
   .current = store_current,
   .call_failed = store_failed,
--- a/tests/adapter_test.c
+++ b/tests/adapter_test.c
@@ -287,34 +287,32 @@
    taking effect.  */
 START_TEST (configuration_is_decoded)
 {
-  uint64_t version = 0;
-  struct bb_route_record *routes;
-  size_t count, unusable;
+  struct bb_configuration c;
+  size_t unusable;
   GError *error = NULL;
   g_autofree char *value
       = g_strdelimit (g_strdup (configurations[_i].value), "'", '"');
   bool usable = bb_platform_decode_configuration (
-      (const uint8_t *)value, strlen (value), &version, &routes, &count,
-      &unusable, &error);
+      (const uint8_t *)value, strlen (value), &c, &unusable, &error);
   ck_assert_int_eq (usable, configurations[_i].usable);
   g_clear_error (&error);
   if (usable)
     {
-      ck_assert_uint_eq (version, 7);
-      ck_assert_uint_eq (count, configurations[_i].count);
+      ck_assert_uint_eq (c.version, 7);
+      ck_assert_uint_eq (c.route_count, configurations[_i].count);
       ck_assert_uint_eq (unusable, configurations[_i].unusable);
     }
-  if (count > 1)
+  if (c.route_count > 1)
     {
-      ck_assert_uint_eq (routes[1].address.port, 8443);
-      ck_assert_uint_eq (routes[1].shares[1].service, bb_name_key ("b"));
-      ck_assert_uint_eq (routes[1].shares[0].weight, 90);
-      ck_assert_uint_eq (routes[1].objective_ms, 150);
-      ck_assert_uint_eq (routes[0].objective_ms, 0);
-      ck_assert_uint_eq (routes[1].priority, 2);
-      ck_assert_uint_eq (routes[0].priority, 0);
+      ck_assert_uint_eq (c.routes[1].address.port, 8443);
+      ck_assert_uint_eq (c.routes[1].shares[1].service, bb_name_key ("b"));
+      ck_assert_uint_eq (c.routes[1].shares[0].weight, 90);
+      ck_assert_uint_eq (c.routes[1].objective_ms, 150);
+      ck_assert_uint_eq (c.routes[0].objective_ms, 0);
+      ck_assert_uint_eq (c.routes[1].priority, 2);
+      ck_assert_uint_eq (c.routes[0].priority, 0);
     }
-  g_free (routes);
+  bb_platform_free_configuration (&c);
 }
 END_TEST
 
--- a/tests/admission_test.c
+++ b/tests/admission_test.c
@@ -107,8 +107,13 @@
             .share_count = 1,
             .objective_ms = objective_ms,
             .revision = 100 } };
-  bb_directory_configure (t.directory, 1, 100, routes, G_N_ELEMENTS (routes),
-                          0);
+  bb_directory_configure (
+      t.directory,
+      &(struct bb_configuration){ .version = 1,
+                                  .revision = 100,
+                                  .routes = routes,
+                                  .route_count = G_N_ELEMENTS (routes) },
+      0);
   t.route = bb_directory_find_route (t.directory, &routes[0].address);
   t.urgent_route = bb_directory_find_route (t.directory, &routes[1].address);
 }
--- a/tests/directory_test.c
+++ b/tests/directory_test.c
@@ -181,10 +181,34 @@
 {
   struct bb_route_record old = route (80, 1, 5), new = route (80, 2, 9);
   const struct bb_endpoint address = old.address;
-  ck_assert_int_eq (bb_directory_configure (d, 3, 5, &old, 1, 0), 1);
-  ck_assert_int_eq (bb_directory_configure (d, 8, 9, &new, 1, 0), 1);
-  ck_assert_int_eq (bb_directory_configure (d, 8, 9, &old, 1, 0), -1);
-  ck_assert_int_eq (bb_directory_configure (d, 3, 12, &old, 1, 0), -1);
+  ck_assert_int_eq (
+      bb_directory_configure (
+          d,
+          &(struct bb_configuration){
+              .version = 3, .revision = 5, .routes = &old, .route_count = 1 },
+          0),
+      1);
+  ck_assert_int_eq (
+      bb_directory_configure (
+          d,
+          &(struct bb_configuration){
+              .version = 8, .revision = 9, .routes = &new, .route_count = 1 },
+          0),
+      1);
+  ck_assert_int_eq (
+      bb_directory_configure (
+          d,
+          &(struct bb_configuration){
+              .version = 8, .revision = 9, .routes = &old, .route_count = 1 },
+          0),
+      -1);
+  ck_assert_int_eq (
+      bb_directory_configure (
+          d,
+          &(struct bb_configuration){
+              .version = 3, .revision = 12, .routes = &old, .route_count = 1 },
+          0),
+      -1);
   ck_assert_int_eq (bb_directory_put_route (d, &old, 0), BB_DIRECTORY_STALE);
   ck_assert_uint_eq (
       bb_directory_find_route (d, &address)->record.shares[0].service, 2);
@@ -200,8 +224,16 @@
 {
   struct bb_route_record one = route (80, 1, 5), two = route (80, 2, 9);
   const struct bb_endpoint address = one.address;
-  bb_directory_configure (d, 3, 5, &one, 1, 0);
-  bb_directory_configure (d, 4, 9, &two, 1, 0);
+  bb_directory_configure (
+      d,
+      &(struct bb_configuration){
+          .version = 3, .revision = 5, .routes = &one, .route_count = 1 },
+      0);
+  bb_directory_configure (
+      d,
+      &(struct bb_configuration){
+          .version = 4, .revision = 9, .routes = &two, .route_count = 1 },
+      0);
   const struct bb_route *r = bb_directory_find_route (d, &address);
   ck_assert (bb_route_allows_service (r, 1));
   ck_assert (bb_route_allows_service (r, 2));
@@ -214,8 +246,18 @@
 START_TEST (missing_routes_are_dropped)
 {
   struct bb_route_record both[] = { route (80, 1, 5), route (81, 1, 5) };
-  bb_directory_configure (d, 3, 5, both, 2, 0);
-  ck_assert_int_eq (bb_directory_configure (d, 4, 9, both, 1, BB_SEC), 1);
+  bb_directory_configure (
+      d,
+      &(struct bb_configuration){
+          .version = 3, .revision = 5, .routes = both, .route_count = 2 },
+      0);
+  ck_assert_int_eq (
+      bb_directory_configure (
+          d,
+          &(struct bb_configuration){
+              .version = 4, .revision = 9, .routes = both, .route_count = 1 },
+          BB_SEC),
+      1);
   const struct bb_route *dropped
       = bb_directory_find_route (d, &both[1].address);
   ck_assert_uint_eq (dropped->record.share_count, 0);
--- a/tests/joining_test.c
+++ b/tests/joining_test.c
@@ -152,7 +152,7 @@
 static void
 start_peer (void)
 {
-  const struct bb_route_record routes[] = {
+  struct bb_route_record routes[] = {
     { .address = kept_route,
       .shares = { { bb_name_key ("a"), 1 } },
       .share_count = 1,
@@ -177,8 +177,13 @@
   ck_assert_int_ge (t.peer_socket, 0);
   t.directory = bb_directory_new ("north");
   t.peer = bb_sync_new (&options, t.directory, &peer_sink, NULL, now);
-  bb_directory_configure (t.directory, 3, 101, routes, G_N_ELEMENTS (routes),
-                          now);
+  bb_directory_configure (
+      t.directory,
+      &(struct bb_configuration){ .version = 3,
+                                  .revision = 101,
+                                  .routes = routes,
+                                  .route_count = G_N_ELEMENTS (routes) },
+      now);
   bb_directory_start_history (t.directory, 1, now);
   bb_sync_confirm_revision (t.peer, PEER_REVISION, now, now);
   bb_sync_set_seeds (t.peer, &balancer, 1);
--- a/tests/marked_fixture.h
+++ b/tests/marked_fixture.h
@@ -119,7 +119,12 @@
     .share_count = 1,
     .revision = ++t.revision,
   };
-  bb_marked_configure (t.m, version, t.revision, &r, 1, now);
+  bb_marked_configure (t.m,
+                       &(struct bb_configuration){ .version = version,
+                                                   .revision = t.revision,
+                                                   .routes = &r,
+                                                   .route_count = 1 },
+                       now);
 }
 
 static inline struct bb_marked_packet
--- a/tests/marked_process_test.c
+++ b/tests/marked_process_test.c
@@ -142,7 +142,10 @@
                                .share_count = 1,
                                .revision = 2 };
   t.sink->server (t.context, &s);
-  t.sink->configuration (t.context, 7, 2, &r, 1);
+  t.sink->configuration (
+      t.context,
+      &(struct bb_configuration){
+          .version = 7, .revision = 2, .routes = &r, .route_count = 1 });
   t.sink->current (t.context, 2, bb_clock_boot ());
 }
 
--- a/tests/placement_test.c
+++ b/tests/placement_test.c
@@ -51,7 +51,11 @@
   memset (&t, 0, sizeof t);
   t.directory = bb_directory_new ("north");
   t.random = g_rand_new_with_seed (5);
-  bb_directory_configure (t.directory, 1, 1, &r, 1, 0);
+  bb_directory_configure (
+      t.directory,
+      &(struct bb_configuration){
+          .version = 1, .revision = 1, .routes = &r, .route_count = 1 },
+      0);
   t.route = bb_directory_find_route (t.directory, &r.address);
 }
 
--- a/tests/snapshot_test.c
+++ b/tests/snapshot_test.c
@@ -73,14 +73,17 @@
 static void
 read_store (uint64_t revision, uint64_t version, bb_usec now)
 {
-  const struct bb_route_record route
-      = { .address = { 0xc6120001, 443 },
-          .shares = { { bb_name_key ("desk"), 1 } },
-          .share_count = 1,
-          .revision = revision };
+  struct bb_route_record route = { .address = { 0xc6120001, 443 },
+                                   .shares = { { bb_name_key ("desk"), 1 } },
+                                   .share_count = 1,
+                                   .revision = revision };
   struct bb_snapshot *s = bb_snapshot_new (now);
   s->revision = revision;
-  bb_snapshot_set_configuration (s, version, revision, &route, 1);
+  bb_snapshot_set_configuration (
+      s, &(struct bb_configuration){ .version = version,
+                                     .revision = revision,
+                                     .routes = &route,
+                                     .route_count = 1 });
   bb_marked_adopt_snapshot (t.m, s, now);
   bb_snapshot_free (s);
 }
--- a/tests/store_test.c
+++ b/tests/store_test.c
@@ -90,13 +90,12 @@
 }
 
 static void
-sink_configuration (void *context, uint64_t version, uint64_t revision,
-                    const struct bb_route_record *routes, size_t count)
+sink_configuration (void *context, const struct bb_configuration *c)
 {
   (void)context;
-  ck_assert_uint_eq (version, 7);
-  ck_assert_uint_eq (count, 1);
-  ck_assert_uint_eq (routes[0].revision, revision);
+  ck_assert_uint_eq (c->version, 7);
+  ck_assert_uint_eq (c->route_count, 1);
+  ck_assert_uint_eq (c->routes[0].revision, c->revision);
   t.configurations++;
 }
 
@@ -109,9 +108,10 @@
     sink_server (context,
                  &g_array_index (s->servers, struct bb_server_record, i));
   if (s->version > 0)
-    sink_configuration (context, s->version, s->configured,
-                        (const struct bb_route_record *)s->routes->data,
-                        s->routes->len);
+    {
+      const struct bb_configuration c = bb_snapshot_get_configuration (s);
+      sink_configuration (context, &c);
+    }
 }
 
 static void
--- a/tests/sync_batch_test.c
+++ b/tests/sync_batch_test.c
@@ -26,10 +26,15 @@
 start_at (uint64_t revision, uint64_t version)
 {
   const struct node *n = &sim.nodes[0];
-  const struct bb_route_record routes[]
+  struct bb_route_record routes[]
       = { route_record (&kept_route, 40), route_record (&other_route, 40) };
-  bb_directory_configure (n->directory, version, 40, routes,
-                          G_N_ELEMENTS (routes), sim.now);
+  bb_directory_configure (
+      n->directory,
+      &(struct bb_configuration){ .version = version,
+                                  .revision = 40,
+                                  .routes = routes,
+                                  .route_count = G_N_ELEMENTS (routes) },
+      sim.now);
   bb_directory_start_history (n->directory, 40, sim.now);
   bb_sync_confirm_revision (n->sync, revision, sim.now, sim.now);
   return n;
--- a/tests/sync_random_test.c
+++ b/tests/sync_random_test.c
@@ -210,8 +210,12 @@
       unsigned server = n->next_item - 1;
       if (n->next_item == 0)
         bb_snapshot_set_configuration (
-            n->snapshot, w.version, w.configured, routes,
-            list_routes (w.version, w.configured, routes));
+            n->snapshot, &(struct bb_configuration){
+                             .version = w.version,
+                             .revision = w.configured,
+                             .routes = routes,
+                             .route_count = list_routes (
+                                 w.version, w.configured, routes) });
       else if (w.entries[server] == ABSENT)
         continue;
       else
@@ -245,8 +249,14 @@
     {
       const struct change *c = &w.history[r];
       if (c->server < 0)
-        bb_marked_configure (n->m, c->version, r, routes,
-                             list_routes (c->version, r, routes), w.now);
+        bb_marked_configure (
+            n->m,
+            &(struct bb_configuration){
+                .version = c->version,
+                .revision = r,
+                .routes = routes,
+                .route_count = list_routes (c->version, r, routes) },
+            w.now);
       else
         {
           struct bb_server_record record
--- a/tests/sync_test.c
+++ b/tests/sync_test.c
@@ -314,7 +314,7 @@
 {
   const struct node *n = &sim.nodes[0];
   struct bb_endpoint from = endpoint_of (1);
-  static const struct bb_route_record before[] = {
+  struct bb_route_record before[] = {
     { .address = { 1, 443 },
       .shares = { { 1, 1 } },
       .share_count = 1,
@@ -324,7 +324,11 @@
       .share_count = 1,
       .revision = 4 },
   };
-  bb_directory_configure (n->directory, 3, 4, before, 2, sim.now);
+  bb_directory_configure (
+      n->directory,
+      &(struct bb_configuration){
+          .version = 3, .revision = 4, .routes = before, .route_count = 2 },
+      sim.now);
   bb_directory_start_history (n->directory, 5, sim.now);
   bb_sync_confirm_revision (n->sync, 5, sim.now, sim.now);
   for (size_t i = 0; batches[_i].steps[i].from != 0; i++)
@@ -367,11 +371,15 @@
 {
   const struct node *n = &sim.nodes[0];
   struct bb_endpoint from = endpoint_of (1);
-  static const struct bb_route_record newest = { .address = { 1, 443 },
-                                                 .shares = { { 1, 1 } },
-                                                 .share_count = 1,
-                                                 .revision = 70 };
-  bb_directory_configure (n->directory, 7, 70, &newest, 1, sim.now);
+  struct bb_route_record newest = { .address = { 1, 443 },
+                                    .shares = { { 1, 1 } },
+                                    .share_count = 1,
+                                    .revision = 70 };
+  bb_directory_configure (
+      n->directory,
+      &(struct bb_configuration){
+          .version = 7, .revision = 70, .routes = &newest, .route_count = 1 },
+      sim.now);
   struct bb_sync_message m = {
     .kind = BB_SYNC_RECORDS,
     .from = 101,
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -411,7 +411,10 @@
   if (r->remaining > 0)
     era = read_era (r);
   if (r->remaining > 0)
-    read_evacuations (r, m);
+    {
+      m->has_evacuations = true;
+      read_evacuations (r, m);
+    }
   if (r->remaining > 0)
     read_service_limits (r, m);
   set_era (m, era);
