runtime, bbctl: evacuations in the log, metrics and explain

The event evacuation says which data centre and from whom; the metrics count evacuations in force and flows that were placed elsewhere because of one.

--- a/bbctl/explain.c
+++ b/bbctl/explain.c
@@ -48,6 +48,8 @@
     "refused: no server of the service accepted new flows" },
   { "flow_refused", "all_busy",
     "refused: all servers were full and their responses slow" },
+  { "flow_refused", "evacuated",
+    "refused: all servers of the service were in evacuated data centres" },
   { "flow_reset", "server_gone",
     "reset: the server had left, or its entry had expired" },
   { "flow_reset", "server_silent",
@@ -58,6 +60,9 @@
     "dropped: the server cookie matched no server of the balancer" },
   { "flow_placed", "server_silent",
     "placed on a suspect server, because all servers were suspect" },
+  { "flow_placed", "evacuated",
+    "placed in another data centre, because the balancer's own was "
+    "evacuated" },
   { "flow_placed", NULL,
     "placed; any later failure was between the caller and the server" },
 };
@@ -79,8 +84,8 @@
 print_event (const struct bb_ctl_event *e, const char *indent)
 {
   static const char *const members[]
-      = { "server", "service",  "peer",      "reason",
-          "value",  "revision", "suppressed" };
+      = { "server", "service", "peer",     "target_data_centre",
+          "reason", "value",   "revision", "suppressed" };
   int64_t age = bb_ctl_json_int64 (e->line, "age_us");
   printf ("%s%.6f %-18s %-16s", indent, (double)e->place_us / 1e6, e->run->vm,
           bb_ctl_json_string (e->line, "event"));
@@ -101,8 +106,8 @@
 is_balancer_state_event (const char *event)
 {
   static const char *const names[]
-      = { "start",      "ready",   "version", "reader", "store_lost",
-          "store_back", "leaving", "stop",    "reload", "pause" };
+      = { "start",   "ready", "version", "reader", "store_lost", "store_back",
+          "leaving", "stop",  "reload",  "pause",  "evacuation" };
   for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
     if (strcmp (names[i], event) == 0)
       return true;
--- a/runtime/log.c
+++ b/runtime/log.c
@@ -220,6 +220,8 @@
   add_key (log, line, "peer", event->peer, &unused);
   add_key (log, line, "server", event->server, &service);
   add_string (line, "service", service);
+  if (event->data_centre)
+    add_key (log, line, "target_data_centre", event->data_centre, &unused);
   g_snprintf (flow, sizeof flow, "%016" PRIx64, event->flow);
   add_string (line, "flow", event->flow ? flow : NULL);
   add_number (line, "value", event->value);
--- a/runtime/marked_metrics.c
+++ b/runtime/marked_metrics.c
@@ -25,6 +25,7 @@
   uint64_t reads_store;
   uint64_t peers_live;
   uint64_t flows;
+  uint64_t evacuations;
   uint64_t peer_faults;
   uint64_t events_suppressed;
   uint64_t log_lost;
@@ -60,12 +61,17 @@
   { "peers_live", "", "Balancers heard of lately.", true, GAUGES,
     OFFSET (gauges, peers_live) },
   { "flows", "", "Flows observed.", true, GAUGES, OFFSET (gauges, flows) },
+  { "evacuations", "", "Data centres whose servers get no new flows.", true,
+    GAUGES, OFFSET (gauges, evacuations) },
   { "packets_forwarded", "", "Packets sent to servers.", false, COUNTERS,
     OFFSET (bb_marked_counters, forwarded) },
   { "flows_placed", "", "New flows.", false, COUNTERS,
     OFFSET (bb_marked_counters, placed) },
   { "flows_placed_far", "", "New flows in other data centres.", false,
     COUNTERS, OFFSET (bb_marked_counters, placed_remote) },
+  { "flows_placed_evacuated", "",
+    "New flows in other data centres because the own one is evacuated.", false,
+    COUNTERS, OFFSET (bb_marked_counters, placed_evacuated) },
   { "first_packet_copies", "", "Copies of first packets.", false, COUNTERS,
     OFFSET (bb_marked_counters, syn_copies) },
   { "resets", "", "Open flows that were reset.", false, COUNTERS,
@@ -119,6 +125,8 @@
     .reads_store = bb_sync_is_reader (sync),
     .peers_live = bb_sync_count_live_peers (sync, now),
     .flows = bb_marked_flow_count (p->marked),
+    .evacuations
+    = bb_directory_count_evacuations (bb_marked_directory (p->marked)),
     .peer_faults = p->peer_faults,
     .events_suppressed = bb_events_suppressed_count (p->events),
     .log_lost = bb_log_lost_lines (p->log),
--- a/runtime/marked_process.c
+++ b/runtime/marked_process.c
@@ -30,10 +30,27 @@
 
 /* Callbacks of the balancer.  */
 
+/* Names the data centre of an evacuation that begins or ends in the log.  */
+static void
+name_evacuation (struct bb_marked_process *p, uint32_t data_centre)
+{
+  struct bb_link *head
+      = bb_directory_evacuations (bb_marked_directory (p->marked));
+  for (struct bb_link *at = head->next; at != head; at = at->next)
+    {
+      const char *name = BB_LINKED (at, struct bb_evacuation, by_revision)
+                             ->record.data_centre;
+      if (bb_name_key (name) == data_centre)
+        bb_names_add_data_centre (p->names, name);
+    }
+}
+
 static void
 sink_event (void *context, const struct bb_event *event)
 {
   struct bb_marked_process *p = context;
+  if (event->data_centre != 0)
+    name_evacuation (p, event->data_centre);
   bb_events_add (p->events, event, bb_clock_boot (), bb_clock_wall ());
 }
 
--- a/runtime/names.c
+++ b/runtime/names.c
@@ -106,6 +106,12 @@
   add_name (names, key, server, service);
 }
 
+void
+bb_names_add_data_centre (struct bb_names *names, const char *data_centre)
+{
+  add_name (names, bb_name_key (data_centre), data_centre, NULL);
+}
+
 const char *
 bb_names_lookup (const struct bb_names *names, uint32_t key,
                  const char **service)
--- a/runtime/names.h
+++ b/runtime/names.h
@@ -19,7 +19,11 @@
 void bb_names_add_server (struct bb_names *names, uint32_t key,
                           const char *service, const char *server);
 
-/* Returns the name of the VM, service or server with KEY, or NULL.  Sets
+void bb_names_add_data_centre (struct bb_names *names,
+                               const char *data_centre);
+
+/* Returns the name of the VM, service, server or data centre with KEY, or
+   NULL.  Sets
    *SERVICE to the name of the server's service, or NULL.  The strings are
    valid until the next name is added.  */
 const char *bb_names_lookup (const struct bb_names *names, uint32_t key,
