tests: random schedules with evacuations and limits of services

The store of the random schedules has evacuations in half of the runs, from a random number generator of their own so that the other runs stay as they were, and a limit of the service in two of three configurations.

--- a/tests/sync_random_test.c
+++ b/tests/sync_random_test.c
@@ -1,7 +1,8 @@
 /* Random schedules of faults for balancers that synchronize the state of a
    store, in simulated time.  The oracle is the history of the store: at any
-   time a balancer has exactly the routes of the version that it reports, and
-   of each server the state that the store had at the revision it reports.
+   time a balancer has exactly the routes and limits of the version that it
+   reports, and of each server and evacuation the state that the store had at
+   the revision it reports.
    Without faults all balancers reach the newest state within a bound.  */
 
 #include "marked/balancer.h"
@@ -14,6 +15,7 @@
   NODES_MAX = 9,
   SERVERS = 12,
   ROUTES = 6,
+  DATA_CENTRES = 3,
   REVISIONS_MAX = 1024,
   VERSIONS_MAX = 256,
   QUEUE = 1 << 16, /* messages under way */
@@ -30,6 +32,13 @@
 #define PAGE_TIME (6 * BB_MSEC)
 #define RESTART_TIME (500 * BB_MSEC)
 
+/* Changes that are of no server.  */
+enum
+{
+  CONFIGURATION = -1,
+  EVACUATION = -2,
+};
+
 /* What the store has under the key of a server.  */
 enum entry
 {
@@ -42,7 +51,9 @@
 
 struct change
 {
-  int server; /* -1: the configuration */
+  int server;           /* CONFIGURATION, EVACUATION or a server */
+  unsigned data_centre; /* of an evacuation */
+  bool is_active;
   enum entry entry;
   uint64_t created;
   uint64_t version;
@@ -84,7 +95,9 @@
   uint64_t version;
   enum entry entries[SERVERS];
   uint64_t created[SERVERS], changed[SERVERS];
-  uint64_t configured; /* revision of the configuration */
+  uint64_t configured;              /* revision of the configuration */
+  uint64_t evacuated[DATA_CENTRES]; /* revision of the evacuation; 0: none */
+  GRand *evacuations;               /* NULL: the store has none */
   struct message queue[QUEUE];
   unsigned head, tail;
   unsigned loss; /* percent */
@@ -136,7 +149,42 @@
   int route = draw (0, ROUTES);
   w.routes[w.version][route] = !w.routes[w.version][route];
   w.configured = w.revision + 1;
-  record_change ((struct change){ .server = -1, .version = w.version });
+  record_change (
+      (struct change){ .server = CONFIGURATION, .version = w.version });
+}
+
+static void
+change_evacuation (void)
+{
+  unsigned i = (unsigned)g_rand_int_range (w.evacuations, 0, DATA_CENTRES);
+  w.evacuated[i] = w.evacuated[i] ? 0 : w.revision + 1;
+  record_change ((struct change){ .server = EVACUATION,
+                                  .data_centre = i,
+                                  .is_active = w.evacuated[i] != 0 });
+}
+
+static struct bb_evacuation_record
+evacuation_record (unsigned data_centre, bool is_active, uint64_t revision)
+{
+  struct bb_evacuation_record r
+      = { .is_active = is_active, .revision = revision };
+  g_snprintf (r.data_centre, sizeof r.data_centre, "dc-%u", data_centre);
+  return r;
+}
+
+/* The limit of the service in a configuration: none in each third version.  */
+static uint32_t
+cold_rate_of (uint64_t version)
+{
+  return (uint32_t)(version % 3) * 1000;
+}
+
+static struct bb_service_record
+service_record (uint64_t version, uint64_t revision)
+{
+  return (struct bb_service_record){ .service = bb_name_key ("desk"),
+                                     .cold_rate = cold_rate_of (version),
+                                     .revision = revision };
 }
 
 static struct bb_server_record
@@ -195,27 +243,41 @@
   bb_sync_report_store_failure (bb_marked_get_sync (n->m), w.now);
 }
 
-/* Reads a page: the configuration, then the servers in the order of keys.  */
+/* Reads a page: the configuration, then the evacuations and the servers in the
+   order of keys.  */
 static void
 read_page (struct node *n)
 {
   struct bb_route_record routes[ROUTES];
+  struct bb_service_record service = service_record (w.version, w.configured);
   n->called = 0;
   ck_assert_ptr_nonnull (n->snapshot);
   if (n->snapshot->revision == 0)
     n->snapshot->revision = w.revision;
-  for (unsigned items = 0; n->next_item <= SERVERS && items < PAGE_ITEMS;
+  for (unsigned items = 0;
+       n->next_item <= DATA_CENTRES + SERVERS && items < PAGE_ITEMS;
        n->next_item++)
     {
-      unsigned server = n->next_item - 1;
+      unsigned evacuation = n->next_item - 1;
+      unsigned server = evacuation - DATA_CENTRES;
       if (n->next_item == 0)
         bb_snapshot_set_configuration (
             n->snapshot, &(struct bb_configuration){
                              .version = w.version,
                              .revision = w.configured,
                              .routes = routes,
+                             .services = &service,
+                             .service_count = service.cold_rate > 0,
                              .route_count = list_routes (
                                  w.version, w.configured, routes) });
+      else if (evacuation < DATA_CENTRES)
+        {
+          struct bb_evacuation_record r
+              = evacuation_record (evacuation, true, w.evacuated[evacuation]);
+          if (r.revision == 0)
+            continue;
+          bb_snapshot_add_evacuation (n->snapshot, &r);
+        }
       else if (w.entries[server] == ABSENT)
         continue;
       else
@@ -227,7 +289,7 @@
         }
       items++;
     }
-  if (n->next_item <= SERVERS)
+  if (n->next_item <= DATA_CENTRES + SERVERS)
     return;
   bb_marked_adopt_snapshot (n->m, n->snapshot, w.now);
   n->must_read_all = false;
@@ -248,13 +310,22 @@
   for (uint64_t r = n->after + 1; r <= w.revision; r++)
     {
       const struct change *c = &w.history[r];
-      if (c->server < 0)
+      struct bb_service_record service = service_record (c->version, r);
+      if (c->server == EVACUATION)
+        {
+          struct bb_evacuation_record record
+              = evacuation_record (c->data_centre, c->is_active, r);
+          bb_marked_put_evacuation (n->m, &record, w.now);
+        }
+      else if (c->server == CONFIGURATION)
         bb_marked_configure (
             n->m,
             &(struct bb_configuration){
                 .version = c->version,
                 .revision = r,
                 .routes = routes,
+                .services = &service,
+                .service_count = service.cold_rate > 0,
                 .route_count = list_routes (c->version, r, routes) },
             w.now);
       else
@@ -517,6 +588,78 @@
     }
 }
 
+/* Whether the store has an evacuation of DATA_CENTRE at REVISION.  */
+static bool
+is_evacuated_at (unsigned data_centre, uint64_t revision)
+{
+  for (uint64_t r = MIN (revision, w.revision); r > 0; r--)
+    if (w.history[r].server == EVACUATION
+        && w.history[r].data_centre == data_centre)
+      return w.history[r].is_active;
+  return false;
+}
+
+/* Whether the evacuation of DATA_CENTRE was taken back after REVISION.  A
+   whole read may miss one that ended while its pages were read.  */
+static bool
+is_taken_back_after (unsigned data_centre, uint64_t revision)
+{
+  for (uint64_t r = revision + 1; r <= w.revision; r++)
+    if (w.history[r].server == EVACUATION && !w.history[r].is_active
+        && w.history[r].data_centre == data_centre)
+      return true;
+  return false;
+}
+
+static uint64_t
+evacuation_revision (const struct node *n, const char *data_centre)
+{
+  struct bb_link *head = bb_directory_evacuations (bb_marked_directory (n->m));
+  for (struct bb_link *at = head->next; at != head; at = at->next)
+    {
+      const struct bb_evacuation_record *r
+          = &BB_LINKED (at, struct bb_evacuation, by_revision)->record;
+      if (strcmp (r->data_centre, data_centre) == 0)
+        return r->revision;
+    }
+  return 0;
+}
+
+static void
+check_evacuations (const struct node *n)
+{
+  uint64_t revision = bb_sync_revision (bb_marked_get_sync (n->m));
+  const struct bb_directory *d = bb_marked_directory (n->m);
+  for (unsigned i = 0; i < DATA_CENTRES && revision > 0; i++)
+    {
+      struct bb_evacuation_record r = evacuation_record (i, true, 0);
+      bool held = bb_directory_is_evacuated (d, r.data_centre);
+      uint64_t at = MAX (revision, evacuation_revision (n, r.data_centre));
+      if (!held && is_taken_back_after (i, at))
+        continue;
+      ck_assert_msg (held == is_evacuated_at (i, at),
+                     "seed %u, %.3f s: balancer %u at revision %u: %s is "
+                     "%sevacuated",
+                     w.seed, (double)w.now / BB_SEC, n->index,
+                     (unsigned)revision, r.data_centre, held ? "" : "not ");
+    }
+}
+
+static void
+check_limits (const struct node *n)
+{
+  const struct bb_directory *d = bb_marked_directory (n->m);
+  const struct bb_server_group *group
+      = bb_directory_find_service (d, bb_name_key ("desk"));
+  uint64_t version = bb_directory_version (d);
+  if (!group || version == 0)
+    return;
+  ck_assert_msg (group->cold_rate == cold_rate_of (version),
+                 "seed %u, %.3f s: balancer %u at version %u has limit %u",
+                 w.seed, (double)w.now / BB_SEC, n->index, (unsigned)version,
+                 group->cold_rate);
+}
+
 static void
 check_convergence (void)
 {
@@ -649,17 +792,22 @@
   if (ticks)
     bb_marked_tick (n->m, w.now);
   check_routes (n);
-  if (ticks)
-    check_servers (n);
+  check_limits (n);
+  if (!ticks)
+    return;
+  check_servers (n);
+  check_evacuations (n);
 }
 
 static void
-play (unsigned seed)
+play (unsigned seed, bool has_evacuations)
 {
   bb_usec next_fault = BB_SEC, next_change = BB_SEC;
   memset (&w, 0, sizeof w);
   w.seed = seed;
   w.random = g_rand_new_with_seed (seed);
+  if (has_evacuations)
+    w.evacuations = g_rand_new_with_seed (seed);
   w.count = (unsigned)draw (2, NODES_MAX + 1);
   w.data_centres = (unsigned)draw (1, 4);
   w.now = BB_SEC / 2;
@@ -674,6 +822,8 @@
       if (w.now >= next_change && w.now < CHANGES_END)
         {
           change_store ();
+          if (w.evacuations && g_rand_int_range (w.evacuations, 0, 3) == 0)
+            change_evacuation ();
           next_change = w.now + draw (10, 300) * BB_MSEC;
         }
       if (w.now >= next_fault && w.now < FAULTS_END)
@@ -697,6 +847,8 @@
     if (w.queue[i].bytes)
       g_byte_array_unref (w.queue[i].bytes);
   g_rand_free (w.random);
+  if (w.evacuations)
+    g_rand_free (w.evacuations);
 }
 
 /* Guards against a balancer that reports a version or a revision without the
@@ -706,8 +858,8 @@
   const char *first = g_getenv ("SEED"), *seeds = g_getenv ("SEEDS");
   unsigned start = first ? (unsigned)atoi (first) : 1;
   unsigned count = seeds ? (unsigned)atoi (seeds) : SEEDS_DEFAULT;
-  for (unsigned i = (unsigned)_i; i < count; i += LOOPS)
-    play (start + i);
+  for (unsigned i = (unsigned)_i % LOOPS; i < count; i += LOOPS)
+    play (start + i, _i >= LOOPS);
 }
 END_TEST
 
@@ -717,7 +869,7 @@
   Suite *suite = suite_create ("sync random");
   TCase *tc = tcase_create ("schedules");
   tcase_set_timeout (tc, 220);
-  tcase_add_loop_test (tc, state_belongs_to_its_revision, 0, LOOPS);
+  tcase_add_loop_test (tc, state_belongs_to_its_revision, 0, 2 * LOOPS);
   suite_add_tcase (suite, tc);
   return run_suite (suite);
 }
