--- a/marked/state/directory_evacuations.c
+++ b/marked/state/directory_evacuations.c
@@ -46,7 +46,8 @@
   uint32_t count = 0;
   const struct bb_link *head = &d->evacuations_by_revision;
   for (const struct bb_link *at = head->next; at != head; at = at->next)
-    count += BB_LINKED (at, struct bb_evacuation, by_revision)->ended == 0;
+    count
+        += BB_LINKED (at, struct bb_evacuation, by_revision)->record.is_active;
   return count;
 }
 
@@ -94,7 +95,7 @@
   if (record->is_active)
     e->ended = 0;
   else if (was_active || !was_known)
-    e->ended = now;
+    e->ended = MAX (now, 1);
   struct bb_link *head = &d->evacuations_by_revision;
   uint64_t newest
       = bb_list_empty (head) ? 0 : evacuation_revision (head->previous);
--- a/marked/state/directory_services.c
+++ b/marked/state/directory_services.c
@@ -95,7 +95,7 @@
   bool same = limit->record.revision != 0 && before == record->cold_rate;
   limit->record = *record;
   if (!same)
-    limit->dropped = record->cold_rate ? 0 : now;
+    limit->dropped = record->cold_rate ? 0 : MAX (now, 1);
   struct bb_link *head = &d->limits_by_revision;
   uint64_t newest = bb_list_empty (head) ? 0 : limit_revision (head->previous);
   bb_directory_append (head, &limit->by_revision, record->revision, newest,
--- a/tests/directory_test.c
+++ b/tests/directory_test.c
@@ -269,6 +269,80 @@
 }
 END_TEST
 
+/* Limits of services.  */
+
+static struct bb_service_record
+limit (uint32_t cold_rate, uint64_t revision)
+{
+  return (struct bb_service_record){ .service = bb_name_key ("desk"),
+                                     .cold_rate = cold_rate,
+                                     .revision = revision };
+}
+
+static const struct bb_server_group *
+find_desk (void)
+{
+  return bb_directory_find_service (d, bb_name_key ("desk"));
+}
+
+/* Guards against servers without the limit of their service, whichever is
+   known first, and against a limit that outlives its configuration.  */
+START_TEST (limits_reach_their_services)
+{
+  struct bb_service_record first = limit (5000, 3), second = limit (6000, 4);
+  struct bb_server_record r = record ("i-01", 5, BB_SERVER_READY);
+  bb_directory_configure (d,
+                          &(struct bb_configuration){ .version = 1,
+                                                      .revision = 3,
+                                                      .services = &first,
+                                                      .service_count = 1 },
+                          0);
+  put_record (&r, 0, BB_DIRECTORY_ADDED);
+  ck_assert_uint_eq (find_desk ()->cold_rate, 5000);
+  ck_assert_int_eq (bb_directory_put_service (d, &second, 0),
+                    BB_DIRECTORY_CHANGED);
+  ck_assert_int_eq (bb_directory_put_service (d, &first, 0),
+                    BB_DIRECTORY_STALE);
+  ck_assert_uint_eq (find_desk ()->cold_rate, 6000);
+  bb_directory_configure (
+      d, &(struct bb_configuration){ .version = 2, .revision = 8 }, BB_SEC);
+  ck_assert_uint_eq (find_desk ()->cold_rate, 0);
+  ck_assert_int_eq (bb_directory_put_service (d, &second, 0),
+                    BB_DIRECTORY_STALE);
+}
+END_TEST
+
+/* Guards against records that are kept for ever, and against changes that
+   lack them after they are forgotten.  */
+START_TEST (ended_records_are_forgotten)
+{
+  struct bb_service_record on = limit (5000, 3), off = limit (0, 4);
+  struct bb_evacuation_record begin
+      = { .data_centre = "south", .is_active = true, .revision = 5 };
+  struct bb_evacuation_record end
+      = { .data_centre = "south", .is_active = false, .revision = 6 };
+  struct bb_evacuation_record other
+      = { .data_centre = "west", .is_active = true, .revision = 7 };
+  bb_directory_put_service (d, &on, 0);
+  bb_directory_put_service (d, &off, 0);
+  ck_assert_int_eq (bb_directory_put_evacuation (d, &begin, 0),
+                    BB_DIRECTORY_ADDED);
+  ck_assert_int_eq (bb_directory_put_evacuation (d, &end, 0),
+                    BB_DIRECTORY_GONE);
+  ck_assert_int_eq (bb_directory_put_evacuation (d, &other, 0),
+                    BB_DIRECTORY_ADDED);
+  bb_directory_sweep (d, BB_DIRECTORY_RETENTION);
+  ck_assert_int_eq (bb_directory_put_evacuation (d, &begin, 0),
+                    BB_DIRECTORY_STALE);
+  ck_assert_uint_eq (bb_directory_removals_since (d), 0);
+  bb_directory_sweep (d, BB_DIRECTORY_RETENTION + 1);
+  ck_assert_uint_eq (bb_directory_removals_since (d), 6);
+  ck_assert (bb_list_empty (bb_directory_service_limits (d)));
+  ck_assert_uint_eq (bb_directory_count_evacuations (d), 1);
+  ck_assert (bb_directory_is_evacuated (d, "west"));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -285,6 +359,8 @@
   tcase_add_test (tc, versions_only_grow);
   tcase_add_test (tc, services_of_earlier_versions_stay_allowed);
   tcase_add_test (tc, missing_routes_are_dropped);
+  tcase_add_test (tc, limits_reach_their_services);
+  tcase_add_test (tc, ended_records_are_forgotten);
   suite_add_tcase (suite, tc);
   return run_suite (suite);
 }
