--- a/marked/state/directory.c
+++ b/marked/state/directory.c
@@ -24,6 +24,8 @@
   d->routes = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   bb_list_init (&d->servers_by_revision);
   bb_list_init (&d->routes_by_revision);
+  bb_directory_init_evacuations (d);
+  bb_directory_init_limits (d);
   return d;
 }
 
@@ -35,6 +37,8 @@
   g_hash_table_unref (d->cookies);
   g_hash_table_unref (d->services);
   g_hash_table_unref (d->routes);
+  g_hash_table_unref (d->evacuations);
+  g_hash_table_unref (d->limits);
   g_hash_table_unref (d->names);
   g_free (d);
 }
@@ -116,39 +120,6 @@
     g_hash_table_remove (d->cookies, GUINT_TO_POINTER (s->cookie));
 }
 
-struct bb_server_group *
-bb_directory_find_service (const struct bb_directory *d, uint32_t service)
-{
-  return g_hash_table_lookup (d->services, GUINT_TO_POINTER (service));
-}
-
-static struct bb_server_group *
-get_server_group (struct bb_directory *d, uint32_t service, const char *name)
-{
-  struct bb_server_group *group = bb_directory_find_service (d, service);
-  if (group)
-    return group;
-  group = g_new0 (struct bb_server_group, 1);
-  group->service = service;
-  g_strlcpy (group->name, name, sizeof group->name);
-  bb_list_init (&group->servers);
-  g_hash_table_insert (d->services, GUINT_TO_POINTER (service), group);
-  return group;
-}
-
-void
-bb_directory_foreach_service (
-    const struct bb_directory *d,
-    void (*each) (void *context, const struct bb_server_group *group),
-    void *context)
-{
-  GHashTableIter iter;
-  gpointer group;
-  g_hash_table_iter_init (&iter, d->services);
-  while (g_hash_table_iter_next (&iter, NULL, &group))
-    each (context, group);
-}
-
 static bool
 is_removal (const struct bb_server_record *record)
 {
@@ -184,6 +155,7 @@
   s->key = bb_server_key (record->service, record->name);
   s->service = bb_name_key (record->service);
   s->is_local = strcmp (record->data_centre, d->data_centre) == 0;
+  s->is_evacuated = bb_directory_is_evacuated (d, record->data_centre);
   s->cold_until = record->cold_ms ? now + record->cold_ms * BB_MSEC : 0;
   if (record->state == BB_SERVER_DRAINING)
     s->has_announced_end = true;
@@ -194,7 +166,7 @@
       = is_removal (record) ? MAX (now - record->gone_ms * BB_MSEC, 1) : 0;
   if (record->state != BB_SERVER_GONE && !is_placeholder (record))
     {
-      s->group = get_server_group (d, s->service, s->record.service);
+      s->group = bb_directory_get_service (d, s->service, s->record.service);
       bb_list_append (&s->group->servers, &s->of_service);
     }
   append_server (d, s);
@@ -408,4 +380,6 @@
   void *context[] = { d, &now };
   g_hash_table_foreach_remove (d->names, expire_server, context);
   g_hash_table_foreach_remove (d->routes, expire_route, context);
+  bb_directory_sweep_evacuations (d, now);
+  bb_directory_sweep_limits (d, now);
 }
--- a/runtime/marked_process.c
+++ b/runtime/marked_process.c
@@ -30,10 +30,27 @@
 
 /* Callbacks of the balancer.  */
 
+/* Names the data centre of an evacuation that begins or ends in the log.  */
+static void
+name_evacuation (struct bb_marked_process *p, uint32_t data_centre)
+{
+  struct bb_link *head
+      = bb_directory_evacuations (bb_marked_directory (p->marked));
+  for (struct bb_link *at = head->next; at != head; at = at->next)
+    {
+      const char *name = BB_LINKED (at, struct bb_evacuation, by_revision)
+                             ->record.data_centre;
+      if (bb_name_key (name) == data_centre)
+        bb_names_add_data_centre (p->names, name);
+    }
+}
+
 static void
 sink_event (void *context, const struct bb_event *event)
 {
   struct bb_marked_process *p = context;
+  if (event->data_centre != 0)
+    name_evacuation (p, event->data_centre);
   bb_events_add (p->events, event, bb_clock_boot (), bb_clock_wall ());
 }
 
@@ -97,12 +114,17 @@
 }
 
 static void
-store_configuration (void *context, uint64_t version, uint64_t revision,
-                     const struct bb_route_record *routes, size_t count)
+store_configuration (void *context, const struct bb_configuration *c)
+{
+  struct bb_marked_process *p = context;
+  bb_marked_configure (p->marked, c, bb_clock_boot ());
+}
+
+static void
+store_evacuation (void *context, const struct bb_evacuation_record *record)
 {
   struct bb_marked_process *p = context;
-  bb_marked_configure (p->marked, version, revision, routes, count,
-                       bb_clock_boot ());
+  bb_marked_put_evacuation (p->marked, record, bb_clock_boot ());
 }
 
 static void
@@ -168,6 +190,7 @@
   .needs_read = store_needs_read,
   .server = store_server,
   .configuration = store_configuration,
+  .evacuation = store_evacuation,
   .snapshot = store_snapshot,
   .current = store_current,
   .call_failed = store_failed,
--- a/tests/directory_test.c
+++ b/tests/directory_test.c
@@ -181,10 +181,34 @@
 {
   struct bb_route_record old = route (80, 1, 5), new = route (80, 2, 9);
   const struct bb_endpoint address = old.address;
-  ck_assert_int_eq (bb_directory_configure (d, 3, 5, &old, 1, 0), 1);
-  ck_assert_int_eq (bb_directory_configure (d, 8, 9, &new, 1, 0), 1);
-  ck_assert_int_eq (bb_directory_configure (d, 8, 9, &old, 1, 0), -1);
-  ck_assert_int_eq (bb_directory_configure (d, 3, 12, &old, 1, 0), -1);
+  ck_assert_int_eq (
+      bb_directory_configure (
+          d,
+          &(struct bb_configuration){
+              .version = 3, .revision = 5, .routes = &old, .route_count = 1 },
+          0),
+      1);
+  ck_assert_int_eq (
+      bb_directory_configure (
+          d,
+          &(struct bb_configuration){
+              .version = 8, .revision = 9, .routes = &new, .route_count = 1 },
+          0),
+      1);
+  ck_assert_int_eq (
+      bb_directory_configure (
+          d,
+          &(struct bb_configuration){
+              .version = 8, .revision = 9, .routes = &old, .route_count = 1 },
+          0),
+      -1);
+  ck_assert_int_eq (
+      bb_directory_configure (
+          d,
+          &(struct bb_configuration){
+              .version = 3, .revision = 12, .routes = &old, .route_count = 1 },
+          0),
+      -1);
   ck_assert_int_eq (bb_directory_put_route (d, &old, 0), BB_DIRECTORY_STALE);
   ck_assert_uint_eq (
       bb_directory_find_route (d, &address)->record.shares[0].service, 2);
@@ -200,8 +224,16 @@
 {
   struct bb_route_record one = route (80, 1, 5), two = route (80, 2, 9);
   const struct bb_endpoint address = one.address;
-  bb_directory_configure (d, 3, 5, &one, 1, 0);
-  bb_directory_configure (d, 4, 9, &two, 1, 0);
+  bb_directory_configure (
+      d,
+      &(struct bb_configuration){
+          .version = 3, .revision = 5, .routes = &one, .route_count = 1 },
+      0);
+  bb_directory_configure (
+      d,
+      &(struct bb_configuration){
+          .version = 4, .revision = 9, .routes = &two, .route_count = 1 },
+      0);
   const struct bb_route *r = bb_directory_find_route (d, &address);
   ck_assert (bb_route_allows_service (r, 1));
   ck_assert (bb_route_allows_service (r, 2));
@@ -214,8 +246,18 @@
 START_TEST (missing_routes_are_dropped)
 {
   struct bb_route_record both[] = { route (80, 1, 5), route (81, 1, 5) };
-  bb_directory_configure (d, 3, 5, both, 2, 0);
-  ck_assert_int_eq (bb_directory_configure (d, 4, 9, both, 1, BB_SEC), 1);
+  bb_directory_configure (
+      d,
+      &(struct bb_configuration){
+          .version = 3, .revision = 5, .routes = both, .route_count = 2 },
+      0);
+  ck_assert_int_eq (
+      bb_directory_configure (
+          d,
+          &(struct bb_configuration){
+              .version = 4, .revision = 9, .routes = both, .route_count = 1 },
+          BB_SEC),
+      1);
   const struct bb_route *dropped
       = bb_directory_find_route (d, &both[1].address);
   ck_assert_uint_eq (dropped->record.share_count, 0);
@@ -227,6 +269,80 @@
 }
 END_TEST
 
+/* Limits of services.  */
+
+static struct bb_service_record
+limit (uint32_t cold_rate, uint64_t revision)
+{
+  return (struct bb_service_record){ .service = bb_name_key ("desk"),
+                                     .cold_rate = cold_rate,
+                                     .revision = revision };
+}
+
+static const struct bb_server_group *
+find_desk (void)
+{
+  return bb_directory_find_service (d, bb_name_key ("desk"));
+}
+
+/* Guards against servers without the limit of their service, whichever is
+   known first, and against a limit that outlives its configuration.  */
+START_TEST (limits_reach_their_services)
+{
+  struct bb_service_record first = limit (5000, 3), second = limit (6000, 4);
+  struct bb_server_record r = record ("i-01", 5, BB_SERVER_READY);
+  bb_directory_configure (d,
+                          &(struct bb_configuration){ .version = 1,
+                                                      .revision = 3,
+                                                      .services = &first,
+                                                      .service_count = 1 },
+                          0);
+  put_record (&r, 0, BB_DIRECTORY_ADDED);
+  ck_assert_uint_eq (find_desk ()->cold_rate, 5000);
+  ck_assert_int_eq (bb_directory_put_service (d, &second, 0),
+                    BB_DIRECTORY_CHANGED);
+  ck_assert_int_eq (bb_directory_put_service (d, &first, 0),
+                    BB_DIRECTORY_STALE);
+  ck_assert_uint_eq (find_desk ()->cold_rate, 6000);
+  bb_directory_configure (
+      d, &(struct bb_configuration){ .version = 2, .revision = 8 }, BB_SEC);
+  ck_assert_uint_eq (find_desk ()->cold_rate, 0);
+  ck_assert_int_eq (bb_directory_put_service (d, &second, 0),
+                    BB_DIRECTORY_STALE);
+}
+END_TEST
+
+/* Guards against records that are kept for ever, and against changes that
+   lack them after they are forgotten.  */
+START_TEST (ended_records_are_forgotten)
+{
+  struct bb_service_record on = limit (5000, 3), off = limit (0, 4);
+  struct bb_evacuation_record begin
+      = { .data_centre = "south", .is_active = true, .revision = 5 };
+  struct bb_evacuation_record end
+      = { .data_centre = "south", .is_active = false, .revision = 6 };
+  struct bb_evacuation_record other
+      = { .data_centre = "west", .is_active = true, .revision = 7 };
+  bb_directory_put_service (d, &on, 0);
+  bb_directory_put_service (d, &off, 0);
+  ck_assert_int_eq (bb_directory_put_evacuation (d, &begin, 0),
+                    BB_DIRECTORY_ADDED);
+  ck_assert_int_eq (bb_directory_put_evacuation (d, &end, 0),
+                    BB_DIRECTORY_GONE);
+  ck_assert_int_eq (bb_directory_put_evacuation (d, &other, 0),
+                    BB_DIRECTORY_ADDED);
+  bb_directory_sweep (d, BB_DIRECTORY_RETENTION);
+  ck_assert_int_eq (bb_directory_put_evacuation (d, &begin, 0),
+                    BB_DIRECTORY_STALE);
+  ck_assert_uint_eq (bb_directory_removals_since (d), 0);
+  bb_directory_sweep (d, BB_DIRECTORY_RETENTION + 1);
+  ck_assert_uint_eq (bb_directory_removals_since (d), 6);
+  ck_assert (bb_list_empty (bb_directory_service_limits (d)));
+  ck_assert_uint_eq (bb_directory_count_evacuations (d), 1);
+  ck_assert (bb_directory_is_evacuated (d, "west"));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -243,6 +359,8 @@
   tcase_add_test (tc, versions_only_grow);
   tcase_add_test (tc, services_of_earlier_versions_stay_allowed);
   tcase_add_test (tc, missing_routes_are_dropped);
+  tcase_add_test (tc, limits_reach_their_services);
+  tcase_add_test (tc, ended_records_are_forgotten);
   suite_add_tcase (suite, tc);
   return run_suite (suite);
 }
