--- a/marked/state/directory.c
+++ b/marked/state/directory.c
@@ -193,7 +193,8 @@
                           : 0;
   if (record->state == BB_SERVER_DRAINING)
     s->has_announced_end = true;
-  else if (record->state == BB_SERVER_READY)
+  else if (record->state == BB_SERVER_READY
+           || record->state == BB_SERVER_WITHHELD)
     s->has_announced_end = false;
   bb_list_remove (&s->of_service);
   s->gone_since
--- a/marked/state/directory_era.c
+++ b/marked/state/directory_era.c
@@ -20,28 +20,45 @@
   return r;
 }
 
+/* Whether a server that gave no new incarnation may have ended although RECORD
+   lists it as ready.  */
+static bool
+may_have_ended (const struct bb_backend_server *held)
+{
+  enum bb_server_state state = held->record.state;
+  return state == BB_SERVER_GONE || state == BB_SERVER_WITHHELD
+         || state == BB_SERVER_DRAINING;
+}
+
+static bool
+is_in_use (const struct bb_backend_server *held)
+{
+  return held->record.state == BB_SERVER_READY
+         || held->record.state == BB_SERVER_DRAINING;
+}
+
 struct bb_server_record
 bb_directory_reconcile (const struct bb_backend_server *held,
                         const struct bb_server_record *record, bb_usec now)
 {
   struct bb_server_record r = *record;
-  enum bb_server_state state = held->record.state;
-  bool is_listed = record->state == BB_SERVER_READY
-                   || record->state == BB_SERVER_DRAINING
-                   || record->state == BB_SERVER_WITHHELD;
   bool is_known = record->born_ms != 0 && held->record.born_ms != 0;
-  if (!is_listed || (is_known && record->born_ms > held->record.born_ms))
-    return r;
-  if (is_known && record->born_ms < held->record.born_ms)
+  bool is_earlier = is_known && record->born_ms < held->record.born_ms;
+  bool is_ready = record->state == BB_SERVER_READY
+                  || record->state == BB_SERVER_WITHHELD;
+  if (is_earlier && (is_ready || record->state == BB_SERVER_DRAINING))
     return renew (held, record, now);
-  if (state == BB_SERVER_GONE && held->has_announced_end)
-    r.state = BB_SERVER_GONE;
-  else if (record->state == BB_SERVER_DRAINING)
+  if (is_earlier && record->state == BB_SERVER_GONE && is_in_use (held))
+    {
+      r.state = BB_SERVER_EXPIRED;
+      r.gone_ms = 0;
+    }
+  if (!is_ready || (is_known && record->born_ms > held->record.born_ms))
     return r;
-  else if (state == BB_SERVER_DRAINING)
-    r.state = BB_SERVER_DRAINING;
-  else if (record->state == BB_SERVER_READY
-           && (state == BB_SERVER_GONE || state == BB_SERVER_WITHHELD))
+  if (is_known && held->has_announced_end)
+    r.state = held->record.state == BB_SERVER_GONE ? BB_SERVER_GONE
+                                                   : BB_SERVER_DRAINING;
+  else if (record->state == BB_SERVER_READY && may_have_ended (held))
     {
       r.state = BB_SERVER_WITHHELD;
       r.hold_ms = time_ms (BB_LISTING_HOLD_TIME);
--- a/marked/state/directory_era.h
+++ b/marked/state/directory_era.h
@@ -12,10 +12,12 @@
 #define BB_LISTING_HOLD_TIME (5 * BB_SEC)
 
 /* Returns RECORD, which lists the server HELD in a newer era, as it is to be
-   applied.  A copy does not undo what happened to a server since: one that was
-   draining stays so; one that announced its end and is gone stays gone; one
-   that was removed otherwise is withheld.  A record of an earlier incarnation
-   changes the revision only.  */
+   applied.  A copy does not undo what happened to an incarnation of a server
+   since: one that was draining does not become ready, and one that announced
+   its end and is gone stays gone.  One that was removed otherwise, or of whose
+   incarnation nothing is known, is withheld.  A record of an earlier
+   incarnation changes the revision only; its removal lets one that is in use
+   expire.  */
 struct bb_server_record
 bb_directory_reconcile (const struct bb_backend_server *held,
                         const struct bb_server_record *record, bb_usec now);
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -23,6 +23,7 @@
   ROUTE_FIELDS = 5,
   EVACUATION_FIELDS = 3,
   SERVICE_LIMIT_FIELDS = 3,
+  FULL_STATE_FIELDS = 2,
 };
 
 /* Stands for a name that is not known; a name cannot be empty.  */
@@ -154,16 +155,17 @@
     }
 }
 
-/* Writes a time above 0 for each server that is withheld, 0 for the others.
- */
+/* Writes the states of the servers again, since those in the records are
+   limited to what older builds accept.  */
 static void
-put_hold_times (msgpack_packer *pk, const struct bb_sync_records *m)
+put_full_states (msgpack_packer *pk, const struct bb_sync_records *m)
 {
-  msgpack_pack_array (pk, m->server_count);
+  msgpack_pack_array (pk, m->server_count * FULL_STATE_FIELDS);
   for (uint32_t i = 0; i < m->server_count; i++)
-    bb_writer_put_uint (pk, m->servers[i].state == BB_SERVER_WITHHELD
-                                ? MAX (m->servers[i].hold_ms, 1)
-                                : 0);
+    {
+      bb_writer_put_uint (pk, m->servers[i].state);
+      bb_writer_put_uint (pk, m->servers[i].hold_ms);
+    }
 }
 
 static void
@@ -193,7 +195,7 @@
   bb_writer_put_uint (pk, bb_revision_era (m->to));
   put_evacuations (pk, m);
   put_service_limits (pk, m);
-  put_hold_times (pk, m);
+  put_full_states (pk, m);
   bb_writer_put_uint (pk, m->base_version);
 }
 
@@ -377,15 +379,14 @@
 }
 
 static void
-read_hold_times (struct bb_reader *r, struct bb_sync_records *m)
+read_full_states (struct bb_reader *r, struct bb_sync_records *m)
 {
   struct bb_reader inner = bb_reader_get_array (r);
   for (uint32_t i = 0; i < m->server_count; i++)
     {
-      struct bb_server_record *s = &m->servers[i];
-      s->hold_ms = bb_reader_get_u32 (&inner);
-      if (s->hold_ms > 0 && s->state == BB_SERVER_DRAINING)
-        s->state = BB_SERVER_WITHHELD;
+      m->servers[i].state = (enum bb_server_state)bb_reader_get_uint (
+          &inner, BB_SERVER_STATES - 1);
+      m->servers[i].hold_ms = bb_reader_get_u32 (&inner);
     }
   r->is_invalid |= inner.is_invalid;
 }
@@ -445,7 +446,7 @@
   if (r->remaining > 0)
     read_service_limits (r, m);
   if (r->remaining > 0)
-    read_hold_times (r, m);
+    read_full_states (r, m);
   if (r->remaining > 0)
     m->base_version = bb_reader_get_uint (r, UINT64_MAX);
   set_era (m, era);
