--- a/marked/sync/sync_batches.c
+++ b/marked/sync/sync_batches.c
@@ -26,8 +26,7 @@
 }
 
 static void
-begin_batch (struct bb_sync_batch *b, const struct bb_sync_message *message,
-             uint64_t held)
+begin_batch (struct bb_sync_batch *b, const struct bb_sync_message *message)
 {
   const struct bb_sync_records *m = &message->record_chunk;
   bb_sync_clear_batch (b);
@@ -36,8 +35,7 @@
   b->number = m->batch;
   b->chunk_count = m->chunk_count;
   b->records = g_array_new (FALSE, FALSE, sizeof (struct bb_route_record));
-  if (bb_revision_era (m->to) > bb_revision_era (held))
-    b->servers = g_array_new (FALSE, FALSE, sizeof (struct bb_server_record));
+  b->servers = g_array_new (FALSE, FALSE, sizeof (struct bb_server_record));
   if (m->from > 0)
     return;
   b->names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -50,8 +48,7 @@
 add_to_batch (struct bb_sync_batch *b, const struct bb_sync_records *m)
 {
   g_array_append_vals (b->records, m->routes, m->route_count);
-  if (b->servers)
-    g_array_append_vals (b->servers, m->servers, m->server_count);
+  g_array_append_vals (b->servers, m->servers, m->server_count);
   for (uint32_t i = 0; b->names && i < m->server_count; i++)
     if (m->servers[i].state != BB_SERVER_GONE)
       g_hash_table_add (b->names, g_strdup (m->servers[i].name));
@@ -84,7 +81,7 @@
       if (b->updated < oldest->updated)
         oldest = b;
     }
-  begin_batch (oldest, message, s->revision);
+  begin_batch (oldest, message);
   return oldest;
 }
 
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -42,9 +42,10 @@
  */
 #define BB_SYNC_BATCH_TIMEOUT (2 * BB_SEC)
 
-/* A batch of records that is being received.  Its routes are put in force
-   together when it is complete, so that no flow is handled by parts of two
-   configurations.  A balancer numbers its batches from 1 in each incarnation.
+/* A batch of records that is being received.  It is applied when it is
+   complete: a record of an incomplete one might be removed in the changes that
+   the next batch skips, and no flow is handled by parts of two configurations.
+   A balancer numbers its batches from 1 in each incarnation.
  */
 struct bb_sync_batch
 {
@@ -58,9 +59,7 @@
   GHashTable *names;  /* servers of a whole state; else NULL */
   GHashTable *routes; /* bb_directory_route_key of its routes; else NULL */
   GArray *records;    /* struct bb_route_record */
-  /* struct bb_server_record, of a newer era than the state held; else NULL:
-     the servers of a datagram are applied when it arrives.  */
-  GArray *servers;
+  GArray *servers;    /* struct bb_server_record */
 };
 
 struct bb_sync
--- a/marked/sync/sync_records.c
+++ b/marked/sync/sync_records.c
@@ -191,17 +191,32 @@
   return revision > s->revision;
 }
 
+/* Applies R, received with M.  In an era of which a state is held, what is
+   newer than that was written since the store came back: a server that another
+   balancer withholds, because it entered the era later, is ready.  */
 static void
-apply_servers (struct bb_sync *s, const struct bb_sync_records *m,
-               const struct bb_server_record *servers, uint32_t count,
-               bb_usec now)
+apply_server (struct bb_sync *s, struct bb_server_record *r,
+              const struct bb_sync_records *m, bb_usec now)
 {
-  for (uint32_t i = 0; i < count; i++)
-    if (is_newer (s, servers[i].revision)
-        || servers[i].state == BB_SERVER_GONE)
-      bb_sync_apply_server (s->directory, &servers[i], BB_REASON_PEER, m->to,
-                            (bb_usec)m->verified_ms * BB_MSEC, s->sink,
-                            s->context, now);
+  if (r->state == BB_SERVER_WITHHELD && s->revision > 0
+      && !bb_sync_is_newer_era (r->revision, s->revision))
+    r->state = BB_SERVER_READY;
+  bb_sync_apply_server (s->directory, r, BB_REASON_PEER, m->to,
+                        (bb_usec)m->verified_ms * BB_MSEC, s->sink, s->context,
+                        now);
+}
+
+static void
+apply_servers (struct bb_sync *s, const struct bb_sync_batch *b,
+               const struct bb_sync_records *m, bb_usec now)
+{
+  for (guint i = 0; i < b->servers->len; i++)
+    {
+      struct bb_server_record *r
+          = &g_array_index (b->servers, struct bb_server_record, i);
+      if (is_newer (s, r->revision) || r->state == BB_SERVER_GONE)
+        apply_server (s, r, m, now);
+    }
 }
 
 static void
@@ -378,9 +393,7 @@
 {
   if (!is_usable (s, b, m, now))
     return;
-  if (b->servers)
-    apply_servers (s, m, (const struct bb_server_record *)b->servers->data,
-                   b->servers->len, now);
+  apply_servers (s, b, m, now);
   bool has_history = apply_configuration (s, b, m, now);
   if (m->from == 0)
     bb_sync_remove_unlisted (s->directory, b->names, BB_SERVER_GONE, m->to,
@@ -423,8 +436,6 @@
   const struct bb_sync_records *m = &message->record_chunk;
   if (is_outdated (s, m))
     return;
-  if (bb_revision_era (m->to) == bb_revision_era (s->revision))
-    apply_servers (s, m, m->servers, m->server_count, now);
   struct bb_sync_batch *b = bb_sync_collect_chunk (s, message, now);
   if (!b)
     return;
