merge: a store that comes back from an older copy

Evacuations and limits of services are moved into the new era like servers and routes. An evacuation that the copy does not list stays in force for the time in which the operator writes it again; it is not sent to others meanwhile.

--- a/marked/placement/place.c
+++ b/marked/placement/place.c
@@ -107,8 +107,7 @@
           = BB_LINKED (at, struct bb_backend_server, of_service);
       struct candidate *candidate
           = s->is_local ? &candidates.local_dc : &candidates.remote_dc;
-      if (s->record.state != BB_SERVER_READY
-          && s->record.state != BB_SERVER_EXPIRED)
+      if (!bb_server_accepts_flows (s))
         continue;
       if (skip_evacuated (&candidates, s))
         continue;
--- a/marked/state/directory_evacuations.c
+++ b/marked/state/directory_evacuations.c
@@ -92,6 +92,7 @@
   bool was_active = e->record.is_active;
   e->record.is_active = record->is_active;
   e->record.revision = record->revision;
+  e->held_until = 0;
   if (record->is_active)
     e->ended = 0;
   else if (was_active || !was_known)
@@ -107,6 +108,27 @@
   return record->is_active ? BB_DIRECTORY_ADDED : BB_DIRECTORY_GONE;
 }
 
+void
+bb_directory_end_held_evacuations (
+    struct bb_directory *d, bb_usec now,
+    void (*ended) (void *context, const struct bb_evacuation_record *record),
+    void *context)
+{
+  struct bb_link *head = &d->evacuations_by_revision;
+  for (struct bb_link *at = head->next; at != head; at = at->next)
+    {
+      struct bb_evacuation *e
+          = BB_LINKED (at, struct bb_evacuation, by_revision);
+      if (e->held_until == 0 || now < e->held_until)
+        continue;
+      e->held_until = 0;
+      e->ended = MAX (now, 1);
+      e->record.is_active = false;
+      mark_servers (d, &e->record);
+      ended (context, &e->record);
+    }
+}
+
 void
 bb_directory_sweep_evacuations (struct bb_directory *d, bb_usec now)
 {
--- a/marked/sync/sync_batches.c
+++ b/marked/sync/sync_batches.c
@@ -10,9 +10,25 @@
   if (b->records)
     g_array_unref (b->records);
   bb_sync_clear_evacuations (b);
+  if (b->servers)
+    g_array_unref (b->servers);
   *b = (struct bb_sync_batch){ 0 };
 }
 
+struct bb_configuration
+bb_sync_get_configuration (const struct bb_sync_batch *b, uint64_t version,
+                           uint64_t revision)
+{
+  return (struct bb_configuration){
+    .version = version,
+    .revision = revision,
+    .routes = (struct bb_route_record *)b->records->data,
+    .route_count = b->records->len,
+    .services = (struct bb_service_record *)b->limits->data,
+    .service_count = b->limits->len,
+  };
+}
+
 void
 bb_sync_expire_batches (struct bb_sync *s, bb_usec now)
 {
@@ -35,6 +51,7 @@
   b->chunk_count = m->chunk_count;
   b->records = g_array_new (FALSE, FALSE, sizeof (struct bb_route_record));
   bb_sync_begin_evacuations (b, m->from == 0);
+  b->servers = g_array_new (FALSE, FALSE, sizeof (struct bb_server_record));
   if (m->from > 0)
     return;
   b->names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -48,6 +65,7 @@
 {
   g_array_append_vals (b->records, m->routes, m->route_count);
   bb_sync_collect_evacuations (b, m);
+  g_array_append_vals (b->servers, m->servers, m->server_count);
   for (uint32_t i = 0; b->names && i < m->server_count; i++)
     if (m->servers[i].state != BB_SERVER_GONE)
       g_hash_table_add (b->names, g_strdup (m->servers[i].name));
--- a/marked/sync/sync_evacuations.c
+++ b/marked/sync/sync_evacuations.c
@@ -31,12 +31,19 @@
   struct bb_link *next;
   for (struct bb_link *at = head->next; at != head; at = next)
     {
-      struct bb_evacuation_record end
-          = BB_LINKED (at, struct bb_evacuation, by_revision)->record;
+      struct bb_evacuation *e
+          = BB_LINKED (at, struct bb_evacuation, by_revision);
+      struct bb_evacuation_record end = e->record;
       next = at->next;
-      if (!end.is_active || end.revision >= revision
+      if (!end.is_active || end.revision >= revision || e->held_until > now
           || g_hash_table_contains (listed, end.data_centre))
         continue;
+      /* What the store lost is written again.  */
+      if (bb_sync_is_newer_era (revision, end.revision))
+        {
+          e->held_until = now + BB_EXPIRY_GRACE_TIME;
+          continue;
+        }
       end.is_active = false;
       end.revision = revision;
       bb_sync_apply_evacuation (directory, &end, from, revision, age, sink,
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -42,9 +42,10 @@
  */
 #define BB_SYNC_BATCH_TIMEOUT (2 * BB_SEC)
 
-/* A batch of records that is being received.  Its routes are put in force
-   together when it is complete, so that no flow is handled by parts of two
-   configurations.  A balancer numbers its batches from 1 in each incarnation.
+/* A batch of records that is being received.  It is applied when it is
+   complete: a record of an incomplete one might be removed in the changes that
+   the next batch skips, and no flow is handled by parts of two configurations.
+   A balancer numbers its batches from 1 in each incarnation.
  */
 struct bb_sync_batch
 {
@@ -58,6 +59,7 @@
   GHashTable *names;     /* servers of a whole state; else NULL */
   GHashTable *routes;    /* bb_directory_route_key of its routes; else NULL */
   GArray *records;       /* struct bb_route_record */
+  GArray *servers;       /* struct bb_server_record */
   GArray *evacuations;   /* struct bb_evacuation_record */
   GArray *limits;        /* struct bb_service_record */
   GHashTable *evacuated; /* data centres, of a whole state; else NULL */
@@ -78,6 +80,9 @@
   struct bb_sync_peer *peers[BB_SYNC_PEERS_MAX];
   uint32_t peer_count;
   uint64_t revision;
+  /* The state held lacks the configuration that changes of a peer start from,
+     so that the whole state is to be requested.  */
+  bool needs_whole_state;
   bb_usec last_verified;      /* 0: never */
   bb_usec last_store_failure; /* 0: none since the last success */
   bb_usec next_heartbeat;
@@ -165,6 +170,9 @@
 bb_sync_collect_chunk (struct bb_sync *s,
                        const struct bb_sync_message *message, bb_usec now);
 void bb_sync_clear_batch (struct bb_sync_batch *b);
+/* Returns the configuration VERSION in the records of B, at REVISION.  */
+struct bb_configuration bb_sync_get_configuration (
+    const struct bb_sync_batch *b, uint64_t version, uint64_t revision);
 /* Drops the batches that have been incomplete for too long.  */
 void bb_sync_expire_batches (struct bb_sync *s, bb_usec now);
 
@@ -192,6 +200,24 @@
 /* Sends all changes after revision BEFORE: a leader to its followers, a reader
    also to the other leaders.  */
 void bb_sync_publish_changes (struct bb_sync *s, uint64_t before, bb_usec now);
+
+/* sync_eras.c: states of a newer era, and configurations that the store no
+   longer shows.  */
+/* Enters the era of REVISION, whose records have been applied, and reports it
+   with REASON.  Does nothing if this is the era of the state held, or if no
+   state is held.  */
+void bb_sync_enter_era (struct bb_sync *s, uint64_t revision, uint32_t peer,
+                        enum bb_reason reason, bb_usec now);
+
+/* Whether the revision A is of a newer era than B.  */
+bool bb_sync_is_newer_era (uint64_t a, uint64_t b);
+
+/* Takes the configuration of B, whose last datagram is M, a whole state that
+   is not newer than the one held.  */
+void bb_sync_adopt_configuration (struct bb_sync *s,
+                                  const struct bb_sync_batch *b,
+                                  const struct bb_sync_records *m,
+                                  bb_usec now);
 void bb_sync_set_verified (struct bb_sync *s, uint32_t verified_ms,
                            bb_usec now);
 #endif
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -23,6 +23,7 @@
   ROUTE_FIELDS = 5,
   EVACUATION_FIELDS = 3,
   SERVICE_LIMIT_FIELDS = 3,
+  FULL_STATE_FIELDS = 2,
 };
 
 /* Stands for a name that is not known; a name cannot be empty.  */
@@ -31,7 +32,7 @@
 static const size_t body_fields[BB_SYNC_KINDS] = {
   [BB_SYNC_HEARTBEAT] = 9,
   [BB_SYNC_REQUEST] = 2,
-  [BB_SYNC_RECORDS] = 16,
+  [BB_SYNC_RECORDS] = 18,
 };
 
 /* Encoding.  */
@@ -77,13 +78,15 @@
   bb_writer_put_uint (pk, bb_revision_era (m->revision));
 }
 
-/* Older builds have no state for a server whose entry is unusable.  One that
-   is draining gets no new flows and keeps the open ones, too.  If only the
-   name is known, the record must leave the data held by the receiver, as that
-   of an expired server does.  */
+/* Older builds have no state for a server that is withheld, or whose entry is
+   unusable.  One that is draining gets no new flows and keeps the open ones,
+   too.  If only the name is known, the record must leave the data held by the
+   receiver, as that of an expired server does.  */
 static enum bb_server_state
 encode_state (const struct bb_server_record *r)
 {
+  if (r->state == BB_SERVER_WITHHELD)
+    return BB_SERVER_DRAINING;
   if (r->state != BB_SERVER_UNUSABLE)
     return r->state;
   return r->address.port ? BB_SERVER_DRAINING : BB_SERVER_EXPIRED;
@@ -152,6 +155,19 @@
     }
 }
 
+/* Writes the states of the servers again, since those in the records are
+   limited to what older builds accept.  */
+static void
+put_full_states (msgpack_packer *pk, const struct bb_sync_records *m)
+{
+  msgpack_pack_array (pk, m->server_count * FULL_STATE_FIELDS);
+  for (uint32_t i = 0; i < m->server_count; i++)
+    {
+      bb_writer_put_uint (pk, m->servers[i].state);
+      bb_writer_put_uint (pk, m->servers[i].hold_ms);
+    }
+}
+
 static void
 put_records (msgpack_packer *pk, const struct bb_sync_records *m)
 {
@@ -179,6 +195,8 @@
   bb_writer_put_uint (pk, bb_revision_era (m->to));
   put_evacuations (pk, m);
   put_service_limits (pk, m);
+  put_full_states (pk, m);
+  bb_writer_put_uint (pk, m->base_version);
 }
 
 GByteArray *
@@ -360,6 +378,19 @@
   r->is_invalid |= inner.is_invalid;
 }
 
+static void
+read_full_states (struct bb_reader *r, struct bb_sync_records *m)
+{
+  struct bb_reader inner = bb_reader_get_array (r);
+  for (uint32_t i = 0; i < m->server_count; i++)
+    {
+      m->servers[i].state = (enum bb_server_state)bb_reader_get_uint (
+          &inner, BB_SERVER_STATES - 1);
+      m->servers[i].hold_ms = bb_reader_get_u32 (&inner);
+    }
+  r->is_invalid |= inner.is_invalid;
+}
+
 /* Adds ERA to all revisions of M.  */
 static void
 set_era (struct bb_sync_records *m, uint64_t era)
@@ -417,6 +448,10 @@
     }
   if (r->remaining > 0)
     read_service_limits (r, m);
+  if (r->remaining > 0)
+    read_full_states (r, m);
+  if (r->remaining > 0)
+    m->base_version = bb_reader_get_uint (r, UINT64_MAX);
   set_era (m, era);
 }
 
