marked: changes from an older build leave a gap of evacuations

A leader of an older build passes on no evacuations and no limits of services. A balancer now records up to which revision it holds them. Ignoring the records of an older build was ruled out: while the store is away no balancer of the new build could join.

--- a/marked/state/directory_routes.c
+++ b/marked/state/directory_routes.c
@@ -157,10 +157,13 @@
 bb_directory_configure (struct bb_directory *d,
                         const struct bb_configuration *c, bb_usec now)
 {
-  if (c->version <= d->version)
+  if (c->version < d->version)
     return -1;
-  d->version = c->version;
+  /* A peer of an older build may have sent this version without its limits. */
   bb_directory_configure_limits (d, c, now);
+  if (c->version == d->version)
+    return -1;
+  d->version = c->version;
   return configure_routes (d, c, now);
 }
 
--- a/marked/sync/sync.c
+++ b/marked/sync/sync.c
@@ -118,6 +118,17 @@
   return before;
 }
 
+/* Whether this balancer has to read what a peer of an older build did not
+   send. Those BEFORE it in the order do so earlier, so that they do not call
+   the store at the same time.  */
+static bool
+must_complete (const struct bb_sync *s, uint32_t before, bb_usec now)
+{
+  return !bb_sync_is_complete (s)
+         && now - s->incomplete_since
+                >= MIN (before * TAKEOVER_STEP, TAKEOVER_STEP_MAX);
+}
+
 static void
 update_role (struct bb_sync *s, bb_usec now)
 {
@@ -131,7 +142,7 @@
     bb_sync_contact_remote_peers (s, now);
   bool is_first = s->is_leader && count_preceding (s, false, now) == 0;
   s->is_first = is_first;
-  bool is_outdated = age > age_max;
+  bool is_outdated = age > age_max || must_complete (s, before, now);
   bool is_reader = !s->is_leaving && (is_first || is_outdated);
   if (is_reader == s->is_reader)
     return;
@@ -223,6 +234,8 @@
 {
   s->last_store_failure = 0;
   s->last_verified = MAX (s->last_verified, requested);
+  if (revision >= s->revision)
+    bb_sync_set_complete (s, revision, true, now);
   if (revision <= s->revision)
     return;
   uint64_t before = s->revision;
--- a/marked/sync/sync.h
+++ b/marked/sync/sync.h
@@ -120,6 +120,11 @@
 
 uint64_t bb_sync_revision (const struct bb_sync *s);
 
+/* Returns the revision from which a call to the store must continue.  It is
+   lower than bb_sync_revision if a peer of an older build sent the changes
+   after it, without evacuations and limits of services.  */
+uint64_t bb_sync_complete_revision (const struct bb_sync *s);
+
 /* Last time that a balancer of the own data centre joined, was lost, or began
    to leave, this one included; 0: never.  */
 bb_usec bb_sync_members_changed (const struct bb_sync *s);
--- a/marked/sync/sync_evacuations.c
+++ b/marked/sync/sync_evacuations.c
@@ -44,6 +44,37 @@
     }
 }
 
+/* Peers of older builds.  */
+
+void
+bb_sync_set_complete (struct bb_sync *s, uint64_t revision, bool is_complete,
+                      bb_usec now)
+{
+  if (is_complete)
+    {
+      /* What ended in between and was never held here is not recorded.  */
+      if (!bb_sync_is_complete (s))
+        bb_directory_add_gap (s->directory, s->complete_revision, revision,
+                              bb_directory_history_start (s->directory));
+      s->complete_revision = revision;
+      s->incomplete_since = 0;
+    }
+  else if (s->incomplete_since == 0)
+    s->incomplete_since = now;
+}
+
+bool
+bb_sync_is_complete (const struct bb_sync *s)
+{
+  return s->incomplete_since == 0;
+}
+
+uint64_t
+bb_sync_complete_revision (const struct bb_sync *s)
+{
+  return s->complete_revision;
+}
+
 /* Batches.  */
 
 void
@@ -61,10 +92,14 @@
 void
 bb_sync_clear_evacuations (struct bb_sync_batch *b)
 {
-  g_clear_pointer (&b->evacuations, g_array_unref);
-  g_clear_pointer (&b->limits, g_array_unref);
-  g_clear_pointer (&b->evacuated, g_hash_table_unref);
-  g_clear_pointer (&b->services, g_hash_table_unref);
+  if (b->evacuations)
+    g_array_unref (b->evacuations);
+  if (b->limits)
+    g_array_unref (b->limits);
+  if (b->evacuated)
+    g_hash_table_unref (b->evacuated);
+  if (b->services)
+    g_hash_table_unref (b->services);
 }
 
 void
@@ -93,7 +128,7 @@
     {
       const struct bb_evacuation_record *r
           = &g_array_index (b->evacuations, struct bb_evacuation_record, i);
-      if (bb_sync_is_newer (s, r->revision) || !r->is_active)
+      if (r->revision > s->complete_revision || !r->is_active)
         bb_sync_apply_evacuation (s->directory, r, BB_REASON_PEER, m->to, age,
                                   s->sink, s->context, now);
     }
@@ -111,7 +146,7 @@
     {
       const struct bb_service_record *r
           = &g_array_index (b->limits, struct bb_service_record, i);
-      if (bb_sync_is_newer (s, r->revision))
+      if (r->revision > s->complete_revision)
         bb_directory_put_service (s->directory, r, now);
     }
   if (b->services && !b->lacks_evacuations)
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -78,6 +78,11 @@
   struct bb_sync_peer *peers[BB_SYNC_PEERS_MAX];
   uint32_t peer_count;
   uint64_t revision;
+  /* Up to which evacuations and limits of services are held.  Lower than
+     REVISION after changes from a peer of an older build, which knows neither.
+   */
+  uint64_t complete_revision;
+  bb_usec incomplete_since;   /* 0: all are held */
   bb_usec last_verified;      /* 0: never */
   bb_usec last_store_failure; /* 0: none since the last success */
   bb_usec next_heartbeat;
@@ -189,6 +194,12 @@
   return revision > s->revision;
 }
 
+/* Records that all evacuations and limits up to REVISION are held, if
+   IS_COMPLETE, or that changes up to it lack them.  */
+void bb_sync_set_complete (struct bb_sync *s, uint64_t revision,
+                           bool is_complete, bb_usec now);
+bool bb_sync_is_complete (const struct bb_sync *s);
+
 /* Sends all changes after revision BEFORE: a leader to its followers, a reader
    also to the other leaders.  */
 void bb_sync_publish_changes (struct bb_sync *s, uint64_t before, bb_usec now);
--- a/marked/sync/sync_records.c
+++ b/marked/sync/sync_records.c
@@ -123,7 +123,7 @@
   m->route_history_ms
       = bb_sync_age_ms (bb_directory_history_start (s->directory), now);
   m->version = bb_directory_version (s->directory);
-  m->has_evacuations = true;
+  m->has_evacuations = bb_sync_is_complete (s);
   m->verified_ms = bb_sync_age_ms (s->last_verified, now);
   pack_records (&packer, from, now);
   m->chunk_count = packer.chunks;
@@ -338,6 +338,8 @@
   if (m->from == 0)
     remove_unlisted (s, b, m, has_routes_in_force, now);
   s->revision = m->to;
+  bb_sync_set_complete (
+      s, m->to, !b->lacks_evacuations && m->from <= s->complete_revision, now);
   if (m->from == 0)
     bb_sync_send_event (s, BB_EVENT_STATE_ADOPTED, b->from, m->version,
                         BB_REASON_PEER, (bb_usec)m->verified_ms * BB_MSEC);
--- a/runtime/marked_process.c
+++ b/runtime/marked_process.c
@@ -102,7 +102,7 @@
 {
   struct bb_marked_process *p = context;
   const struct bb_sync *sync = bb_marked_get_sync (p->marked);
-  *revision = bb_sync_revision (sync);
+  *revision = bb_sync_complete_revision (sync);
   return bb_sync_may_call_store (sync, bb_clock_boot ());
 }
 
--- a/tests/sync_message_test.c
+++ b/tests/sync_message_test.c
@@ -64,6 +64,7 @@
                     { .address = { 0xc6120001, 444 }, .revision = 90 } },
         .route_count = 2,
         .evacuations = { { "itagui", true, 87 }, { "bello", false, 86 } },
+        .has_evacuations = true,
         .evacuation_count = 2,
         .services = { { 1, 8500, 89 } },
         .service_count = 1,
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -23,6 +23,7 @@
   ROUTE_FIELDS = 5,
   EVACUATION_FIELDS = 3,
   SERVICE_LIMIT_FIELDS = 3,
+  EVACUATION_ELEMENTS = 2, /* evacuations and limits of services */
 };
 
 /* Stands for a name that is not known; a name cannot be empty.  */
@@ -177,17 +178,28 @@
   for (uint32_t i = 0; i < m->route_count; i++)
     bb_writer_put_uint (pk, m->routes[i].priority);
   bb_writer_put_uint (pk, bb_revision_era (m->to));
+  if (!m->has_evacuations)
+    return;
   put_evacuations (pk, m);
   put_service_limits (pk, m);
 }
 
+/* A balancer that lacks evacuations sends records as older builds do.  */
+static size_t
+count_body_fields (const struct bb_sync_message *m)
+{
+  bool is_short
+      = m->kind == BB_SYNC_RECORDS && !m->record_chunk.has_evacuations;
+  return body_fields[m->kind] - (is_short ? EVACUATION_ELEMENTS : 0);
+}
+
 GByteArray *
 bb_sync_encode (const struct bb_sync_message *m)
 {
   GByteArray *out = g_byte_array_sized_new (256);
   msgpack_packer pk;
   msgpack_packer_init (&pk, out, bb_writer_append);
-  msgpack_pack_array (&pk, HEADER_FIELDS + body_fields[m->kind]);
+  msgpack_pack_array (&pk, HEADER_FIELDS + count_body_fields (m));
   bb_writer_put_uint (&pk, BB_WIRE_VERSION);
   bb_writer_put_uint (&pk, m->kind);
   bb_writer_put_uint (&pk, m->from);
