tests: evacuations among several balancers under faults

The reader dies with what it alone has read, all restart, one joins (also without a store), freezes, a cut, losses, one taken back within a heartbeat or written again. A balancer with a configuration knows of the evacuation at any moment after a start.

--- a/tests/sync_fixture.h
+++ b/tests/sync_fixture.h
@@ -69,6 +69,8 @@
   unsigned loss; /* percent */
   GRand *random;
   uint64_t joined;
+  /* Delivers further changes after a revision to a balancer that reads.  */
+  void (*deliver) (struct node *n, uint64_t after);
 } sim;
 
 static struct bb_endpoint
@@ -273,6 +275,8 @@
   for (uint64_t r = n->after + 1; r <= sim.revision; r++)
     if (n->after > 0 || is_listed (r, sim.revision))
       apply_revision (n, r);
+  if (sim.deliver)
+    sim.deliver (n, n->after);
   if (n->after == 0)
     bb_directory_start_history (n->directory, sim.revision, sim.now);
   bb_usec call_started = n->call_started;
