--- a/marked/balancer.h
+++ b/marked/balancer.h
@@ -56,7 +56,7 @@
   uint64_t placed_remote; /* in another data centre */
   /* In another data centre, because the own one is evacuated.  */
   uint64_t placed_evacuated;
-  uint64_t syn_copies;    /* copies of first packets */
+  uint64_t syn_copies; /* copies of first packets */
   uint64_t refused[BB_REASONS];
   uint64_t resets;
   uint64_t drops[BB_DROP_KINDS];
