--- a/marked/sync/sync_records.c
+++ b/marked/sync/sync_records.c
@@ -127,7 +127,7 @@
   m->route_history_ms
       = bb_sync_age_ms (bb_directory_history_start (s->directory), now);
   m->version = bb_directory_version (s->directory);
-  m->has_evacuations = true;
+  m->has_evacuations = bb_sync_is_complete (s);
   m->base_version = bb_directory_base_version (s->directory);
   m->verified_ms = bb_sync_age_ms (s->last_verified, now);
   pack_records (&packer, from, now);
@@ -446,6 +446,8 @@
   else
     bb_directory_restart_history (s->directory, m->to, now);
   s->revision = m->to;
+  bb_sync_set_complete (
+      s, m->to, !b->lacks_evacuations && m->from <= s->complete_revision, now);
   if (m->from == 0)
     {
       s->needs_whole_state = false;
--- a/tests/sync_message_test.c
+++ b/tests/sync_message_test.c
@@ -64,6 +64,7 @@
                     { .address = { 0xc6120001, 444 }, .revision = 90 } },
         .route_count = 2,
         .evacuations = { { "itagui", true, 87 }, { "bello", false, 86 } },
+        .has_evacuations = true,
         .evacuation_count = 2,
         .services = { { 1, 8500, 89 } },
         .service_count = 1,
@@ -127,10 +128,10 @@
   uint8_t bytes[3];
   size_t length;
 } appended[] = {
-  { { 0 }, 1 },          /* base version */
-  { { 0x92, 1, 0 }, 3 }, /* full states */
   { { 0x90 }, 1 },       /* no service limits */
   { { 0x90 }, 1 },       /* no evacuations */
+  { { 0 }, 1 },          /* base version */
+  { { 0x92, 1, 0 }, 3 }, /* full states */
   { { 0 }, 1 },          /* era */
   { { 0x92, 0, 0 }, 3 }, /* priorities */
   { { 0x92, 0, 0 }, 3 }, /* objectives */
@@ -191,6 +192,7 @@
   m.record_chunk.servers[0].state = BB_SERVER_WITHHELD;
   m.record_chunk.servers[0].hold_ms = 4200;
   m.record_chunk.base_version = 6;
+  m.record_chunk.has_evacuations = false;
   GByteArray *bytes = bb_sync_encode (&m);
   ck_assert (bb_sync_decode (bytes->data, bytes->len, &decoded, NULL));
   ck_assert_int_eq (decoded.record_chunk.servers[0].state, BB_SERVER_WITHHELD);
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -24,6 +24,7 @@
   EVACUATION_FIELDS = 3,
   SERVICE_LIMIT_FIELDS = 3,
   FULL_STATE_FIELDS = 2,
+  EVACUATION_ELEMENTS = 2, /* evacuations and limits of services */
 };
 
 /* Stands for a name that is not known; a name cannot be empty.  */
@@ -193,10 +194,21 @@
   for (uint32_t i = 0; i < m->route_count; i++)
     bb_writer_put_uint (pk, m->routes[i].priority);
   bb_writer_put_uint (pk, bb_revision_era (m->to));
-  put_evacuations (pk, m);
-  put_service_limits (pk, m);
   put_full_states (pk, m);
   bb_writer_put_uint (pk, m->base_version);
+  if (!m->has_evacuations)
+    return;
+  put_evacuations (pk, m);
+  put_service_limits (pk, m);
+}
+
+/* A balancer that lacks evacuations does not send the elements.  */
+static size_t
+count_body_fields (const struct bb_sync_message *m)
+{
+  bool is_short
+      = m->kind == BB_SYNC_RECORDS && !m->record_chunk.has_evacuations;
+  return body_fields[m->kind] - (is_short ? EVACUATION_ELEMENTS : 0);
 }
 
 GByteArray *
@@ -205,7 +217,7 @@
   GByteArray *out = g_byte_array_sized_new (256);
   msgpack_packer pk;
   msgpack_packer_init (&pk, out, bb_writer_append);
-  msgpack_pack_array (&pk, HEADER_FIELDS + body_fields[m->kind]);
+  msgpack_pack_array (&pk, HEADER_FIELDS + count_body_fields (m));
   bb_writer_put_uint (&pk, BB_WIRE_VERSION);
   bb_writer_put_uint (&pk, m->kind);
   bb_writer_put_uint (&pk, m->from);
@@ -441,6 +453,10 @@
     read_priorities (r, m);
   if (r->remaining > 0)
     era = read_era (r);
+  if (r->remaining > 0)
+    read_full_states (r, m);
+  if (r->remaining > 0)
+    m->base_version = bb_reader_get_uint (r, UINT64_MAX);
   if (r->remaining > 0)
     {
       m->has_evacuations = true;
@@ -448,10 +464,6 @@
     }
   if (r->remaining > 0)
     read_service_limits (r, m);
-  if (r->remaining > 0)
-    read_full_states (r, m);
-  if (r->remaining > 0)
-    m->base_version = bb_reader_get_uint (r, UINT64_MAX);
   set_era (m, era);
 }
 
