marked: changes do not lead to a configuration that is not the store's

A directory now knows whether its configuration is that of its revision, and says so in its batches. Changes to a newer version are refused if either side's is not; the whole state is requested then.

Also, hellos to candidates for the leader of a data centre are limited for each round.

--- a/marked/balancer_state.c
+++ b/marked/balancer_state.c
@@ -107,8 +107,13 @@
                      const struct bb_route_record *routes, size_t count,
                      bb_usec now)
 {
-  if (is_of_held_era (m, revision))
-    configure (m, version, revision, routes, count, now);
+  if (!is_of_held_era (m, revision))
+    return;
+  configure (m, version, revision, routes, count, now);
+  bool is_divergent = version < bb_directory_version (m->directory);
+  if (is_divergent != bb_directory_is_divergent (m->directory))
+    bb_directory_restart_history (m->directory, revision, now);
+  bb_directory_set_divergent (m->directory, is_divergent);
 }
 
 /* Gives the routes of S its revision.  A route that looks the same may have
@@ -131,13 +136,16 @@
                 now);
   /* A newer configuration is among the changes after the snapshot's revision,
      which the watch delivers.  */
+  bb_directory_set_divergent (m->directory, true);
   if (s->version == 0 || s->configured > s->revision)
     return;
   configure (m, s->version, s->configured,
              (const struct bb_route_record *)s->routes->data, s->routes->len,
              now);
-  if (s->version == bb_directory_version (m->directory))
-    renew_routes (m, s, now);
+  if (s->version != bb_directory_version (m->directory))
+    return;
+  bb_directory_set_divergent (m->directory, false);
+  renew_routes (m, s, now);
 }
 
 void
@@ -151,9 +159,12 @@
       bool is_new_era = held > 0 && !is_of_held_era (m, s->revision);
       if (is_new_era)
         m->removal_grace_end = now + BB_EXPIRY_GRACE_TIME;
+      bool was_divergent = bb_directory_is_divergent (m->directory);
       put_records (m, s, now);
       if (held == 0)
         bb_directory_start_history (m->directory, s->revision, now);
+      else if (was_divergent != bb_directory_is_divergent (m->directory))
+        bb_directory_restart_history (m->directory, s->revision, now);
       else if (!is_new_era)
         bb_directory_add_gap (m->directory, held, s->revision, now);
       bb_sync_remove_unlisted (m->directory, s->names, removal_state (m, now),
--- a/marked/state/directory.c
+++ b/marked/state/directory.c
@@ -323,7 +323,6 @@
 {
   d->history_start = history_start;
   d->removals_since = MAX (d->removals_since, revision);
-  d->base_version = d->version;
 }
 
 void
--- a/marked/state/directory_era.c
+++ b/marked/state/directory_era.c
@@ -121,19 +121,18 @@
   d->removals_since = revision;
   d->gap_start = d->gap_end = 0;
   d->history_start = MAX (d->history_start, history_start);
-  d->base_version = d->version;
 }
 
-uint64_t
-bb_directory_base_version (const struct bb_directory *d)
+bool
+bb_directory_is_divergent (const struct bb_directory *d)
 {
-  return d->base_version;
+  return d->is_divergent;
 }
 
 void
-bb_directory_set_base_version (struct bb_directory *d, uint64_t version)
+bb_directory_set_divergent (struct bb_directory *d, bool is_divergent)
 {
-  d->base_version = version;
+  d->is_divergent = is_divergent;
 }
 
 void
--- a/marked/state/directory_era.h
+++ b/marked/state/directory_era.h
@@ -33,10 +33,12 @@
 void bb_directory_restart_history (struct bb_directory *d, uint64_t revision,
                                    bb_usec history_start);
 
-/* Version of the configuration that a directory needs, at least, so that the
-   changes recorded here lead to the state held.  */
-uint64_t bb_directory_base_version (const struct bb_directory *d);
-void bb_directory_set_base_version (struct bb_directory *d, uint64_t version);
+/* Whether the configuration held is not the one that the store had at the
+   revision held, because it was kept when the store came back without it, or
+   because it was not read.  The changes recorded here then do not lead to it.
+ */
+bool bb_directory_is_divergent (const struct bb_directory *d);
+void bb_directory_set_divergent (struct bb_directory *d, bool is_divergent);
 
 /* Puts the COUNT routes of a newer VERSION in force although the directory may
    hold the same routes at higher revisions; all its routes get REVISION.  */
--- a/marked/state/directory_private.h
+++ b/marked/state/directory_private.h
@@ -9,7 +9,7 @@
 {
   char data_centre[BB_NAME_MAX];
   uint64_t version;
-  uint64_t base_version;   /* at the start of the recorded history */
+  bool is_divergent;       /* the configuration is not that of the revision */
   uint64_t removals_since; /* all removals after this revision are recorded, */
   uint64_t gap_start;      /* but for what was added after this revision */
   uint64_t gap_end;        /* and removed up to this one */
--- a/marked/sync/sync_eras.c
+++ b/marked/sync/sync_eras.c
@@ -29,8 +29,8 @@
 {
   uint64_t version = bb_directory_version (s->directory);
   return m->from == 0 && m->version > version
-         && (bb_sync_is_newer_era (s->revision, m->to)
-             || m->base_version > version);
+         && (bb_sync_is_newer_era (s->revision, m->to) || m->is_divergent
+             || bb_directory_is_divergent (s->directory));
 }
 
 void
@@ -43,6 +43,7 @@
       s->directory, m->version, s->revision,
       (const struct bb_route_record *)b->records->data, b->records->len, now);
   bb_directory_restart_history (s->directory, s->revision, now);
+  bb_directory_set_divergent (s->directory, true);
   s->needs_whole_state = false;
   bb_sync_send_event (s, BB_EVENT_VERSION, b->from, m->version, BB_REASON_PEER,
                       (bb_usec)m->verified_ms * BB_MSEC);
--- a/marked/sync/sync_heartbeats.c
+++ b/marked/sync/sync_heartbeats.c
@@ -14,6 +14,9 @@
      once: the first one of its data centre and one more.  */
   JOIN_HELLOS = 2,
   LEADER_HELLOS = 4, /* hellos in each round to discover leaders */
+  /* Hellos in each round to the candidates that replies list.  A reply of one
+     that is not a leader lists further candidates.  */
+  CANDIDATE_HELLOS = 32,
   /* Pending requests that a server may have at one balancer, far above what
      fits into the queue of a server.  */
   SERVER_PENDING_MAX = 256,
@@ -243,6 +246,7 @@
 bb_sync_send_heartbeats (struct bb_sync *s, bb_usec now)
 {
   struct bb_sync_message m;
+  s->candidate_hellos = 0;
   size_t count = select_local_targets (s, now);
   fill_heartbeat (s, &m, s->options.self.data_centre, BB_SYNC_LISTED_PEERS,
                   now);
@@ -303,6 +307,8 @@
       = is_new && is_local && s->revision == 0 && index < JOIN_HELLOS;
   if (!is_join_target && !is_leader_candidate)
     return;
+  if (!is_join_target && s->candidate_hellos++ >= CANDIDATE_HELLOS)
+    return;
   if (p)
     p->last_sent = now;
   send_hello (s, &vm->endpoint, now);
--- a/marked/sync/sync_messages.h
+++ b/marked/sync/sync_messages.h
@@ -96,7 +96,7 @@
   uint64_t removals_since;   /* sender records all removals after this one */
   uint32_t route_history_ms; /* time for which the sender has had all routes */
   uint64_t version;
-  uint64_t base_version; /* that the receiver of changes holds, at least */
+  bool is_divergent; /* bb_directory_is_divergent of the sender */
   uint32_t verified_ms;
   struct bb_server_record servers[BB_SYNC_SERVERS_MAX];
   uint32_t server_count;
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -83,7 +83,8 @@
   bb_usec last_request;
   bb_usec last_seed_hello;
   bb_usec next_remote_heartbeat;
-  bb_usec members_changed; /* balancers of the own data centre; 0: never */
+  uint32_t candidate_hellos; /* in this round of heartbeats */
+  bb_usec members_changed;   /* balancers of the own data centre; 0: never */
   bool is_reader;
   bool is_first; /* of all readers */
   bool is_leader;
--- a/marked/sync/sync_records.c
+++ b/marked/sync/sync_records.c
@@ -84,7 +84,7 @@
   m->route_history_ms
       = bb_sync_age_ms (bb_directory_history_start (s->directory), now);
   m->version = bb_directory_version (s->directory);
-  m->base_version = bb_directory_base_version (s->directory);
+  m->is_divergent = bb_directory_is_divergent (s->directory);
   m->verified_ms = bb_sync_age_ms (s->last_verified, now);
   pack_records (&packer, from, now);
   m->chunk_count = packer.chunks;
@@ -118,7 +118,8 @@
          uint64_t before)
 {
   if (!bb_directory_has_changes_after (s->directory, p->revision)
-      || p->version < bb_directory_base_version (s->directory))
+      || (bb_directory_is_divergent (s->directory)
+          && p->version < bb_directory_version (s->directory)))
     return NEEDS_WHOLE_STATE;
   return p->revision >= before ? NEEDS_CHANGES : NEEDS_MORE_CHANGES;
 }
@@ -283,10 +284,7 @@
 {
   bb_usec start = now - (bb_usec)m->route_history_ms * BB_MSEC;
   if (s->revision == 0)
-    {
-      bb_directory_start_history (s->directory, m->removals_since, start);
-      bb_directory_set_base_version (s->directory, m->base_version);
-    }
+    bb_directory_start_history (s->directory, m->removals_since, start);
   else if (m->removals_since > s->revision)
     bb_directory_add_gap (s->directory, s->revision, m->removals_since, start);
 }
@@ -329,6 +327,14 @@
                       (bb_usec)m->verified_ms * BB_MSEC);
 }
 
+/* Whether the changes of M lead from the configuration held to that of M.  */
+static bool
+knows_changes (const struct bb_sync *s, const struct bb_sync_records *m)
+{
+  return m->from == 0 || m->version <= bb_directory_version (s->directory)
+         || (!m->is_divergent && !bb_directory_is_divergent (s->directory));
+}
+
 /* Whether B can be applied to the state held.  A batch that is older is
    ignored as a whole: its version must not be reported without its routes.  */
 static bool
@@ -347,7 +353,7 @@
     }
   if (may_lack_removals (s, m))
     return false;
-  if (m->from > 0 && bb_directory_version (s->directory) < m->base_version)
+  if (!knows_changes (s, m))
     {
       s->needs_whole_state = true;
       refuse_batch (s, b, m, BB_REASON_UNKNOWN_CONFIGURATION);
@@ -364,14 +370,15 @@
 {
   struct bb_directory *d = s->directory;
   uint64_t version = bb_directory_version (d);
+  bool was_divergent = bb_directory_is_divergent (d);
   if (m->version < version)
-    return s->revision == 0;
-  /* Routes that the sender kept from an older era may be older than the
-     revision held.  */
-  bool is_replaced = m->from == 0 && version < m->base_version
-                     && s->revision > 0
-                     && !bb_sync_is_newer_era (m->to, s->revision);
-  if (is_replaced)
+    {
+      bb_directory_set_divergent (d, true);
+      return false;
+    }
+  /* The routes may be older than the revision held if either side kept them
+     from an older era.  */
+  if (m->from == 0 && (was_divergent || m->is_divergent))
     bb_directory_replace_configuration (
         d, m->version, m->to, (const struct bb_route_record *)b->records->data,
         b->records->len, now);
@@ -380,10 +387,12 @@
   if (m->from == 0)
     bb_directory_drop_unlisted_routes (d, b->routes, m->to, now);
   bb_directory_set_version (d, m->version);
+  bb_directory_set_divergent (d, m->is_divergent
+                                     && (m->from == 0 || was_divergent));
   if (m->version > version)
     bb_sync_send_event (s, BB_EVENT_VERSION, b->from, m->version,
                         BB_REASON_PEER, (bb_usec)m->verified_ms * BB_MSEC);
-  return !is_replaced;
+  return bb_directory_is_divergent (d) == was_divergent || s->revision == 0;
 }
 
 /* Applies the complete batch B, whose last datagram is M.  */
--- a/tests/sync_message_test.c
+++ b/tests/sync_message_test.c
@@ -119,7 +119,7 @@
 END_TEST
 
 /* Guards against rejecting messages of earlier releases, which have fewer
-   elements: no base version and full states, then no service limits,
+   elements: no divergence and full states, then no service limits,
    evacuations and era, then no priorities, then no objectives.  The last
    elements of the message, from the end.  */
 static const struct
@@ -127,7 +127,7 @@
   uint8_t bytes[3];
   size_t length;
 } appended[] = {
-  { { 0 }, 1 },          /* base version */
+  { { 0 }, 1 },          /* not divergent */
   { { 0x92, 1, 0 }, 3 }, /* full states */
   { { 0x90 }, 1 },       /* no service limits */
   { { 0x90 }, 1 },       /* no evacuations */
@@ -190,12 +190,12 @@
   struct bb_sync_message m = make_message (BB_SYNC_RECORDS), decoded;
   m.record_chunk.servers[0].state = BB_SERVER_WITHHELD;
   m.record_chunk.servers[0].hold_ms = 4200;
-  m.record_chunk.base_version = 6;
+  m.record_chunk.is_divergent = true;
   GByteArray *bytes = bb_sync_encode (&m);
   ck_assert (bb_sync_decode (bytes->data, bytes->len, &decoded, NULL));
   ck_assert_int_eq (decoded.record_chunk.servers[0].state, BB_SERVER_WITHHELD);
   ck_assert_uint_eq (decoded.record_chunk.servers[0].hold_ms, 4200);
-  ck_assert_uint_eq (decoded.record_chunk.base_version, 6);
+  ck_assert (decoded.record_chunk.is_divergent);
   /* Older builds read neither of the last two elements.  */
   bytes->data[2] -= 2;
   ck_assert (bb_sync_decode (bytes->data, bytes->len - 6, &decoded, NULL));
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -196,7 +196,7 @@
   put_evacuations (pk, m);
   put_service_limits (pk, m);
   put_full_states (pk, m);
-  bb_writer_put_uint (pk, m->base_version);
+  bb_writer_put_uint (pk, m->is_divergent);
 }
 
 GByteArray *
@@ -448,7 +448,7 @@
   if (r->remaining > 0)
     read_full_states (r, m);
   if (r->remaining > 0)
-    m->base_version = bb_reader_get_uint (r, UINT64_MAX);
+    m->is_divergent = bb_reader_get_uint (r, 1) != 0;
   set_era (m, era);
 }
 
