marked: removals are recorded again by whole reads in a store with eras

Balancers of one revision may differ in a server that an older copy lists, since only some knew of its removal.

--- a/marked/sync/sync_records.c
+++ b/marked/sync/sync_records.c
@@ -247,6 +247,17 @@
   return record->state == BB_SERVER_READY ? state : BB_SERVER_GONE;
 }
 
+/* Whether the removal of S, which the state of REVISION does not list, is to
+   be recorded again.  In a store with eras another balancer of the same
+   revision may hold S, if it did not know of a removal that an older copy
+   lacked.  */
+static bool
+must_renew_removal (const struct bb_backend_server *s, uint64_t revision)
+{
+  return s->record.state == BB_SERVER_GONE && s->record.revision < revision
+         && bb_revision_era (revision) > 0;
+}
+
 void
 bb_sync_remove_unlisted (struct bb_directory *directory, GHashTable *names,
                          enum bb_server_state state, uint64_t revision,
@@ -260,7 +271,8 @@
     {
       struct bb_backend_server *s
           = BB_LINKED (at, struct bb_backend_server, by_revision);
-      if (s->gone_since == 0 && s->record.revision <= revision
+      if ((s->gone_since == 0 || must_renew_removal (s, revision))
+          && s->record.revision <= revision
           && !g_hash_table_contains (names, s->record.name))
         g_ptr_array_add (missing, s);
     }
