--- a/tests/store_fixture.h
+++ b/tests/store_fixture.h
@@ -75,7 +75,6 @@
   (void)what;
   (void)context;
   bb_platform_store.poll (script.source, bb_clock_boot ());
-  script.counters = *bb_platform_store.counters (script.source);
 }
 
 /* Runs STEPS, whose responses have ERAS unless that is NULL, until the call
@@ -105,6 +104,7 @@
   event_add (timer, &tick);
   event_base_dispatch (script.loop);
   event_free (timer);
+  script.counters = *bb_platform_store.counters (script.source);
   bb_platform_store.stop (script.source);
   evhttp_free (script.server);
   event_base_free (script.loop);
