--- a/tests/era_test.c
+++ b/tests/era_test.c
@@ -267,7 +267,7 @@
   enum bb_server_state
       known[2];                /* after it was ready; BB_SERVER_STATES: end */
   enum bb_server_state listed; /* BB_SERVER_STATES: not at all */
-  int64_t born;                /* in the copy */
+  int born;                    /* in the copy */
   enum bb_server_state at_once;
   enum bb_server_state after_expiry; /* of unlisted servers */
   enum bb_server_state after_hold;
@@ -524,16 +524,16 @@
 static const struct
 {
   const char *guards;
+  uint64_t version;  /* of the changes */
   bool is_divergent; /* the sender */
   bool keeps;        /* the receiver kept version 7 */
-  uint64_t version;  /* of the changes */
   bool is_used;
 } changes[] = {
-  { "changes that are refused", false, false, 9, true },
-  { "a version without the routes that the sender kept", true, false, 9,
+  { "changes that are refused", 9, false, false, true },
+  { "a version without the routes that the sender kept", 9, true, false,
     false },
-  { "routes of the version kept and of the store's", false, true, 9, false },
-  { "servers that are refused because of the configuration", false, true, 5,
+  { "routes of the version kept and of the store's", 9, false, true, false },
+  { "servers that are refused because of the configuration", 5, false, true,
     true },
 };
 
--- a/tests/store_era_test.c
+++ b/tests/store_era_test.c
@@ -1,7 +1,7 @@
 /* Tests the client of the store, and a balancer behind it, against a scripted
    store that comes back from an older copy.  */
 
-#include "tests/store_fixture.h"
+#include "store_fixture.h"
 
 static struct bb_marked *balancer;
 static unsigned era_events;
--- a/tests/store_test.c
+++ b/tests/store_test.c
@@ -1,6 +1,6 @@
 /* Tests the client of the store against a scripted store in this process.  */
 
-#include "tests/store_fixture.h"
+#include "store_fixture.h"
 
 static struct
 {
