soak: the store goes back to a copy some seconds old

The stand-in keeps its writes, restores those up to a time and raises its era; servers and operator write again what was lost within 2 s, and entries of servers that ended expire. Seeds from 2000 on have this fault, so that the schedules of the others stay.

--- a/soak/faults.c
+++ b/soak/faults.c
@@ -96,6 +96,22 @@
       = MAX (cluster.last_store_fault_end, cluster.now);
 }
 
+/* The store is away for a moment and comes back from an older copy.  */
+static void
+return_store (void)
+{
+  bb_usec until = cluster.now + draw (100, 1000) * BB_MSEC;
+  soak_store_return ();
+  for (unsigned i = 0; i < cluster.balancer_count; i++)
+    {
+      struct soak_balancer *b = &cluster.balancers[i];
+      b->store = SOAK_STORE_RESETS;
+      b->store_until = b->last_fault_end = until;
+    }
+  cluster.last_store_fault_end
+      = MAX (cluster.last_store_fault_end, cluster.now + 2 * BB_SEC);
+}
+
 static void
 isolate_balancer (void)
 {
@@ -191,8 +207,16 @@
   { "add", 2, add_server },
   { "pause_server", 2, pause_server },
   { "configure", 5, change_configuration },
+  /* Not below SOAK_ERA_SEEDS, whose schedules it would change.  */
+  { "return", 4, return_store },
 };
 
+static size_t
+count_kinds (void)
+{
+  return G_N_ELEMENTS (faults) - (cluster.seed < SOAK_ERA_SEEDS);
+}
+
 void
 soak_faults_tick (void)
 {
@@ -203,7 +227,7 @@
     return;
   next = cluster.now + draw (100, 1200) * BB_MSEC;
   int sum = 0;
-  for (size_t i = 0; i < G_N_ELEMENTS (faults); i++)
+  for (size_t i = 0; i < count_kinds (); i++)
     sum += faults[i].weight;
   int remaining_weight = draw (0, sum);
   size_t i = 0;
--- a/soak/servers.c
+++ b/soak/servers.c
@@ -256,7 +256,7 @@
 soak_server_crash (struct soak_server *s)
 {
   stop_server (s);
-  s->expire_at = cluster.now + 3600 * BB_MSEC;
+  s->expire_at = cluster.now + SOAK_EXPIRY;
 }
 
 void
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -26,6 +26,7 @@
   SOAK_PACKET_MAX = 256,  /* bytes */
   SOAK_FIRST_PORT = 443,  /* of the first service; next ones follow */
   SOAK_LINK_SEEDS = 1000, /* lowest seed with link faults */
+  SOAK_ERA_SEEDS = 2000,  /* lowest seed with returns of the store */
   SOAK_PROBE_PORT = 900,  /* of the route that is added and removed */
 };
 
@@ -37,6 +38,9 @@
 #define SOAK_DRAIN_BOUND (3000 * BB_MSEC + SOAK_MARGIN)
 #define SOAK_SETTLE_TIME (4000 * BB_MSEC + SOAK_MARGIN)
 
+/* Time after which the entry of a server that stopped expires.  */
+#define SOAK_EXPIRY (3600 * BB_MSEC)
+
 enum soak_store_mode
 {
   SOAK_STORE_SERVES,
@@ -78,6 +82,7 @@
   bb_usec drained_at;     /* when the store received that state */
   bb_usec exit_at;        /* when it stops; 0: never */
   bb_usec expire_at;      /* when its entry in the store expires; 0: never */
+  bb_usec rewrite_at;     /* when it writes its lost entry; 0: never */
   bb_usec last_fault_end; /* packets are ignored until then */
 };
 
@@ -129,6 +134,10 @@
 void soak_store_remove_server (struct soak_server *s);
 void soak_store_publish_routes (void);
 void soak_store_drop_history (void);
+
+/* Goes back to a copy some seconds old, in a new era.  The servers and the
+   operator write again what was lost, within 2 s.  */
+void soak_store_return (void);
 void soak_store_tick (void);
 
 /* servers.c */
