--- a/marked/balancer_state.c
+++ b/marked/balancer_state.c
@@ -104,8 +104,13 @@
 bb_marked_configure (struct bb_marked *m, const struct bb_configuration *c,
                      bb_usec now)
 {
-  if (is_of_held_era (m, c->revision))
-    configure (m, c, now);
+  if (!is_of_held_era (m, c->revision))
+    return;
+  configure (m, c, now);
+  bool is_divergent = c->version < bb_directory_version (m->directory);
+  if (is_divergent != bb_directory_is_divergent (m->directory))
+    bb_directory_restart_history (m->directory, c->revision, now);
+  bb_directory_set_divergent (m->directory, is_divergent);
 }
 
 static void
@@ -148,15 +153,18 @@
                 now);
   /* A newer configuration is among the changes after the snapshot's revision,
      which the watch delivers.  */
+  bb_directory_set_divergent (m->directory, true);
   if (s->version == 0 || s->configured > s->revision)
     return;
   const struct bb_configuration c = bb_snapshot_get_configuration (s);
   configure (m, &c, now);
+  if (c.version != bb_directory_version (m->directory))
+    return;
+  bb_directory_set_divergent (m->directory, false);
   /* A route that looks the same may have been dropped and added again since
      the state held; a peer that recorded its removal then needs it as a change
      after that.  */
-  if (c.version == bb_directory_version (m->directory))
-    bb_directory_renew_configuration (m->directory, &c, now);
+  bb_directory_renew_configuration (m->directory, &c, now);
 }
 
 void
@@ -170,10 +178,13 @@
       bool is_new_era = held > 0 && !is_of_held_era (m, s->revision);
       if (is_new_era)
         m->removal_grace_end = now + BB_EXPIRY_GRACE_TIME;
+      bool was_divergent = bb_directory_is_divergent (m->directory);
       adopt_evacuations (m, s, now);
       put_records (m, s, now);
       if (held == 0)
         bb_directory_start_history (m->directory, s->revision, now);
+      else if (was_divergent != bb_directory_is_divergent (m->directory))
+        bb_directory_restart_history (m->directory, s->revision, now);
       else if (!is_new_era)
         bb_directory_add_gap (m->directory, held, s->revision, now);
       bb_sync_remove_unlisted (m->directory, s->names, removal_state (m, now),
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -195,7 +195,7 @@
     bb_writer_put_uint (pk, m->routes[i].priority);
   bb_writer_put_uint (pk, bb_revision_era (m->to));
   put_full_states (pk, m);
-  bb_writer_put_uint (pk, m->base_version);
+  bb_writer_put_uint (pk, m->is_divergent);
   if (!m->has_evacuations)
     return;
   put_evacuations (pk, m);
@@ -456,7 +456,7 @@
   if (r->remaining > 0)
     read_full_states (r, m);
   if (r->remaining > 0)
-    m->base_version = bb_reader_get_uint (r, UINT64_MAX);
+    m->is_divergent = bb_reader_get_uint (r, 1) != 0;
   if (r->remaining > 0)
     {
       m->has_evacuations = true;
