--- a/marked/sync/sync_eras.c
+++ b/marked/sync/sync_eras.c
@@ -50,3 +50,56 @@
   bb_sync_check_state (s);
   bb_sync_publish_changes (s, s->revision, now);
 }
+
+bool
+bb_sync_knows_changes (const struct bb_sync *s,
+                       const struct bb_sync_records *m)
+{
+  return m->from == 0 || m->version <= bb_directory_version (s->directory)
+         || (!m->is_divergent && !bb_directory_is_divergent (s->directory));
+}
+
+/* A record that is not newer than the directory, and that it lacks, was
+   removed in the meantime.  */
+static void
+apply_routes (struct bb_sync *s, const struct bb_sync_batch *b, bb_usec now)
+{
+  for (guint i = 0; i < b->records->len; i++)
+    {
+      const struct bb_route_record *r
+          = &g_array_index (b->records, struct bb_route_record, i);
+      if (r->revision > s->revision)
+        bb_directory_put_route (s->directory, r, now);
+    }
+}
+
+bool
+bb_sync_apply_configuration (struct bb_sync *s, const struct bb_sync_batch *b,
+                             const struct bb_sync_records *m, bb_usec now)
+{
+  struct bb_directory *d = s->directory;
+  uint64_t version = bb_directory_version (d);
+  bool was_divergent = bb_directory_is_divergent (d);
+  if (m->version < version)
+    {
+      bb_directory_set_divergent (d, true);
+      return false;
+    }
+  /* The routes may be older than the revision held if either side kept them
+     from an older era.  */
+  if (m->from == 0 && (was_divergent || m->is_divergent))
+    bb_directory_replace_configuration (
+        d, m->version, m->to, (const struct bb_route_record *)b->records->data,
+        b->records->len, now);
+  else
+    apply_routes (s, b, now);
+  if (m->from == 0)
+    bb_directory_drop_unlisted_routes (d, b->routes, m->to, now);
+  bb_directory_set_version (d, m->version);
+  bb_directory_set_divergent (d, m->is_divergent
+                                     && (m->from == 0 || was_divergent));
+  if (m->version > version)
+    bb_sync_send_event (s, BB_EVENT_VERSION, b->from, m->version,
+                        BB_REASON_PEER, (bb_usec)m->verified_ms * BB_MSEC);
+  return bb_directory_is_divergent (d) == was_divergent || s->revision == 0;
+}
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -157,6 +157,8 @@
 void bb_sync_receive_records (struct bb_sync *s,
                               const struct bb_sync_message *message,
                               bb_usec now);
+void bb_sync_set_verified (struct bb_sync *s, uint32_t verified_ms,
+                           bb_usec now);
 
 /* sync_batches.c: the batches that are being received.  */
 /* Adds MESSAGE to its batch.  Returns the batch if it is complete now, to be
@@ -168,6 +170,7 @@
 /* Drops the batches that have been incomplete for too long.  */
 void bb_sync_expire_batches (struct bb_sync *s, bb_usec now);
 
+/* sync_publish.c: what followers are sent.  */
 /* Sends all changes after revision BEFORE: a leader to its followers, a reader
    also to the other leaders.  */
 void bb_sync_publish_changes (struct bb_sync *s, uint64_t before, bb_usec now);
@@ -183,12 +186,22 @@
 /* Whether the revision A is of a newer era than B.  */
 bool bb_sync_is_newer_era (uint64_t a, uint64_t b);
 
+/* Whether the changes of M lead from the configuration held to that of M.  */
+bool bb_sync_knows_changes (const struct bb_sync *s,
+                            const struct bb_sync_records *m);
+
+/* Applies the configuration of B, whose last datagram is M, unless the one
+   held is newer.  Returns whether the changes recorded up to the state held
+   still lead to it.  */
+bool bb_sync_apply_configuration (struct bb_sync *s,
+                                  const struct bb_sync_batch *b,
+                                  const struct bb_sync_records *m,
+                                  bb_usec now);
+
 /* Takes the configuration of B, whose last datagram is M, a whole state that
    is not newer than the one held.  */
 void bb_sync_adopt_configuration (struct bb_sync *s,
                                   const struct bb_sync_batch *b,
                                   const struct bb_sync_records *m,
                                   bb_usec now);
-void bb_sync_set_verified (struct bb_sync *s, uint32_t verified_ms,
-                           bb_usec now);
 #endif
--- a/marked/sync/sync_records.c
+++ b/marked/sync/sync_records.c
@@ -93,67 +93,6 @@
     pack_records (&packer, from, now);
 }
 
-/* Whether P receives changes from this balancer.  */
-static bool
-is_follower (const struct bb_sync *s, const struct bb_sync_peer *p,
-             bb_usec now)
-{
-  bool is_local = bb_sync_peer_is_local (s, p);
-  if (is_local ? !s->is_leader : !s->is_reader || !(p->flags & BB_SYNC_LEADER))
-    return false;
-  return bb_sync_peer_is_live (p, now) && p->revision > 0
-         && !(p->flags & BB_SYNC_READER);
-}
-
-/* What a follower needs to reach the state held.  */
-enum need
-{
-  NEEDS_CHANGES, /* those of the last change of this state */
-  NEEDS_MORE_CHANGES,
-  NEEDS_WHOLE_STATE
-};
-
-static enum need
-need_of (const struct bb_sync *s, const struct bb_sync_peer *p,
-         uint64_t before)
-{
-  if (!bb_directory_has_changes_after (s->directory, p->revision)
-      || (bb_directory_is_divergent (s->directory)
-          && p->version < bb_directory_version (s->directory)))
-    return NEEDS_WHOLE_STATE;
-  return p->revision >= before ? NEEDS_CHANGES : NEEDS_MORE_CHANGES;
-}
-
-/* Sends the records after FROM to the followers with NEED, as one batch.  */
-static void
-send_to_followers (struct bb_sync *s, enum need need, uint64_t before,
-                   uint64_t from, bb_usec now)
-{
-  size_t count = 0;
-  for (uint32_t i = 0; i < s->peer_count; i++)
-    {
-      const struct bb_sync_peer *p = s->peers[i];
-      if (is_follower (s, p, now) && need_of (s, p, before) == need)
-        s->targets[count++] = p->vm.endpoint;
-    }
-  if (count > 0)
-    bb_sync_send_records (s, s->targets, count, from, now);
-}
-
-void
-bb_sync_publish_changes (struct bb_sync *s, uint64_t before, bb_usec now)
-{
-  for (uint32_t i = 0; i < s->peer_count; i++)
-    {
-      const struct bb_sync_peer *p = s->peers[i];
-      if (is_follower (s, p, now)
-          && need_of (s, p, before) == NEEDS_MORE_CHANGES)
-        bb_sync_send_records (s, &p->vm.endpoint, 1, p->revision, now);
-    }
-  send_to_followers (s, NEEDS_WHOLE_STATE, before, 0, now);
-  send_to_followers (s, NEEDS_CHANGES, before, before, now);
-}
-
 void
 bb_sync_apply_server (struct bb_directory *directory,
                       const struct bb_server_record *record,
@@ -220,18 +159,6 @@
     }
 }
 
-static void
-apply_routes (struct bb_sync *s, const struct bb_sync_batch *b, bb_usec now)
-{
-  for (guint i = 0; i < b->records->len; i++)
-    {
-      const struct bb_route_record *r
-          = &g_array_index (b->records, struct bb_route_record, i);
-      if (is_newer (s, r->revision))
-        bb_directory_put_route (s->directory, r, now);
-    }
-}
-
 /* Returns the new state of a server of RECORD that the state of REVISION does
    not list.  STATE is that of one that was ready.  A store that came back from
    an older copy may lack the entry of a server that is alive, which is then
@@ -339,14 +266,6 @@
                       (bb_usec)m->verified_ms * BB_MSEC);
 }
 
-/* Whether the changes of M lead from the configuration held to that of M.  */
-static bool
-knows_changes (const struct bb_sync *s, const struct bb_sync_records *m)
-{
-  return m->from == 0 || m->version <= bb_directory_version (s->directory)
-         || (!m->is_divergent && !bb_directory_is_divergent (s->directory));
-}
-
 /* Whether B can be applied to the state held.  A batch that is older is
    ignored as a whole: its version must not be reported without its routes.  */
 static bool
@@ -365,7 +284,7 @@
     }
   if (may_lack_removals (s, m))
     return false;
-  if (!knows_changes (s, m))
+  if (!bb_sync_knows_changes (s, m))
     {
       s->needs_whole_state = true;
       refuse_batch (s, b, m, BB_REASON_UNKNOWN_CONFIGURATION);
@@ -374,39 +293,6 @@
   return true;
 }
 
-/* Applies the configuration of B, unless the one held is newer.  Returns
-   whether the changes recorded up to the state held still lead to it.  */
-static bool
-apply_configuration (struct bb_sync *s, const struct bb_sync_batch *b,
-                     const struct bb_sync_records *m, bb_usec now)
-{
-  struct bb_directory *d = s->directory;
-  uint64_t version = bb_directory_version (d);
-  bool was_divergent = bb_directory_is_divergent (d);
-  if (m->version < version)
-    {
-      bb_directory_set_divergent (d, true);
-      return false;
-    }
-  /* The routes may be older than the revision held if either side kept them
-     from an older era.  */
-  if (m->from == 0 && (was_divergent || m->is_divergent))
-    bb_directory_replace_configuration (
-        d, m->version, m->to, (const struct bb_route_record *)b->records->data,
-        b->records->len, now);
-  else
-    apply_routes (s, b, now);
-  if (m->from == 0)
-    bb_directory_drop_unlisted_routes (d, b->routes, m->to, now);
-  bb_directory_set_version (d, m->version);
-  bb_directory_set_divergent (d, m->is_divergent
-                                     && (m->from == 0 || was_divergent));
-  if (m->version > version)
-    bb_sync_send_event (s, BB_EVENT_VERSION, b->from, m->version,
-                        BB_REASON_PEER, (bb_usec)m->verified_ms * BB_MSEC);
-  return bb_directory_is_divergent (d) == was_divergent || s->revision == 0;
-}
-
 /* Applies the complete batch B, whose last datagram is M.  */
 static void
 apply_batch (struct bb_sync *s, const struct bb_sync_batch *b,
@@ -415,7 +301,7 @@
   if (!is_usable (s, b, m, now))
     return;
   apply_servers (s, b, m, now);
-  bool has_history = apply_configuration (s, b, m, now);
+  bool has_history = bb_sync_apply_configuration (s, b, m, now);
   if (m->from == 0)
     bb_sync_remove_unlisted (s->directory, b->names, BB_SERVER_GONE, m->to,
                              BB_REASON_PEER, (bb_usec)m->verified_ms * BB_MSEC,
--- a/tests/era_test.c
+++ b/tests/era_test.c
@@ -450,6 +450,32 @@
 }
 END_TEST
 
+/* Guards against a server that is withheld by a balancer that entered the era
+   before its entry was written, because a peer entered it after.  */
+START_TEST (server_of_a_late_peer_is_ready)
+{
+  start_node (0);
+  read_store (0, 2, COPY, 5, NULL);
+  struct bb_endpoint from = endpoint_of (2);
+  struct bb_sync_message m = {
+    .kind = BB_SYNC_RECORDS,
+    .from = 102,
+    .incarnation = 1,
+    .record_chunk
+    = { .batch = 1,
+        .chunk_count = 1,
+        .from = bb_revision_make (2, COPY),
+        .to = bb_revision_make (2, COPY + 1),
+        .removals_since = bb_revision_make (2, COPY),
+        .version = 5,
+        .servers = { server (BB_SERVER_WITHHELD, 100, 2, COPY + 1) },
+        .server_count = 1 },
+  };
+  bb_sync_receive (sync_of (0), &from, &m, w.now);
+  ck_assert_int_eq (state_at (0), BB_SERVER_READY);
+}
+END_TEST
+
 /* Guards against records of two eras in one directory, and against records
    that hide later changes of the store.  */
 START_TEST (records_are_of_one_era)
@@ -833,6 +859,7 @@
   tcase_add_loop_test (tc, written_entries_count_at_once, 0,
                        G_N_ELEMENTS (servers));
   tcase_add_test (tc, withheld_servers_are_known_everywhere);
+  tcase_add_test (tc, server_of_a_late_peer_is_ready);
   tcase_add_test (tc, records_are_of_one_era);
   tcase_add_loop_test (tc, configuration_never_goes_back, 0,
                        G_N_ELEMENTS (versions));
