--- a/tests/era_server_test.c
+++ b/tests/era_server_test.c
@@ -233,6 +233,22 @@
 }
 END_TEST
 
+/* Guards against a removal of an earlier incarnation, recorded by a peer that
+   did not know of the one in use, that ends that one at once.  */
+START_TEST (removal_of_an_earlier_incarnation_lapses)
+{
+  struct bb_server_record r = server (BB_SERVER_READY, 99, 1, 6);
+  start_node (0);
+  start_node (2);
+  learn (0, 0);
+  read_store (2, 1, 10, 3, &r);
+  change_server (2, server (BB_SERVER_GONE, 99, 1, 11));
+  read_store (2, 2, COPY, 3, NULL);
+  pass_state (2, 0);
+  ck_assert_int_eq (state_at (0), BB_SERVER_EXPIRED);
+}
+END_TEST
+
 /* Guards against records of two eras in one directory, and against records
    that hide later changes of the store.  */
 START_TEST (records_are_of_one_era)
@@ -312,6 +328,7 @@
   tcase_add_test (tc, entries_that_expire_after_the_return_lapse);
   tcase_add_test (tc, withheld_servers_are_known_everywhere);
   tcase_add_test (tc, server_of_a_late_peer_is_ready);
+  tcase_add_test (tc, removal_of_an_earlier_incarnation_lapses);
   tcase_add_test (tc, records_are_of_one_era);
   tcase_add_test (tc, whole_reads_record_removals_again);
   suite_add_tcase (suite, tc);
