driver: several data centres, hundreds of balancers, late and lost reports

New: up to 300 balancers of unequal shares in up to 4 data centres, messages that are late or lost, servers that join with the peak and are slow at first, a peak in one data centre only, and the number of flows that went to another one.

--- a/bench/play.c
+++ b/bench/play.c
@@ -34,7 +34,7 @@
   printf ("# %4s %7s", "load", "worth");
   for (int i = 0; i < BB_OVERLOAD_KINDS; i++)
     printf (" %8s %6s %6s", day->kinds[i].name, "late", "failed");
-  printf (" %9s\n", "attempts");
+  printf (" %9s %8s %8s\n", "attempts", "rejected", "spilled");
   for (size_t i = 0; i < G_N_ELEMENTS (loads); i++)
     {
       struct bb_overload_result r
@@ -42,7 +42,7 @@
       printf ("%6.1f %7.3f", loads[i], r.worth);
       for (int k = 0; k < BB_OVERLOAD_KINDS; k++)
         print_percentages (&r.kinds[k]);
-      printf (" %9u\n", r.attempts);
+      printf (" %9u %8u %8u\n", r.attempts, r.rejected, r.spilled);
     }
   return 0;
 }
--- a/driver/overload.h
+++ b/driver/overload.h
@@ -4,8 +4,8 @@
 
    Balancers see packets of callers only, as on the users' platform: an answer
    shows when its caller acknowledges it.  A run is repeatable by its seed.
-   Left out: lost and reordered packets, the processor time of balancers, the
-   store, and answers of more than one packet.  */
+   Left out: lost and reordered packets of callers, the processor time of
+   balancers, the store, and answers of more than one packet.  */
 
 #ifndef BB_DRIVER_OVERLOAD_H
 #define BB_DRIVER_OVERLOAD_H
@@ -15,6 +15,7 @@
 enum
 {
   BB_OVERLOAD_KINDS = 2, /* kinds of request of a day */
+  BB_OVERLOAD_DATA_CENTRES_MAX = 4,
 };
 
 /* A kind of request.  Each has a route of its own to the only service.  */
@@ -40,9 +41,15 @@
   int queue; /* of each server; more requests are rejected */
   int balancers;
   int callers;
-  int slow_servers; /* take four times as long while the peak lasts */
-  bool hides_slots; /* servers do not tell their slots */
-  bb_usec peak;     /* how long the peak lasts */
+  int slow_servers;    /* take four times as long while the peak lasts */
+  bool hides_slots;    /* servers do not tell their slots */
+  bb_usec peak;        /* how long the peak lasts */
+  int data_centres;    /* 0: one; all have as many of everything */
+  bool is_pressed;     /* only the first data centre has a peak */
+  bool is_uneven;      /* a fourth of the balancers has most of the flows */
+  int joining_servers; /* start with the peak, slow for the first seconds */
+  int report_delay_ms; /* of messages between balancers */
+  int report_loss;     /* percent of the messages */
 };
 
 /* What became of the requests of one kind that were first sent in the peak. */
@@ -60,7 +67,10 @@
   unsigned refused;  /* resets of new flows */
   unsigned rejected; /* by full servers */
   unsigned attempts; /* of all requests */
-  double worth;      /* earned of what was owed; late answers earn nothing */
+  unsigned spilled;  /* new flows placed in another data centre */
+  /* Parts of the requests of each data centre in time.  */
+  double in_time[BB_OVERLOAD_DATA_CENTRES_MAX];
+  double worth; /* earned of what was owed; late answers earn nothing */
 };
 
 extern const struct bb_overload_day bb_overload_days[];
@@ -69,7 +79,15 @@
 /* Returns the day NAME, or NULL.  */
 const struct bb_overload_day *bb_overload_find_day (const char *name);
 
+/* Called for each new flow of the peak, which began at PEAK.  */
+typedef void bb_overload_placed_func (void *context, bb_usec peak, bb_usec now,
+                                      int server);
+
 /* Plays DAY with a peak of LOAD times the usual load.  */
 struct bb_overload_result bb_overload_play (const struct bb_overload_day *day,
                                             double load, uint32_t seed);
+struct bb_overload_result bb_overload_watch (const struct bb_overload_day *day,
+                                             double load, uint32_t seed,
+                                             bb_overload_placed_func *placed,
+                                             void *context);
 #endif
--- a/driver/overload_callers.c
+++ b/driver/overload_callers.c
@@ -24,7 +24,10 @@
   else if (took > k->objective_ms * BB_MSEC)
     c->late++;
   else
-    c->in_time++;
+    {
+      c->in_time++;
+      w->result.in_time[q->data_centre]++;
+    }
 }
 
 /* Ends an attempt of Q that did not run.  Its caller retries at once.  */
@@ -98,7 +101,7 @@
   f->kind = q->kind;
   f->caller = q->caller;
   f->port = (uint16_t)g_rand_int_range (w->random, 1024, 65536);
-  f->node = &w->nodes[g_rand_int_range (w->random, 0, w->day->balancers)];
+  f->node = bb_overload_draw_node (w, q->data_centre);
   struct bb_marked_verdict v = bb_overload_send_packet (w, f, BB_TCP_SYN, 0);
   if (v.kind != BB_MARKED_FORWARD)
     {
@@ -109,6 +112,10 @@
     }
   f->cookie = v.cookie;
   f->server = &w->servers[v.tag - 1];
+  if (bb_overload_data_centre (w, (unsigned)v.tag - 1) != q->data_centre)
+    w->result.spilled++;
+  if (w->placed && bb_overload_is_peak (w))
+    w->placed (w->context, bb_overload_peak_start (), w->now, (int)v.tag - 1);
   f->sequence = f->acknowledgement = 1;
   g_ptr_array_add (w->flows, f);
   bb_overload_schedule (w, 2 * BB_OVERLOAD_NETWORK_MS, send_request, f, q);
--- a/driver/overload_days.c
+++ b/driver/overload_days.c
@@ -22,6 +22,26 @@
   .usual_load = 43, .servers = 5, .slots = 2, .queue = 8, .balancers = 2,     \
   .callers = 38
 
+/* A large deployment: each data centre has 38 balancers and 40 servers.  */
+#define FEEDS_AND_ORDERS                                                      \
+  .kinds = { { .name = "feed",                                                \
+               .priority = 2,                                                 \
+               .share = 78,                                                   \
+               .work_ms = 47,                                                 \
+               .objective_ms = 500,                                           \
+               .limit_ms = 5000,                                              \
+               .worth = 1 },                                                  \
+             { .name = "order",                                               \
+               .priority = 1,                                                 \
+               .share = 22,                                                   \
+               .work_ms = 61,                                                 \
+               .objective_ms = 600,                                           \
+               .limit_ms = 6000,                                              \
+               .opens_flows = true,                                           \
+               .worth = 2 } },                                                \
+  .usual_load = 33, .servers = 120, .slots = 2, .queue = 8, .balancers = 114, \
+  .callers = 300, .data_centres = 3
+
 const struct bb_overload_day bb_overload_days[] = {
   { .name = "burst", FEEDS_AND_BOOKINGS, .peak = 6 * BB_SEC },
   { .name = "long", FEEDS_AND_BOOKINGS, .peak = 20 * BB_SEC },
@@ -34,6 +54,19 @@
     FEEDS_AND_BOOKINGS,
     .peak = 6 * BB_SEC,
     .hides_slots = true },
+  { .name = "many", FEEDS_AND_ORDERS, .peak = 3 * BB_SEC },
+  { .name = "many-join",
+    FEEDS_AND_ORDERS,
+    .peak = 3 * BB_SEC,
+    .joining_servers = 3 },
+  { .name = "many-late",
+    FEEDS_AND_ORDERS,
+    .peak = 3 * BB_SEC,
+    .report_delay_ms = 1000 },
+  { .name = "pressed",
+    FEEDS_AND_ORDERS,
+    .peak = 6 * BB_SEC,
+    .is_pressed = true },
 };
 
 const unsigned bb_overload_day_count = G_N_ELEMENTS (bb_overload_days);
--- a/driver/overload_nodes.c
+++ b/driver/overload_nodes.c
@@ -5,30 +5,12 @@
 {
   FLOW_CAPACITY = 1 << 14,
   IDLE_MS = 15000,
+  /* One balancer of four has three times the callers of the others together.
+   */
+  UNEVEN_PERIOD = 4,
+  UNEVEN_SHARE = 9,
 };
 
-static struct bb_endpoint
-node_endpoint (unsigned index)
-{
-  return (struct bb_endpoint){ 0x0a000001 + index, 7000 };
-}
-
-static void
-deliver_message (void *context, const struct bb_endpoint *to, size_t count,
-                 const struct bb_sync_message *message)
-{
-  const struct marked_node *n = context;
-  struct world *w = n->world;
-  struct bb_endpoint from = node_endpoint (n->index);
-  for (size_t i = 0; i < count; i++)
-    {
-      unsigned target = to[i].address - node_endpoint (0).address;
-      if (target < (unsigned)w->day->balancers && target != n->index)
-        bb_sync_receive (bb_marked_get_sync (w->nodes[target].marked), &from,
-                         message, w->now);
-    }
-}
-
 static void
 ignore_event (void *context, const struct bb_event *event)
 {
@@ -51,32 +33,74 @@
 }
 
 static const struct bb_marked_sink node_sink = {
-  .send = deliver_message,
+  .send = bb_overload_send_report,
   .event = ignore_event,
   .server = ignore_server,
   .reset = ignore_reset,
 };
 
+static const char *const data_centres[BB_OVERLOAD_DATA_CENTRES_MAX]
+    = { "north", "south", "east", "west" };
+
+static void
+put_server (const struct world *w, struct bb_marked *m, unsigned i)
+{
+  struct bb_server_record r = { .service = "desk",
+                                .address = { 0x0a010000 + i, 8080 },
+                                .tag = i + 1,
+                                .slots = (uint16_t)w->day->slots,
+                                .born_ms = 1,
+                                .created = i + 1,
+                                .revision = i + 1 };
+  if (w->day->hides_slots)
+    r.slots = 0;
+  g_strlcpy (r.data_centre, data_centres[bb_overload_data_centre (w, i)],
+             sizeof r.data_centre);
+  g_snprintf (r.name, sizeof r.name, "s-%u", i);
+  bb_marked_put_server (m, &r, w->now);
+}
+
 static void
 put_servers (struct world *w, struct bb_marked *m)
 {
-  for (unsigned i = 0; i < (unsigned)w->day->servers; i++)
+  for (int i = 0; i < w->day->servers - w->day->joining_servers; i++)
+    put_server (w, m, (unsigned)i);
+}
+
+void
+bb_overload_join_servers (struct world *w)
+{
+  for (int i = w->day->servers - w->day->joining_servers; i < w->day->servers;
+       i++)
     {
-      struct bb_server_record r = { .service = "desk",
-                                    .data_centre = "north",
-                                    .address = { 0x0a010000 + i, 8080 },
-                                    .tag = i + 1,
-                                    .slots = (uint16_t)w->day->slots,
-                                    .born_ms = 1,
-                                    .created = i + 1,
-                                    .revision = i + 1 };
-      if (w->day->hides_slots)
-        r.slots = 0;
-      g_snprintf (r.name, sizeof r.name, "s-%u", i);
-      bb_marked_put_server (m, &r, w->now);
+      w->servers[i].joined = w->now;
+      for (int n = 0; n < w->day->balancers; n++)
+        put_server (w, w->nodes[n].marked, (unsigned)i);
     }
 }
 
+/* Callers that the routers send to a balancer, relative to others.  */
+static int
+node_share (const struct world *w, int index)
+{
+  int rank = index / MAX (w->day->data_centres, 1);
+  return w->day->is_uneven && rank % UNEVEN_PERIOD == 0 ? UNEVEN_SHARE : 1;
+}
+
+struct marked_node *
+bb_overload_draw_node (struct world *w, int data_centre)
+{
+  int sum = 0, index;
+  for (int i = 0; i < w->day->balancers; i++)
+    if (bb_overload_data_centre (w, (unsigned)i) == data_centre)
+      sum += node_share (w, i);
+  int drawn = g_rand_int_range (w->random, 0, sum);
+  for (index = 0;; index++)
+    if (bb_overload_data_centre (w, (unsigned)index) == data_centre
+        && (drawn -= node_share (w, index)) < 0)
+      return &w->nodes[index];
+}
+
 static void
 configure (const struct world *w, struct bb_marked *m)
 {
@@ -99,21 +123,24 @@
 void
 bb_overload_start_node (struct world *w, unsigned index, uint32_t seed)
 {
+  const char *data_centre = data_centres[bb_overload_data_centre (w, index)];
   struct marked_node *n = &w->nodes[index];
   struct bb_marked_options options = {
-    .sync_options = { .self = { .id = index + 1,
-                                .data_centre = bb_name_key ("north"),
-                                .endpoint = node_endpoint (index) },
-                      .incarnation = 1,
-                      .capacity = 1000,
-                      .seed = seed + index },
-    .data_centre = "north",
+    .sync_options
+    = { .self = { .id = index + 1,
+                  .data_centre = bb_name_key (data_centre),
+                  .endpoint = bb_overload_node_endpoint (index) },
+        .incarnation = 1,
+        .capacity = 1000,
+        .seed = seed + index },
+    .data_centre = data_centre,
     .flow_capacity = FLOW_CAPACITY,
     .idle_ms = IDLE_MS,
   };
   *n = (struct marked_node){ .world = w, .index = index };
   n->marked = bb_marked_new (&options, &node_sink, n, w->now);
-  struct bb_endpoint seeds[] = { node_endpoint (0), node_endpoint (1) };
+  struct bb_endpoint seeds[]
+      = { bb_overload_node_endpoint (0), bb_overload_node_endpoint (1) };
   bb_sync_set_seeds (bb_marked_get_sync (n->marked), seeds,
                      G_N_ELEMENTS (seeds));
   put_servers (w, n->marked);
--- a/driver/overload_private.h
+++ b/driver/overload_private.h
@@ -8,8 +8,8 @@
 
 enum
 {
-  BB_OVERLOAD_BALANCERS_MAX = 16,
-  BB_OVERLOAD_SERVERS_MAX = 64,
+  BB_OVERLOAD_BALANCERS_MAX = 300,
+  BB_OVERLOAD_SERVERS_MAX = 128,
   BB_OVERLOAD_QUEUE_MAX = 32,
   BB_OVERLOAD_NETWORK_MS = 1, /* one way, between a caller and the rest */
 };
@@ -19,6 +19,7 @@
 
 struct request
 {
+  int data_centre;
   int kind;
   int caller;
   int attempts;
@@ -48,6 +49,7 @@
   bb_usec *due;
   int waiting_count;
   bool is_slow;
+  bb_usec joined; /* 0: before the peak */
 };
 
 struct marked_node
@@ -68,6 +70,14 @@
   struct request *request;
 };
 
+/* A message between balancers that is under way.  */
+struct report
+{
+  struct bb_sync_message *message; /* shared by its recipients */
+  unsigned from;
+  unsigned to;
+};
+
 struct world
 {
   const struct bb_overload_day *day;
@@ -76,9 +86,13 @@
   struct server servers[BB_OVERLOAD_SERVERS_MAX];
   GPtrArray *flows;
   GPtrArray *requests;
-  GArray **events; /* of each millisecond */
+  GArray **events;  /* of each millisecond */
+  GArray **reports; /* of each millisecond */
   unsigned length_ms;
   GRand *random;
+  unsigned requests_of[BB_OVERLOAD_DATA_CENTRES_MAX]; /* of the peak */
+  bb_overload_placed_func *placed;
+  void *context;
   bb_usec now;
 };
 
@@ -87,7 +101,28 @@
                            bb_overload_func *happen, struct flow *f,
                            struct request *q);
 
+/* overload.c  */
+bool bb_overload_is_peak (const struct world *w);
+bb_usec bb_overload_peak_start (void);
+
+/* Returns the data centre of the balancer or server with INDEX.  */
+int bb_overload_data_centre (const struct world *w, unsigned index);
+
 /* overload_nodes.c: the balancers.  */
+/* Returns a balancer of DATA_CENTRE, as the routers choose it.  */
+struct marked_node *bb_overload_draw_node (struct world *w, int data_centre);
+
+/* Lists the servers that join with the peak.  */
+void bb_overload_join_servers (struct world *w);
+
+/* overload_reports.c: messages between balancers.  */
+struct bb_endpoint bb_overload_node_endpoint (unsigned index);
+void bb_overload_send_report (void *context, const struct bb_endpoint *to,
+                              size_t count,
+                              const struct bb_sync_message *message);
+void bb_overload_deliver_reports (struct world *w);
+void bb_overload_free_reports (struct world *w);
+
 void bb_overload_start_node (struct world *w, unsigned index, uint32_t seed);
 
 /* Passes a packet of F to its balancer.  */
