sync: balancers report their demand, leaders the room of their data centre

Placement could not know how many flows peers place between two reports, nor the load of other data centres. A heartbeat within a data centre now ends with the rates of new flows of up to 8 services; a leader adds up to 8 rooms (pending requests and slots of a service): its own to other leaders, the others' to its data centre, each with its age. They are appended after the era, so that older builds ignore them; older builds report none. A datagram with 64 loads, 6 listed balancers, 8 demands and 8 rooms still fits a frame. Replies that list more balancers have neither.

The groups of servers move to a file of their own, since directory.c is long; each has an array for the servers of a choice, so that the packet path does not allocate.

--- a/marked/state/directory.c
+++ b/marked/state/directory.c
@@ -20,7 +20,7 @@
   g_strlcpy (d->data_centre, data_centre, sizeof d->data_centre);
   d->names = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   d->cookies = g_hash_table_new (NULL, NULL);
-  d->services = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  d->services = g_hash_table_new_full (NULL, NULL, NULL, bb_server_group_free);
   d->routes = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   bb_list_init (&d->servers_by_revision);
   bb_list_init (&d->routes_by_revision);
@@ -116,39 +116,6 @@
     g_hash_table_remove (d->cookies, GUINT_TO_POINTER (s->cookie));
 }
 
-struct bb_server_group *
-bb_directory_find_service (const struct bb_directory *d, uint32_t service)
-{
-  return g_hash_table_lookup (d->services, GUINT_TO_POINTER (service));
-}
-
-static struct bb_server_group *
-get_server_group (struct bb_directory *d, uint32_t service, const char *name)
-{
-  struct bb_server_group *group = bb_directory_find_service (d, service);
-  if (group)
-    return group;
-  group = g_new0 (struct bb_server_group, 1);
-  group->service = service;
-  g_strlcpy (group->name, name, sizeof group->name);
-  bb_list_init (&group->servers);
-  g_hash_table_insert (d->services, GUINT_TO_POINTER (service), group);
-  return group;
-}
-
-void
-bb_directory_foreach_service (
-    const struct bb_directory *d,
-    void (*each) (void *context, const struct bb_server_group *group),
-    void *context)
-{
-  GHashTableIter iter;
-  gpointer group;
-  g_hash_table_iter_init (&iter, d->services);
-  while (g_hash_table_iter_next (&iter, NULL, &group))
-    each (context, group);
-}
-
 static bool
 is_removal (const struct bb_server_record *record)
 {
@@ -183,6 +150,7 @@
     s->record.created = created;
   s->key = bb_server_key (record->service, record->name);
   s->service = bb_name_key (record->service);
+  s->data_centre = bb_name_key (record->data_centre);
   s->is_local = strcmp (record->data_centre, d->data_centre) == 0;
   s->cold_until = record->cold_ms ? now + record->cold_ms * BB_MSEC : 0;
   if (record->state == BB_SERVER_DRAINING)
@@ -194,8 +162,8 @@
       = is_removal (record) ? MAX (now - record->gone_ms * BB_MSEC, 1) : 0;
   if (record->state != BB_SERVER_GONE && !is_placeholder (record))
     {
-      s->group = get_server_group (d, s->service, s->record.service);
-      bb_list_append (&s->group->servers, &s->of_service);
+      s->group = bb_server_group_get (d, s->service, s->record.service);
+      bb_server_group_add (s->group, s);
     }
   append_server (d, s);
 }
--- a/marked/state/directory.h
+++ b/marked/state/directory.h
@@ -10,9 +10,11 @@
 
 #include "core/histogram.h"
 #include "marked/evidence/admission.h"
+#include "marked/evidence/demand.h"
 #include "marked/evidence/suspicion.h"
 #include "marked/state/list.h"
 #include "marked/state/revision.h"
+#include "marked/state/room.h"
 
 enum
 {
@@ -81,7 +83,13 @@
   struct bb_answer_time remote_dc;
   struct bb_histogram answer_times; /* local and remote */
   struct bb_priorities priorities;
-  uint32_t cold_rate; /* of its struct bb_service_record */
+  struct bb_demand demand;
+  struct bb_rooms rooms; /* in other data centres */
+  /* Room for all servers of the list, for the placement of a flow.  */
+  struct bb_backend_server **pool;
+  uint32_t pool_capacity;
+  uint32_t server_count; /* at least the length of the list */
+  uint32_t cold_rate;    /* of its struct bb_service_record */
   char name[BB_NAME_MAX];
 };
 
@@ -93,6 +101,7 @@
   struct bb_server_group *group; /* NULL: only its removal was ever received */
   uint32_t cookie;
   bool has_announced_end; /* was draining before it was removed */
+  uint32_t data_centre;   /* bb_name_key */
   bool is_local;          /* in the data centre of this balancer */
   bool is_evacuated;      /* its data centre gets no new flows */
   bb_usec first_listed;   /* first time it was listed here */
@@ -237,13 +246,16 @@
 struct bb_backend_server *
 bb_directory_find_server (const struct bb_directory *d, const char *name);
 
+/* Whether S may get new flows, as listed; it may still be silent.  */
+bool bb_server_is_eligible (const struct bb_backend_server *s);
+
 /* Returns the servers of SERVICE, or NULL if it never had any.  */
 struct bb_server_group *
 bb_directory_find_service (const struct bb_directory *d, uint32_t service);
 
 void bb_directory_foreach_service (
     const struct bb_directory *d,
-    void (*each) (void *context, const struct bb_server_group *group),
+    void (*each) (void *context, struct bb_server_group *group),
     void *context);
 
 /* List heads of all servers and routes, oldest revision first, linked by
--- a/marked/state/directory_private.h
+++ b/marked/state/directory_private.h
@@ -24,6 +24,15 @@
   bool routes_unsorted;
 };
 
+/* server_group.c  */
+/* Returns the group of SERVICE, which is called NAME.  Adds it if needed.  */
+struct bb_server_group *bb_server_group_get (struct bb_directory *d,
+                                             uint32_t service,
+                                             const char *name);
+void bb_server_group_free (gpointer data);
+void bb_server_group_add (struct bb_server_group *group,
+                          struct bb_backend_server *s);
+
 /* The lists by revision are sorted only when they are read, since a whole read
    of the store returns records in the order of their keys.  Appends LINK, an
    item of REVISION, to the list HEAD.  Sets *UNSORTED if REVISION is lower
--- a/marked/sync/sync.c
+++ b/marked/sync/sync.c
@@ -172,6 +172,7 @@
 {
   bb_sync_expire_peers (s, now);
   bb_sync_expire_batches (s, now);
+  bb_sync_sum_demands (s, now);
   update_role (s, now);
   bb_sync_contact_seeds (s, now);
   if (now < s->next_heartbeat)
--- a/marked/sync/sync_messages.h
+++ b/marked/sync/sync_messages.h
@@ -14,6 +14,8 @@
   BB_SYNC_LISTED_PEERS = 6,      /* balancers listed in a heartbeat */
   BB_SYNC_LISTED_PEERS_MAX = 48, /* in the reply to a joining balancer */
   BB_SYNC_LOADS_MAX = 64,        /* servers whose load is in a heartbeat */
+  BB_SYNC_DEMANDS_MAX = 8,       /* services whose demand is in a heartbeat */
+  BB_SYNC_ROOMS_MAX = 8,         /* rooms in a heartbeat */
   BB_SYNC_SERVERS_MAX = 8,       /* servers in one datagram of records */
   BB_SYNC_ROUTES_MAX = 24,       /* routes in one datagram of records */
   BB_SYNC_EVACUATIONS_MAX = 12,  /* evacuations in one datagram of records */
@@ -54,6 +56,23 @@
   bool is_answering; /* answered since the last heartbeat */
 };
 
+/* New flows of a service at the sender.  */
+struct bb_sync_demand
+{
+  uint32_t service;
+  uint32_t rate; /* in 1,000 s */
+};
+
+/* Room of a service in a data centre, as reported by its leader.  */
+struct bb_sync_room
+{
+  uint32_t data_centre;
+  uint32_t service;
+  uint32_t pending; /* as in struct bb_room */
+  uint32_t slots;
+  uint32_t age_ms;
+};
+
 struct bb_sync_heartbeat
 {
   uint32_t data_centre;
@@ -66,6 +85,11 @@
   uint32_t listed_peer_count;
   struct bb_sync_load loads[BB_SYNC_LOADS_MAX];
   uint32_t load_count;
+  /* In a heartbeat that lists at most BB_SYNC_LISTED_PEERS balancers.  */
+  struct bb_sync_demand demands[BB_SYNC_DEMANDS_MAX];
+  uint32_t demand_count;
+  struct bb_sync_room rooms[BB_SYNC_ROOMS_MAX];
+  uint32_t room_count;
 };
 
 /* Number of loads that fit into a datagram with LISTED_PEER_COUNT balancers.
--- a/marked/sync/sync_peers.c
+++ b/marked/sync/sync_peers.c
@@ -127,7 +127,7 @@
                         now - p->last_received);
   p->was_leader = false;
   bb_sync_apply_peer_loads (s, p, -1, now);
-  p->load_count = 0;
+  p->load_count = p->demand_count = 0;
   p->flags = 0;
   p->last_received = 0;
   p->last_sent = now;
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -35,6 +35,8 @@
   bb_usec last_mentioned;
   struct bb_sync_load loads[BB_SYNC_LOADS_MAX];
   uint32_t load_count;
+  struct bb_sync_demand demands[BB_SYNC_DEMANDS_MAX];
+  uint32_t demand_count;
 };
 
 /* Time without a datagram after which an incomplete batch is dropped.  A
@@ -131,6 +133,22 @@
 void bb_sync_list_peers (struct bb_sync *s, struct bb_sync_heartbeat *b,
                          uint32_t data_centre, uint32_t count, bb_usec now);
 
+/* sync_rooms.c: demand and room, for placement.  */
+void bb_sync_add_demands (struct bb_sync *s, struct bb_sync_heartbeat *b,
+                          bb_usec now);
+
+/* Adds the rooms that a leader reports: that of its own data centre to other
+   leaders, those of the other data centres to its own one.  */
+void bb_sync_add_rooms (struct bb_sync *s, struct bb_sync_heartbeat *b,
+                        bool is_local, bb_usec now);
+void bb_sync_keep_demands (struct bb_sync_peer *p,
+                           const struct bb_sync_heartbeat *b);
+void bb_sync_keep_rooms (struct bb_sync *s, const struct bb_sync_peer *p,
+                         const struct bb_sync_heartbeat *b, bb_usec now);
+
+/* Sums the flows of peers that no report shows as of NOW.  */
+void bb_sync_sum_demands (struct bb_sync *s, bb_usec now);
+
 /* sync_heartbeats.c: exchange of heartbeats, the state of the balancers.  */
 void bb_sync_send (struct bb_sync *s, const struct bb_endpoint *to,
                    size_t count, struct bb_sync_message *m);
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -16,6 +16,8 @@
   HEADER_FIELDS = 4,
   VM_FIELDS = 4,
   LOAD_FIELDS = 5,
+  DEMAND_FIELDS = 2,
+  ROOM_FIELDS = 5,
   /* Older builds put the suspicion of a server into a load.  */
   LOAD_NOT_SUSPECT = 0,
   SERVER_FIELDS = 13,
@@ -29,7 +31,7 @@
 #define NO_NAME "-"
 
 static const size_t body_fields[BB_SYNC_KINDS] = {
-  [BB_SYNC_HEARTBEAT] = 9,
+  [BB_SYNC_HEARTBEAT] = 11,
   [BB_SYNC_REQUEST] = 2,
   [BB_SYNC_RECORDS] = 16,
 };
@@ -42,6 +44,26 @@
   bb_writer_put_uint (pk, bb_revision_number (revision));
 }
 
+static void
+put_demands_and_rooms (msgpack_packer *pk, const struct bb_sync_heartbeat *h)
+{
+  msgpack_pack_array (pk, h->demand_count * DEMAND_FIELDS);
+  for (uint32_t i = 0; i < h->demand_count; i++)
+    {
+      bb_writer_put_uint (pk, h->demands[i].service);
+      bb_writer_put_uint (pk, h->demands[i].rate);
+    }
+  msgpack_pack_array (pk, h->room_count * ROOM_FIELDS);
+  for (uint32_t i = 0; i < h->room_count; i++)
+    {
+      bb_writer_put_uint (pk, h->rooms[i].data_centre);
+      bb_writer_put_uint (pk, h->rooms[i].service);
+      bb_writer_put_uint (pk, h->rooms[i].pending);
+      bb_writer_put_uint (pk, h->rooms[i].slots);
+      bb_writer_put_uint (pk, h->rooms[i].age_ms);
+    }
+}
+
 static void
 put_heartbeat (msgpack_packer *pk, const struct bb_sync_heartbeat *h)
 {
@@ -68,6 +90,7 @@
       bb_writer_put_uint (pk, h->loads[i].is_answering);
     }
   bb_writer_put_uint (pk, bb_revision_era (h->revision));
+  put_demands_and_rooms (pk, h);
 }
 
 static void
@@ -241,6 +264,36 @@
   return r->remaining ? bb_reader_get_uint (r, BB_REVISION_ERA_MAX) : 0;
 }
 
+static void
+read_demands (struct bb_reader *r, struct bb_sync_heartbeat *h)
+{
+  struct bb_reader inner
+      = read_groups (r, DEMAND_FIELDS, BB_SYNC_DEMANDS_MAX, &h->demand_count);
+  for (uint32_t i = 0; i < h->demand_count; i++)
+    {
+      h->demands[i].service = bb_reader_get_u32 (&inner);
+      h->demands[i].rate = bb_reader_get_u32 (&inner);
+    }
+  r->is_invalid |= inner.is_invalid;
+}
+
+static void
+read_rooms (struct bb_reader *r, struct bb_sync_heartbeat *h)
+{
+  struct bb_reader inner
+      = read_groups (r, ROOM_FIELDS, BB_SYNC_ROOMS_MAX, &h->room_count);
+  for (uint32_t i = 0; i < h->room_count; i++)
+    {
+      h->rooms[i].data_centre = bb_reader_get_u32 (&inner);
+      h->rooms[i].service = bb_reader_get_u32 (&inner);
+      h->rooms[i].pending = bb_reader_get_u32 (&inner);
+      h->rooms[i].slots = bb_reader_get_u32 (&inner);
+      h->rooms[i].age_ms = bb_reader_get_u32 (&inner);
+    }
+  r->is_invalid |= inner.is_invalid;
+}
+
+/* Messages of earlier releases end after the loads or the era.  */
 static void
 read_heartbeat (struct bb_reader *r, struct bb_sync_heartbeat *h)
 {
@@ -270,6 +323,10 @@
     }
   r->is_invalid |= inner.is_invalid;
   h->revision = bb_revision_make (read_era (r), h->revision);
+  if (r->remaining > 0)
+    read_demands (r, h);
+  if (r->remaining > 0)
+    read_rooms (r, h);
 }
 
 static void
