placement: random samples for many balancers, spill by reported room

All balancers of a data centre chose the server of the least cost, by reports 0.3 s old: at 38 balancers and a third of the load one server got the flows of a whole interval. Now a balancer compares a random sample if its peers place more flows between two reports than a server has slots; the size of the sample lets one of these flows reach the best-looking server, and gives no server more than 1.5 times its share. Up to three balancers a data centre with two slots a server choose as before.

Above 0.7 pending requests per slot a part of the new flows that grows with the load goes to data centres that report room, by their free slots. Before, flows left only with two requests pending for each slot of the best server, and all went to the server elsewhere that looked best.

--- a/marked/placement/place.c
+++ b/marked/placement/place.c
@@ -1,4 +1,5 @@
 #include "marked/placement/place.h"
+#include "marked/placement/spill.h"
 
 /* Cost of a pending request relative to an open flow.  The request occupies a
    slot now; most of the open flows are idle.  */
@@ -36,6 +37,7 @@
 const struct bb_placement_policy bb_placement_by_load = {
   .name = "load",
   .cost = load_cost,
+  .weight = slots_of,
 };
 
 /* The server of lowest cost so far.  Servers of equal cost are equally likely
@@ -65,15 +67,16 @@
   p->cost = cost;
 }
 
-/* The best server of each kind.  */
+/* The best server of each kind, and those to choose from.  */
 struct candidates
 {
   struct candidate local_dc;
   struct candidate least_busy; /* local, with the lowest load per slot */
   struct candidate remote_dc;
   struct candidate suspect;
-  double local_pending; /* of the local servers that are not suspect */
-  double local_slots;
+  struct bb_pool local; /* those that are not suspect */
+  struct bb_pool remote;
+  double local_pending;
   bool has_unknown_slots; /* a local server does not tell its slots */
 };
 
@@ -81,28 +84,47 @@
 add_local_load (struct candidates *p, const struct bb_backend_server *s)
 {
   p->local_pending += s->load.busy + s->load.peer_busy;
-  p->local_slots += slots_of (s);
   p->has_unknown_slots |= s->record.slots == 0;
 }
 
+/* The pool of the group has the local servers at its start and the others at
+   its end.  */
+static void
+add_to_pool (struct candidates *p, struct bb_server_group *group,
+             const struct bb_placement_policy *policy,
+             struct bb_backend_server *s)
+{
+  struct bb_pool *pool = s->is_local ? &p->local : &p->remote;
+  if (s->is_local)
+    pool->servers = group->pool;
+  else
+    pool->servers = group->pool + group->pool_capacity - pool->count - 1;
+  pool->servers[s->is_local ? pool->count : 0] = s;
+  pool->count++;
+  pool->slots += slots_of (s);
+  pool->weight_max = MAX (pool->weight_max, policy->weight (s));
+}
+
 static struct candidates
-find_candidates (const struct bb_link *servers,
+find_candidates (struct bb_server_group *group,
                  const struct bb_placement_policy *policy, GRand *random,
                  bb_usec now)
 {
   struct candidates candidates = { 0 };
+  const struct bb_link *servers = &group->servers;
   for (const struct bb_link *at = servers->next; at != servers; at = at->next)
     {
       struct bb_backend_server *s
           = BB_LINKED (at, struct bb_backend_server, of_service);
       struct candidate *candidate
           = s->is_local ? &candidates.local_dc : &candidates.remote_dc;
-      if (s->record.state != BB_SERVER_READY
-          && s->record.state != BB_SERVER_EXPIRED)
+      if (!bb_server_is_eligible (s))
         continue;
       if (bb_suspicion_is_suspect (&s->load.evidence, now))
         candidate = &candidates.suspect;
-      else if (s->is_local)
+      else
+        add_to_pool (&candidates, group, policy, s);
+      if (s->is_local && candidate != &candidates.suspect)
         {
           add_local_load (&candidates, s);
           update_candidate (&candidates.least_busy, s, load_per_slot (s),
@@ -153,45 +175,126 @@
                                      is_low_priority, now);
 }
 
+/* A new flow that is being placed.  */
+struct placing
+{
+  struct bb_server_group *group;
+  const struct bb_placement_policy *policy;
+  GRand *random;
+  bb_usec now;
+  struct candidates found;
+};
+
+/* Chooses from POOL, whose server of the least cost is LEAST.  */
 static struct bb_placement
-choose_server (struct bb_server_group *group,
-               const struct bb_placement_policy *policy,
-               const struct bb_route_record *route, GRand *random, bb_usec now)
+choose_from (struct placing *p, struct bb_pool *pool,
+             struct bb_backend_server *least, enum bb_reason reason)
 {
-  bb_usec objective = route->objective_ms * BB_MSEC;
-  bool is_low_priority
-      = bb_priorities_add_flow (&group->priorities, route->priority, now);
-  struct candidates p = find_candidates (&group->servers, policy, random, now);
-  if (p.local_slots > 0)
-    bb_concurrency_add_load (&group->concurrency,
-                             p.local_pending / p.local_slots, now);
-  struct bb_backend_server *local = p.local_dc.server,
-                           *remote = p.remote_dc.server;
-  bool local_admitted
-      = local_is_admitted (&p, group, objective, is_low_priority, now);
-  bool remote_admitted
-      = remote_is_admitted (&p, group, objective, is_low_priority, now);
-  if ((local || remote) && !local_admitted && !remote_admitted)
+  struct bb_placement choice = { .server = least, .reason = reason };
+  double width = bb_choice_width (pool, &p->group->demand);
+  if (width >= pool->count)
+    return choice;
+  choice.choice = BB_CHOICE_SAMPLE;
+  choice.server = bb_choose_server (pool, width, p->policy, p->random);
+  return choice;
+}
+
+/* Returns the servers of POOL that are in DATA_CENTRE, which are moved to its
+   start, and their server of the least cost.  */
+static struct bb_pool
+select_data_centre (const struct placing *p, const struct bb_pool *pool,
+                    uint32_t data_centre, struct bb_backend_server **least)
+{
+  struct bb_pool selected = { .servers = pool->servers };
+  struct candidate best = { 0 };
+  for (uint32_t i = 0; i < pool->count; i++)
     {
-      /* Slow answers are no reason to refuse a flow while a slot is free: the
-         servers may be slow, or the requests of the route long.  */
-      if (p.has_unknown_slots && p.least_busy.cost < BB_FULL_LOAD)
-        return (struct bb_placement){ p.least_busy.server,
-                                      BB_REASON_OWN_DATA_CENTRE };
-      bb_priorities_add_refusal (&group->priorities, route->priority, now);
-      return (struct bb_placement){ NULL, BB_REASON_ALL_BUSY };
+      struct bb_backend_server *s = pool->servers[i];
+      if (s->data_centre != data_centre)
+        continue;
+      pool->servers[i] = pool->servers[selected.count];
+      pool->servers[selected.count++] = s;
+      selected.slots += slots_of (s);
+      selected.weight_max = MAX (selected.weight_max, p->policy->weight (s));
+      update_candidate (&best, s, p->policy->cost (s), p->random);
     }
+  *least = best.server;
+  return selected;
+}
+
+/* Moves the flow to a data centre that reports room, if the own one is nearly
+   busy.  Returns no server if the flow stays.  */
+static struct bb_placement
+choose_spill (struct placing *p)
+{
+  struct bb_placement none = { 0 };
+  struct bb_spill_view view = { .load = p->group->concurrency.pending,
+                                .slots = p->found.local.slots,
+                                .other = &p->found.remote,
+                                .now = p->now };
+  uint32_t data_centre = bb_spill_choose (&p->group->rooms, &view, p->random);
+  struct bb_backend_server *least;
+  if (data_centre == 0)
+    return none;
+  struct bb_pool pool
+      = select_data_centre (p, &p->found.remote, data_centre, &least);
+  if (pool.count == 0)
+    return none;
+  struct bb_placement choice
+      = choose_from (p, &pool, least, BB_REASON_OTHER_DATA_CENTRE);
+  choice.is_spilled = true;
+  return choice;
+}
+
+/* Chooses a server while new flows are admitted neither in the own data centre
+   nor elsewhere.  */
+static struct bb_placement
+choose_when_busy (struct placing *p, const struct bb_route_record *route)
+{
+  /* Slow answers are no reason to refuse a flow while a slot is free: the
+     servers may be slow, or the requests of the route long.  */
+  if (p->found.has_unknown_slots && p->found.least_busy.cost < BB_FULL_LOAD)
+    return (struct bb_placement){ .server = p->found.least_busy.server,
+                                  .reason = BB_REASON_OWN_DATA_CENTRE };
+  bb_priorities_add_refusal (&p->group->priorities, route->priority, p->now);
+  return (struct bb_placement){ .reason = BB_REASON_ALL_BUSY };
+}
+
+static struct bb_placement
+choose_server (struct placing *p, const struct bb_route_record *route)
+{
+  struct candidates *found = &p->found;
+  bb_usec objective = route->objective_ms * BB_MSEC;
+  bool is_low_priority = bb_priorities_add_flow (&p->group->priorities,
+                                                 route->priority, p->now);
+  if (found->local.slots > 0)
+    bb_concurrency_add_load (&p->group->concurrency,
+                             found->local_pending / found->local.slots,
+                             p->now);
+  struct bb_backend_server *local = found->local_dc.server,
+                           *remote = found->remote_dc.server;
+  bool local_admitted = local_is_admitted (found, p->group, objective,
+                                           is_low_priority, p->now);
+  bool remote_admitted = remote_is_admitted (found, p->group, objective,
+                                             is_low_priority, p->now);
+  struct bb_placement spilled = choose_spill (p);
+  if (spilled.server)
+    return spilled;
+  if ((local || remote) && !local_admitted && !remote_admitted)
+    return choose_when_busy (p, route);
   if (local
       && !(remote_admitted
            && (!local_admitted || prefers_remote (local, remote))))
-    return (struct bb_placement){ local, BB_REASON_OWN_DATA_CENTRE };
+    return choose_from (p, &found->local, local, BB_REASON_OWN_DATA_CENTRE);
   if (remote)
-    return (struct bb_placement){ remote, BB_REASON_OTHER_DATA_CENTRE };
+    return choose_from (p, &found->remote, remote,
+                        BB_REASON_OTHER_DATA_CENTRE);
   /* If all servers seem dead, one of them is used anyway.  The evidence may be
      wrong, and a failed flow costs the caller no more than a refusal.  */
-  return (struct bb_placement){ p.suspect.server, p.suspect.server
-                                                      ? BB_REASON_SERVER_SILENT
-                                                      : BB_REASON_NO_SERVER };
+  return (struct bb_placement){ .server = found->suspect.server,
+                                .reason = found->suspect.server
+                                              ? BB_REASON_SERVER_SILENT
+                                              : BB_REASON_NO_SERVER };
 }
 
 static uint32_t
@@ -218,7 +321,7 @@
                const struct bb_placement_policy *policy, GRand *random,
                bb_usec now)
 {
-  struct bb_placement none = { NULL, BB_REASON_NO_SERVER };
+  struct bb_placement none = { .reason = BB_REASON_NO_SERVER };
   if (!route)
     none.reason = BB_REASON_NO_ROUTE;
   else if (route->record.share_count == 0)
@@ -227,8 +330,16 @@
     {
       struct bb_server_group *group = bb_directory_find_service (
           directory, draw_service (&route->record, random));
-      if (group)
-        return choose_server (group, policy, &route->record, random, now);
+      if (!group)
+        return none;
+      bb_demand_add_flow (&group->demand, now);
+      struct placing placing
+          = { .group = group,
+              .policy = policy,
+              .random = random,
+              .now = now,
+              .found = find_candidates (group, policy, random, now) };
+      return choose_server (&placing, &route->record);
     }
   return none;
 }
--- a/marked/placement/place.h
+++ b/marked/placement/place.h
@@ -5,23 +5,24 @@
 #ifndef BB_MARKED_PLACE_H
 #define BB_MARKED_PLACE_H
 
-#include "marked/state/directory.h"
+#include "marked/placement/choice.h"
 
-/* How the servers of a service are compared.  */
-struct bb_placement_policy
+extern const struct bb_placement_policy bb_placement_by_load;
+
+/* How a server was chosen.  */
+enum bb_choice_kind
 {
-  const char *name;
-  /* Expected load of SERVER with one more flow.  The server of the lowest cost
-   * is chosen.  */
-  double (*cost) (const struct bb_backend_server *server);
+  BB_CHOICE_LEAST,  /* of all, by cost */
+  BB_CHOICE_SAMPLE, /* the least cost of a sample */
+  BB_CHOICE_KINDS
 };
 
-extern const struct bb_placement_policy bb_placement_by_load;
-
 struct bb_placement
 {
   struct bb_backend_server *server; /* NULL: refuse the flow */
   enum bb_reason reason;
+  enum bb_choice_kind choice;
+  bool is_spilled; /* to another data centre, by its report of room */
 };
 
 /* Chooses among the servers of the services of ROUTE.  */
--- a/runtime/marked_metrics.c
+++ b/runtime/marked_metrics.c
@@ -66,6 +66,12 @@
     OFFSET (bb_marked_counters, placed) },
   { "flows_placed_far", "", "New flows in other data centres.", false,
     COUNTERS, OFFSET (bb_marked_counters, placed_remote) },
+  { "flows_placed_sampled", "",
+    "New flows whose server is the best of a random sample.", false, COUNTERS,
+    OFFSET (bb_marked_counters, placed_sampled) },
+  { "flows_placed_spilled", "",
+    "New flows moved to data centres that report room.", false, COUNTERS,
+    OFFSET (bb_marked_counters, placed_spilled) },
   { "first_packet_copies", "", "Copies of first packets.", false, COUNTERS,
     OFFSET (bb_marked_counters, syn_copies) },
   { "resets", "", "Open flows that were reset.", false, COUNTERS,
@@ -185,7 +191,7 @@
 /* Writes one histogram per service.  One per server would be 15 lines for each
    of the 54,000 servers that exist over two years.  */
 static void
-write_service (void *context, const struct bb_server_group *group)
+write_service (void *context, struct bb_server_group *group)
 {
   g_autofree char *labels = g_strdup_printf ("service=\"%s\",", group->name);
   write_buckets (&group->answer_times, "service_answer_time_seconds", labels,
@@ -193,7 +199,7 @@
 }
 
 static void
-write_estimate (void *context, const struct bb_server_group *group)
+write_estimate (void *context, struct bb_server_group *group)
 {
   const struct bb_answer_time *times[]
       = { &group->local_dc, &group->remote_dc };
