tests: herds of new flows, spill between data centres

herd_test plays 6, 70, 115 and 300 balancers of equal and unequal shares before 40 servers, with reports that are 0.3, 1 and 3 s old or lost, and servers that join: no server gets more flows in half a second or a second than the Poisson quantile of 1.5 times its share, with 0.001 for all windows and servers of a play together. One data centre pressed at 2.5, 3.5 and 4 times: its callers are served like the others', and the part that leaves does not swing.

--- a/driver/overload.h
+++ b/driver/overload.h
@@ -48,8 +48,9 @@
   bool is_pressed;     /* only the first data centre has a peak */
   bool is_uneven;      /* a fourth of the balancers has most of the flows */
   int joining_servers; /* start with the peak, slow for the first seconds */
-  int report_delay_ms; /* of messages between balancers */
-  int report_loss;     /* percent of the messages */
+  /* Of messages between balancers, once these know each other.  */
+  int report_delay_ms;
+  int report_loss; /* percent */
 };
 
 /* What became of the requests of one kind that were first sent in the peak. */
@@ -79,9 +80,9 @@
 /* Returns the day NAME, or NULL.  */
 const struct bb_overload_day *bb_overload_find_day (const char *name);
 
-/* Called for each new flow of the peak, which began at PEAK.  */
-typedef void bb_overload_placed_func (void *context, bb_usec peak, bb_usec now,
-                                      int server);
+/* Called for each new flow of the peak, AT the time since its start.  */
+typedef void bb_overload_placed_func (void *context, bb_usec at,
+                                      int caller_data_centre, int server);
 
 /* Plays DAY with a peak of LOAD times the usual load.  */
 struct bb_overload_result bb_overload_play (const struct bb_overload_day *day,
--- a/driver/overload_callers.c
+++ b/driver/overload_callers.c
@@ -115,7 +115,8 @@
   if (bb_overload_data_centre (w, (unsigned)v.tag - 1) != q->data_centre)
     w->result.spilled++;
   if (w->placed && bb_overload_is_peak (w))
-    w->placed (w->context, bb_overload_peak_start (), w->now, (int)v.tag - 1);
+    w->placed (w->context, w->now - bb_overload_peak_start (), q->data_centre,
+               (int)v.tag - 1);
   f->sequence = f->acknowledgement = 1;
   g_ptr_array_add (w->flows, f);
   bb_overload_schedule (w, 2 * BB_OVERLOAD_NETWORK_MS, send_request, f, q);
--- a/driver/overload_reports.c
+++ b/driver/overload_reports.c
@@ -1,5 +1,10 @@
 #include "driver/overload_private.h"
 
+/* Time by which all balancers know each other.  After it the delay of messages
+   grows as fast as the time, up to that of the day, so that they arrive at
+   half of the rate and no peer seems lost.  */
+#define SETTLE_TIME BB_SEC
+
 struct bb_endpoint
 bb_overload_node_endpoint (unsigned index)
 {
@@ -15,11 +20,19 @@
                    w->now);
 }
 
+static bool
+is_lost (struct world *w)
+{
+  return w->day->report_loss > 0 && w->now > SETTLE_TIME
+         && g_rand_int_range (w->random, 0, 100) < w->day->report_loss;
+}
+
 static void
 schedule (struct world *w, const struct report *report)
 {
-  unsigned at
-      = (unsigned)(w->now / BB_MSEC) + (unsigned)w->day->report_delay_ms;
+  bb_usec delay
+      = CLAMP (w->now - SETTLE_TIME, 0, w->day->report_delay_ms * BB_MSEC);
+  unsigned at = (unsigned)((w->now + delay) / BB_MSEC);
   if (at >= w->length_ms)
     return;
   if (!w->reports[at])
@@ -43,10 +56,9 @@
     {
       r.to = to[i].address - bb_overload_node_endpoint (0).address;
       if (r.to >= (unsigned)w->day->balancers || r.to == n->index
-          || (w->day->report_loss > 0
-              && g_rand_int_range (w->random, 0, 100) < w->day->report_loss))
+          || is_lost (w))
         continue;
-      if (r.message)
+      if (r.message && w->now > SETTLE_TIME)
         schedule (w, &r);
       else
         deliver (w, r.from, r.to, message);
