placement: a random one of the best servers, in place of the best of a sample

With a sample of 1.5 servers on average, each server gets half of its share at least, also one that is four times as slow. A random one of the best two thirds has the same upper bound, 1.5 times its share, and gives nothing to the worst third. As many servers are chosen from as peers place flows between two reports. Of more than 64 servers a random sample of 64 is compared, so that the cost of a choice is bounded.

--- a/marked/balancer.c
+++ b/marked/balancer.c
@@ -94,7 +94,7 @@
   s->load.open++;
   m->counters.placed++;
   m->counters.placed_remote += !s->is_local;
-  m->counters.placed_sampled += choice.choice == BB_CHOICE_SAMPLE;
+  m->counters.placed_random += choice.choice == BB_CHOICE_RANDOM;
   m->counters.placed_spilled += choice.is_spilled;
   bb_marked_send_event (m, BB_EVENT_FLOW_PLACED, s, hash,
                         (uint64_t)s->load.open + (uint64_t)s->load.peer_open,
--- a/marked/balancer.h
+++ b/marked/balancer.h
@@ -54,7 +54,7 @@
   uint64_t forwarded;
   uint64_t placed;
   uint64_t placed_remote;  /* in another data centre */
-  uint64_t placed_sampled; /* BB_CHOICE_SAMPLE */
+  uint64_t placed_random;  /* BB_CHOICE_RANDOM */
   uint64_t placed_spilled; /* in another data centre, by its report of room */
   uint64_t syn_copies;     /* copies of first packets */
   uint64_t refused[BB_REASONS];
--- a/marked/placement/choice.c
+++ b/marked/placement/choice.c
@@ -4,69 +4,73 @@
 
 /* No server gets more than this multiple of its share because it looks least
    loaded.  */
-#define WIDTH_MIN 1.5
+#define SHARE_MAX 1.5
 
 enum
 {
-  DRAWS_MAX = 16, /* for one server; the last one is taken in any case */
+  SAMPLE_MAX = 64, /* servers that are compared */
+  DRAWS_MAX = 16,  /* by weight; the last one is taken in any case */
 };
 
 double
-bb_choice_width (const struct bb_pool *pool, const struct bb_demand *demand)
+bb_choice_part (const struct bb_pool *pool, const struct bb_demand *demand)
 {
   double count = pool->count;
   double slots = count > 0 ? pool->slots / count : 0;
-  if (demand->peer_placers <= slots)
-    return count;
-  return CLAMP (count / demand->peer_flows, MIN (WIDTH_MIN, count), count);
+  if (count == 0 || demand->peer_placers <= slots)
+    return 0;
+  return MIN (demand->peer_flows / count, 1 / SHARE_MAX);
 }
 
-/* Returns the index of a random server from START on, drawn by weight.  */
+/* A server of the sample.  */
+struct sampled
+{
+  struct bb_backend_server *server;
+  double cost;
+};
+
+/* Moves random servers to the start of the pool and puts them into SAMPLE,
+   least cost first.  Servers of equal cost are in random order.  */
 static uint32_t
-draw_index (const struct bb_pool *pool, uint32_t start,
-            const struct bb_placement_policy *policy, GRand *random)
+draw_sample (struct bb_pool *pool, const struct bb_placement_policy *policy,
+             GRand *random, struct sampled *sample)
 {
-  uint32_t index = start;
-  for (int i = 0; i < DRAWS_MAX; i++)
+  uint32_t count = MIN (pool->count, SAMPLE_MAX);
+  for (uint32_t i = 0; i < count; i++)
     {
-      index = (uint32_t)g_rand_int_range (random, (gint32)start,
-                                          (gint32)pool->count);
-      double weight = policy->weight (pool->servers[index]);
-      if (weight >= pool->weight_max
-          || g_rand_double (random) * pool->weight_max < weight)
-        break;
+      uint32_t index = (uint32_t)g_rand_int_range (random, (gint32)i,
+                                                   (gint32)pool->count);
+      struct bb_backend_server *s = pool->servers[index];
+      pool->servers[index] = pool->servers[i];
+      pool->servers[i] = s;
+      double cost = policy->cost (s);
+      uint32_t place = i;
+      for (; place > 0 && sample[place - 1].cost > cost; place--)
+        sample[place] = sample[place - 1];
+      sample[place] = (struct sampled){ s, cost };
     }
-  return index;
+  return count;
 }
 
 struct bb_backend_server *
-bb_choose_server (struct bb_pool *pool, double width,
+bb_choose_server (struct bb_pool *pool, double part,
                   const struct bb_placement_policy *policy, GRand *random)
 {
-  struct bb_backend_server *best = NULL;
-  double least = INFINITY;
-  double whole = floor (width);
-  uint32_t drawn = (uint32_t)whole;
-  if (g_rand_double (random) < width - whole)
-    drawn++;
-  drawn = MIN (drawn, pool->count);
-  for (uint32_t i = 0; i < drawn; i++)
+  struct sampled sample[SAMPLE_MAX];
+  uint32_t count = draw_sample (pool, policy, random, sample);
+  struct bb_backend_server *s = NULL;
+  double best = part * count;
+  uint32_t choices = (uint32_t)best;
+  if (g_rand_double (random) < best - floor (best))
+    choices++;
+  choices = CLAMP (choices, 1, MAX (count, 1));
+  for (int i = 0; count > 0 && i < DRAWS_MAX; i++)
     {
-      /* All are compared in a random order, so that servers of equal cost are
-         equally likely.  */
-      uint32_t index = drawn < pool->count
-                           ? draw_index (pool, i, policy, random)
-                           : (uint32_t)g_rand_int_range (random, (gint32)i,
-                                                         (gint32)pool->count);
-      struct bb_backend_server *s = pool->servers[index];
-      pool->servers[index] = pool->servers[i];
-      pool->servers[i] = s;
-      double cost = policy->cost (s);
-      if (cost < least)
-        {
-          best = s;
-          least = cost;
-        }
+      s = sample[g_rand_int_range (random, 0, (gint32)choices)].server;
+      double weight = policy->weight (s);
+      if (weight >= pool->weight_max
+          || g_rand_double (random) * pool->weight_max < weight)
+        break;
     }
-  return best;
+  return s;
 }
--- a/marked/placement/choice.h
+++ b/marked/placement/choice.h
@@ -2,8 +2,8 @@
    do not see each other's choices until the next report.
 
    If all of them choose the server of the least cost, that one gets all the
-   flows of the time between two reports.  If each chooses the least cost among
-   D random servers, no server gets more than D times its share.  */
+   flows of the time between two reports.  If each chooses any of the best K of
+   N servers, none gets more than N/K times its share.  */
 
 #ifndef BB_MARKED_CHOICE_H
 #define BB_MARKED_CHOICE_H
@@ -30,17 +30,17 @@
   double weight_max; /* of one */
 };
 
-/* Returns D for a pool, from the demand that reports do not show: as many as
-   the pool has while the peers that may choose the same server fit into its
-   slots; otherwise as many as let one of their flows reach the server that
-   looks best.  */
-double bb_choice_width (const struct bb_pool *pool,
-                        const struct bb_demand *demand);
+/* Returns the part of the servers of POOL among which a new flow goes to a
+   random one, from the demand that reports do not show.  0, the best server
+   only, while the peers that may choose the same server fit into its slots;
+   otherwise as many as give each of them one of these flows.  */
+double bb_choice_part (const struct bb_pool *pool,
+                       const struct bb_demand *demand);
 
-/* Returns the server of the least cost among WIDTH random ones, drawn by
-   weight; NULL if the pool is empty.  A fraction of WIDTH is the probability
-   of one more.  */
+/* Returns a random server of the PART of POOL that has the least cost, drawn
+   by weight; NULL if the pool is empty.  Of a large pool a random sample is
+   compared.  */
 struct bb_backend_server *
-bb_choose_server (struct bb_pool *pool, double width,
+bb_choose_server (struct bb_pool *pool, double part,
                   const struct bb_placement_policy *policy, GRand *random);
 #endif
--- a/marked/placement/place.c
+++ b/marked/placement/place.c
@@ -191,11 +191,11 @@
              struct bb_backend_server *least, enum bb_reason reason)
 {
   struct bb_placement choice = { .server = least, .reason = reason };
-  double width = bb_choice_width (pool, &p->group->demand);
-  if (width >= pool->count)
+  double part = bb_choice_part (pool, &p->group->demand);
+  if (part <= 0)
     return choice;
-  choice.choice = BB_CHOICE_SAMPLE;
-  choice.server = bb_choose_server (pool, width, p->policy, p->random);
+  choice.choice = BB_CHOICE_RANDOM;
+  choice.server = bb_choose_server (pool, part, p->policy, p->random);
   return choice;
 }
 
--- a/marked/placement/place.h
+++ b/marked/placement/place.h
@@ -12,8 +12,8 @@
 /* How a server was chosen.  */
 enum bb_choice_kind
 {
-  BB_CHOICE_LEAST,  /* of all, by cost */
-  BB_CHOICE_SAMPLE, /* the least cost of a sample */
+  BB_CHOICE_LEAST,  /* the least cost */
+  BB_CHOICE_RANDOM, /* one of the best */
   BB_CHOICE_KINDS
 };
 
--- a/tests/herd_test.c
+++ b/tests/herd_test.c
@@ -196,8 +196,8 @@
   int peers;
   double rate; /* of each peer, flows per second */
   bb_usec unseen;
-  bool compares_all;
-} widths[] = {
+  bool is_best_only;
+} parts[] = {
   { "alone", 0, 0, 0, true },
   { "two peers with many flows", 2, 100, 300 * BB_MSEC, true },
   { "two peers with old reports", 2, 100, 900 * BB_MSEC, true },
@@ -207,18 +207,19 @@
   { "few flows, old reports", 37, 0.1, 900 * BB_MSEC, false },
 };
 
-START_TEST (few_balancers_compare_all_servers)
+START_TEST (few_balancers_choose_the_best_server)
 {
   struct bb_demand demand = { 0 };
   struct bb_pool pool = { .count = SERVERS, .slots = 2 * SERVERS };
-  for (int i = 0; i < widths[_i].peers; i++)
-    bb_demand_add_peer (&demand, widths[_i].rate, widths[_i].unseen);
-  double width = bb_choice_width (&pool, &demand);
-  ck_assert_msg ((width >= SERVERS) == widths[_i].compares_all, "%s: %f",
-                 widths[_i].description, width);
-  ck_assert_double_ge (width, SHARE_MAX);
-  if (!widths[_i].compares_all)
-    ck_assert_double_le (width, MAX (SHARE_MAX, SERVERS / demand.peer_flows));
+  for (int i = 0; i < parts[_i].peers; i++)
+    bb_demand_add_peer (&demand, parts[_i].rate, parts[_i].unseen);
+  double part = bb_choice_part (&pool, &demand);
+  ck_assert_msg ((part <= 0) == parts[_i].is_best_only, "%s: %f",
+                 parts[_i].description, part);
+  ck_assert_double_le (part, 1 / SHARE_MAX);
+  if (!parts[_i].is_best_only)
+    ck_assert_double_ge (part,
+                         MIN (1 / SHARE_MAX, demand.peer_flows / SERVERS));
 }
 END_TEST
 
@@ -310,8 +311,8 @@
   tcase_add_loop_test (tc, spill_follows_room, 0, G_N_ELEMENTS (spills));
   suite_add_tcase (suite, tc);
   tc = tcase_create ("few balancers");
-  tcase_add_loop_test (tc, few_balancers_compare_all_servers, 0,
-                       G_N_ELEMENTS (widths));
+  tcase_add_loop_test (tc, few_balancers_choose_the_best_server, 0,
+                       G_N_ELEMENTS (parts));
   suite_add_tcase (suite, tc);
   return run_suite (suite);
 }
