--- a/marked/sync/sync_rooms.c
+++ b/marked/sync/sync_rooms.c
@@ -127,6 +127,8 @@
                     const struct bb_sync_heartbeat *b, bb_usec now)
 {
   bool is_local = bb_sync_peer_is_local (s, p);
+  if (!(b->flags & BB_SYNC_LEADER))
+    return;
   for (uint32_t i = 0; i < b->room_count; i++)
     {
       const struct bb_sync_room *r = &b->rooms[i];
--- a/tests/herd_test.c
+++ b/tests/herd_test.c
@@ -193,18 +193,18 @@
 static const struct
 {
   const char *description;
-  int peers;
   double rate; /* of each peer, flows per second */
   bb_usec unseen;
+  int peers;
   bool is_best_only;
 } parts[] = {
   { "alone", 0, 0, 0, true },
-  { "two peers with many flows", 2, 100, 300 * BB_MSEC, true },
-  { "two peers with old reports", 2, 100, 900 * BB_MSEC, true },
-  { "37 peers with few flows", 37, 0.1, 300 * BB_MSEC, true },
-  { "37 peers", 37, 3, 300 * BB_MSEC, false },
-  { "299 peers", 299, 0.4, 300 * BB_MSEC, false },
-  { "few flows, old reports", 37, 0.1, 900 * BB_MSEC, false },
+  { "two peers with many flows", 100, 300 * BB_MSEC, 2, true },
+  { "two peers with old reports", 100, 900 * BB_MSEC, 2, true },
+  { "37 peers with few flows", 0.1, 300 * BB_MSEC, 37, true },
+  { "37 peers", 3, 300 * BB_MSEC, 37, false },
+  { "299 peers", 0.4, 300 * BB_MSEC, 299, false },
+  { "few flows, old reports", 0.1, 900 * BB_MSEC, 37, false },
 };
 
 START_TEST (few_balancers_choose_the_best_server)
--- a/tests/sync_message_test.c
+++ b/tests/sync_message_test.c
@@ -24,6 +24,10 @@
         .listed_peer_count = 1,
         .loads = { { 0xffffffff, 65535, 3, false }, { 1, 0, 1, true } },
         .load_count = 2,
+        .demands = { { 9, 2750 } },
+        .demand_count = 1,
+        .rooms = { { 7, 9, 31, 80, 250 }, { 8, 9, 0, 80, UINT32_MAX } },
+        .room_count = 2,
       };
       break;
     case BB_SYNC_REQUEST:
@@ -95,6 +99,11 @@
                          m.heartbeat.loads[0].busy);
       ck_assert (!decoded.heartbeat.loads[0].is_answering);
       ck_assert (decoded.heartbeat.loads[1].is_answering);
+      ck_assert_uint_eq (decoded.heartbeat.demands[0].rate, 2750);
+      ck_assert_uint_eq (decoded.heartbeat.rooms[0].pending, 31);
+      ck_assert_uint_eq (decoded.heartbeat.rooms[1].data_centre, 8);
+      ck_assert_uint_eq (decoded.heartbeat.rooms[1].slots, 80);
+      ck_assert_uint_eq (decoded.heartbeat.rooms[0].age_ms, 250);
     }
   if (m.kind == BB_SYNC_RECORDS)
     {
@@ -159,6 +168,25 @@
 }
 END_TEST
 
+/* The same of heartbeats: no rooms, no demands, no era.  */
+START_TEST (heartbeats_of_older_versions_decode)
+{
+  struct bb_sync_message m = make_message (BB_SYNC_HEARTBEAT), decoded;
+  m.heartbeat.demand_count = m.heartbeat.room_count = 0;
+  m.heartbeat.revision = 17;
+  GByteArray *bytes = bb_sync_encode (&m);
+  size_t length = bytes->len - (size_t)_i - 1;
+  ck_assert_uint_eq (bytes->data[0] & 0xf0, 0x90);
+  bytes->data[0] -= (guint8)(_i + 1);
+  ck_assert (bb_sync_decode (bytes->data, length, &decoded, NULL));
+  ck_assert_uint_eq (decoded.heartbeat.load_count, 2);
+  ck_assert_uint_eq (decoded.heartbeat.demand_count, 0);
+  ck_assert_uint_eq (decoded.heartbeat.room_count, 0);
+  ck_assert_uint_eq (decoded.heartbeat.revision, 17);
+  g_byte_array_unref (bytes);
+}
+END_TEST
+
 /* Guards against revisions that lose the era of the store.  */
 START_TEST (eras_round_trip)
 {
@@ -196,6 +224,14 @@
   for (int i = 0; i < BB_SYNC_LISTED_PEERS_MAX; i++)
     m.heartbeat.listed_peers[i]
         = (struct bb_sync_vm){ UINT32_MAX, UINT32_MAX, { UINT32_MAX, 65535 } };
+  bool is_reply = listed_peers[_i] > BB_SYNC_LISTED_PEERS;
+  m.heartbeat.demand_count = is_reply ? 0 : BB_SYNC_DEMANDS_MAX;
+  m.heartbeat.room_count = is_reply ? 0 : BB_SYNC_ROOMS_MAX;
+  for (int i = 0; i < BB_SYNC_DEMANDS_MAX; i++)
+    m.heartbeat.demands[i] = (struct bb_sync_demand){ UINT32_MAX, UINT32_MAX };
+  for (int i = 0; i < BB_SYNC_ROOMS_MAX; i++)
+    m.heartbeat.rooms[i]
+        = (struct bb_sync_room){ UINT32_MAX, UINT32_MAX, 65535, 65535, 2000 };
   GByteArray *bytes = bb_sync_encode (&m);
   ck_assert_uint_le (bytes->len, BB_SYNC_DATAGRAM_BYTES);
   g_byte_array_unref (bytes);
@@ -243,6 +279,12 @@
       GError *error = NULL;
       if (!bb_sync_decode (bytes->data, bytes->len, &decoded, &error))
         g_error_free (error);
+      else if (decoded.kind == BB_SYNC_HEARTBEAT)
+        {
+          ck_assert_uint_le (decoded.heartbeat.demand_count,
+                             BB_SYNC_DEMANDS_MAX);
+          ck_assert_uint_le (decoded.heartbeat.room_count, BB_SYNC_ROOMS_MAX);
+        }
       else if (decoded.kind == BB_SYNC_RECORDS)
         {
           ck_assert_uint_le (decoded.record_chunk.server_count,
@@ -266,6 +308,7 @@
   tcase_add_loop_test (tc, messages_round_trip, 0, BB_SYNC_KINDS);
   tcase_add_loop_test (tc, records_of_older_versions_decode, 0,
                        G_N_ELEMENTS (appended));
+  tcase_add_loop_test (tc, heartbeats_of_older_versions_decode, 0, 3);
   tcase_add_test (tc, eras_round_trip);
   tcase_add_loop_test (tc, messages_fit_a_frame, 0, 4);
   tcase_add_loop_test (tc, truncated_messages_are_refused, 0, BB_SYNC_KINDS);
