--- a/marked/placement/place.c
+++ b/marked/placement/place.c
@@ -1,5 +1,6 @@
 #include "marked/placement/place.h"
 #include "marked/placement/spill.h"
+#include <math.h>
 
 /* Cost of a pending request relative to an open flow.  The request occupies a
    slot now; most of the open flows are idle.  */
@@ -228,10 +229,12 @@
 choose_spill (struct placing *p)
 {
   struct bb_placement none = { 0 };
-  struct bb_spill_view view = { .load = p->group->concurrency.pending,
-                                .slots = p->found.local.slots,
-                                .other = &p->found.remote,
-                                .now = p->now };
+  bool has_local = p->found.local.count > 0;
+  struct bb_spill_view view
+      = { .load = has_local ? p->group->concurrency.pending : INFINITY,
+          .slots = p->found.local.slots,
+          .other = &p->found.remote,
+          .now = p->now };
   uint32_t data_centre = bb_spill_choose (&p->group->rooms, &view, p->random);
   struct bb_backend_server *least;
   if (data_centre == 0)
--- a/marked/placement/spill.h
+++ b/marked/placement/spill.h
@@ -10,7 +10,9 @@
 /* Servers of one service as seen by the balancers of a data centre.  */
 struct bb_spill_view
 {
-  double load;                 /* pending requests per slot here, smoothed */
+  /* Pending requests per slot here, smoothed; INFINITY if there is no server.
+   */
+  double load;
   double slots;                /* here */
   const struct bb_pool *other; /* servers of other data centres */
   bb_usec now;
