--- a/marked/balancer.c
+++ b/marked/balancer.c
@@ -93,10 +93,10 @@
   f->sent = f->confirmed = p->sequence + 1;
   s->load.open++;
   m->counters.placed++;
-  if (!s->is_local)
-    m->counters.placed_remote++;
-  if (choice.reason == BB_REASON_EVACUATED)
-    m->counters.placed_evacuated++;
+  m->counters.placed_remote += !s->is_local;
+  m->counters.placed_evacuated += choice.reason == BB_REASON_EVACUATED;
+  m->counters.placed_random += choice.choice == BB_CHOICE_RANDOM;
+  m->counters.placed_spilled += choice.is_spilled;
   bb_marked_send_event (m, BB_EVENT_FLOW_PLACED, s, hash,
                         (uint64_t)s->load.open + (uint64_t)s->load.peer_open,
                         choice.reason, now);
--- a/marked/state/directory.c
+++ b/marked/state/directory.c
@@ -21,7 +21,7 @@
   g_strlcpy (d->data_centre, data_centre, sizeof d->data_centre);
   d->names = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   d->cookies = g_hash_table_new (NULL, NULL);
-  d->services = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  d->services = g_hash_table_new_full (NULL, NULL, NULL, bb_server_group_free);
   d->routes = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   bb_list_init (&d->servers_by_revision);
   bb_list_init (&d->routes_by_revision);
@@ -157,6 +157,7 @@
     s->record.created = created;
   s->key = bb_server_key (record->service, record->name);
   s->service = bb_name_key (record->service);
+  s->data_centre = bb_name_key (record->data_centre);
   s->is_local = strcmp (record->data_centre, d->data_centre) == 0;
   s->is_evacuated = bb_directory_is_evacuated (d, record->data_centre);
   s->cold_until = record->cold_ms ? now + record->cold_ms * BB_MSEC : 0;
@@ -173,8 +174,8 @@
       = is_removal (record) ? MAX (now - record->gone_ms * BB_MSEC, 1) : 0;
   if (record->state != BB_SERVER_GONE && !is_placeholder (record))
     {
-      s->group = bb_directory_get_service (d, s->service, s->record.service);
-      bb_list_append (&s->group->servers, &s->of_service);
+      s->group = bb_server_group_get (d, s->service, s->record.service);
+      bb_server_group_add (s->group, s);
     }
   append_server (d, s);
 }
--- a/marked/state/directory_private.h
+++ b/marked/state/directory_private.h
@@ -32,6 +32,15 @@
   bool limits_unsorted;
 };
 
+/* server_group.c  */
+/* Returns the group of SERVICE, which is called NAME.  Adds it if needed.  */
+struct bb_server_group *bb_server_group_get (struct bb_directory *d,
+                                             uint32_t service,
+                                             const char *name);
+void bb_server_group_free (gpointer data);
+void bb_server_group_add (struct bb_server_group *group,
+                          struct bb_backend_server *s);
+
 /* The lists by revision are sorted only when they are read, since a whole read
    of the store returns records in the order of their keys.  Appends LINK, an
    item of REVISION, to the list HEAD.  Sets *UNSORTED if REVISION is lower
@@ -42,12 +51,6 @@
 void bb_directory_sort_list (struct bb_link *head, bool *unsorted,
                              GCompareFunc order);
 
-/* Returns the servers of SERVICE, which is called NAME; adds an empty group
-   for a new service.  */
-struct bb_server_group *bb_directory_get_service (struct bb_directory *d,
-                                                  uint32_t service,
-                                                  const char *name);
-
 /* Create the tables, freed by bb_directory_free.  */
 void bb_directory_init_evacuations (struct bb_directory *d);
 void bb_directory_init_limits (struct bb_directory *d);
--- a/runtime/marked_metrics.c
+++ b/runtime/marked_metrics.c
@@ -75,6 +75,12 @@
   { "flows_placed_evacuated", "",
     "New flows in other data centres because the own one is evacuated.", false,
     COUNTERS, OFFSET (bb_marked_counters, placed_evacuated) },
+  { "flows_placed_random", "",
+    "New flows whose server is a random one of the best.", false, COUNTERS,
+    OFFSET (bb_marked_counters, placed_random) },
+  { "flows_placed_spilled", "",
+    "New flows moved to data centres that report room.", false, COUNTERS,
+    OFFSET (bb_marked_counters, placed_spilled) },
   { "first_packet_copies", "", "Copies of first packets.", false, COUNTERS,
     OFFSET (bb_marked_counters, syn_copies) },
   { "resets", "", "Open flows that were reset.", false, COUNTERS,
@@ -203,7 +209,7 @@
 /* Writes one histogram per service.  One per server would be 15 lines for each
    of the 54,000 servers that exist over two years.  */
 static void
-write_service (void *context, const struct bb_server_group *group)
+write_service (void *context, struct bb_server_group *group)
 {
   g_autofree char *labels = g_strdup_printf ("service=\"%s\",", group->name);
   write_buckets (&group->answer_times, "service_answer_time_seconds", labels,
@@ -211,7 +217,7 @@
 }
 
 static void
-write_estimate (void *context, const struct bb_server_group *group)
+write_estimate (void *context, struct bb_server_group *group)
 {
   const struct bb_answer_time *times[]
       = { &group->local_dc, &group->remote_dc };
