--- a/core/core.h
+++ b/core/core.h
@@ -334,8 +334,10 @@
   BB_EVENT_RELOAD,
   BB_EVENT_LINK_SUSPECT, /* most servers are silent at once */
   BB_EVENT_LINK_TRUSTED,
-  BB_EVENT_STATE_ADOPTED, /* the whole state of the store or of a peer */
-  BB_EVENT_STATE_REFUSED, /* records of a peer that contradict each other */
+  BB_EVENT_STATE_ADOPTED,    /* the whole state of the store or of a peer */
+  BB_EVENT_STATE_REFUSED,    /* records of a peer that contradict each other */
+  BB_EVENT_SERVER_FAILING,   /* its answers are short; value: how many */
+  BB_EVENT_SERVER_RECOVERED, /* value: answers as usual since then */
   BB_EVENT_KINDS
 };
 
--- a/core/strings.c
+++ b/core/strings.c
@@ -69,6 +69,8 @@
   [BB_EVENT_LINK_TRUSTED] = "link_trusted",
   [BB_EVENT_STATE_ADOPTED] = "state_adopted",
   [BB_EVENT_STATE_REFUSED] = "state_refused",
+  [BB_EVENT_SERVER_FAILING] = "server_failing",
+  [BB_EVENT_SERVER_RECOVERED] = "server_recovered",
 };
 
 static const char *const reasons[BB_REASONS] = {
--- a/marked/balancer.c
+++ b/marked/balancer.c
@@ -188,9 +188,9 @@
 }
 
 static void
-continue_flow (struct bb_marked *m, const struct bb_route *route,
-               uint64_t hash, const struct bb_marked_packet *packet,
-               bb_usec now, struct bb_marked_verdict *v)
+continue_flow (struct bb_marked *m, struct bb_route *route, uint64_t hash,
+               const struct bb_marked_packet *packet, bb_usec now,
+               struct bb_marked_verdict *v)
 {
   const struct bb_packet *p = &packet->packet;
   struct bb_backend_server *s
@@ -221,7 +221,7 @@
       reset_flow (m, hash, s, BB_REASON_ROUTE_DROPPED, now, v);
       return;
     }
-  bb_marked_observe_packet (m, f, s, p, now);
+  bb_marked_observe_packet (m, route, f, s, p, now);
   if (must_reset_flow (m, f, s, p, now))
     {
       reset_flow (m, hash, s,
@@ -230,6 +230,8 @@
                   now, v);
       return;
     }
+  if (p->tcp_flags & BB_TCP_FIN)
+    bb_marked_end_answer (m, route, f, s, now);
   if (p->tcp_flags & (BB_TCP_FIN | BB_TCP_RST))
     bb_marked_close_flow (m, f);
   forward_packet (m, s, v);
@@ -248,8 +250,7 @@
       drop (m, BB_DROP_NOT_READY, v);
       return;
     }
-  const struct bb_route *route
-      = bb_directory_find_route (m->directory, &address);
+  struct bb_route *route = bb_directory_find_route (m->directory, &address);
   uint64_t hash = bb_flow_hash (p, 0);
   if (p->tcp_flags & BB_TCP_SYN)
     open_flow (m, route, hash, p, now, v);
--- a/marked/balancer_private.h
+++ b/marked/balancer_private.h
@@ -10,6 +10,15 @@
 enum
 {
   ENDED_SERVERS_MAX = 64, /* servers that ended since the last tick */
+  SHORT_ANSWERS_MAX = 128,
+};
+
+/* A short answer of which more may follow.  */
+struct bb_short_answer
+{
+  uint64_t flow; /* hash */
+  uint32_t answer_start;
+  uint32_t due_ms;
 };
 
 struct bb_marked
@@ -33,6 +42,9 @@
   GArray *alive_times;
   struct bb_backend_server *ended_servers[ENDED_SERVERS_MAX];
   uint32_t ended_count;
+  /* A ring; the counts run on.  */
+  struct bb_short_answer short_answers[SHORT_ANSWERS_MAX];
+  uint32_t short_answers_begin, short_answers_end;
   struct bb_marked_counters counters;
   struct bb_histogram answer_times;
   struct bb_histogram open_times;
@@ -61,11 +73,31 @@
 void bb_marked_record_repeat (struct bb_marked *m, struct bb_backend_server *s,
                               struct bb_marked_flow *flow, bb_usec now);
 
-/* Evaluates a packet of an open flow as evidence on its server.  */
-void bb_marked_observe_packet (struct bb_marked *m, struct bb_marked_flow *f,
+/* Evaluates a packet of an open flow of ROUTE as evidence on its server.  */
+void bb_marked_observe_packet (struct bb_marked *m, struct bb_route *route,
+                               struct bb_marked_flow *f,
                                struct bb_backend_server *s,
                                const struct bb_packet *p, bb_usec now);
 
+/* answers.c: the lengths of answers as evidence on servers.  */
+/* Records that the caller of F sent a request.  */
+void bb_marked_begin_answer (struct bb_marked *m, struct bb_route *route,
+                             struct bb_marked_flow *f,
+                             struct bb_backend_server *s, bb_usec now);
+/* Records that the caller of F received more of the answer.  */
+void bb_marked_continue_answer (struct bb_marked *m,
+                                const struct bb_route *route,
+                                struct bb_marked_flow *f,
+                                struct bb_backend_server *s, bb_usec now);
+/* Records that the caller of F received the whole answer.  */
+void bb_marked_end_answer (struct bb_marked *m, struct bb_route *route,
+                           struct bb_marked_flow *f,
+                           struct bb_backend_server *s, bb_usec now);
+/* Counts short answers of which no more followed.  */
+void bb_marked_count_short_answers (struct bb_marked *m, bb_usec now);
+/* Trusts failing servers that answer again or got no requests for long.  */
+void bb_marked_review_failing_servers (struct bb_marked *m, bb_usec now);
+
 /* flow_resets.c: resets the flows of servers that have ended.  */
 
 /* Marks the flows of S to be reset by the next tick.  If the list is full,
--- /dev/null
+++ b/marked/evidence/answer_quality.c
@@ -0,0 +1,270 @@
+#include "marked/evidence/answer_quality.h"
+#include <math.h>
+#include <string.h>
+
+enum
+{
+  SAMPLES_MIN = 16,        /* needed to know the usual lengths */
+  SAMPLES_INTERVAL = 8,    /* answers between two evaluations of the lengths */
+  SPREAD_MULTIPLE = 6,     /* of the upper half of the usual lengths */
+  LENGTH_TOLERANCE = 8,    /* an answer may be 1/8 shorter than the median */
+  RECOVERED_AFTER = 8,     /* usual answers in a row */
+  FAILING_PART = 3,        /* at most 1/3 of the servers are failing */
+  FAILING_SERVERS_MIN = 3, /* a service of fewer has none */
+};
+
+/* Long answers vary more; one of less than this part of the median is an
+   outlier at any spread.  */
+#define OUTLIER_PART_MIN 0.4
+
+/* Time in which the weight of an answer falls to 1/e.  With 7 answers a second
+   of a server, a failure of a fifth of them gives 3 outliers in this time.  */
+#define RECENT_TIME (2 * BB_SEC)
+
+/* Natural logarithm of the likelihood ratio between a server with its own
+   share of outliers and one with that of the other servers.  With 1,000
+   servers, chance gives it to less than one server in 4 RECENT_TIME.  */
+#define EVIDENCE_MIN 9.0
+
+/* A server that loses its flows is a loss of capacity, which is justified only
+   if it fails this share of its requests and far more than the others.  */
+#define FAILING_SHARE_MIN 0.2
+#define FAILING_SHARE_RATIO 2.0
+#define OUTLIERS_MIN 2.5
+
+/* Share of outliers of the other servers that is assumed at least, and the
+   number of answers that count in its favour.  */
+#define USUAL_SHARE_MIN 0.01
+#define USUAL_SHARE_ANSWERS 50.0
+
+/* A failing server with no outlier for this time gets flows again: it
+   recovered, or nobody asks it.  */
+#define RETRY_AFTER (3 * BB_SEC)
+
+#define FAILING_COST_FACTOR 16.0
+#define RECOVERY_TIME BB_SEC
+
+/* A balancer that was frozen for longer has old counts to report.  */
+#define REPORT_TIME_MAX BB_SEC
+
+enum
+{
+  REPORT_SERVERS_MIN = 3, /* with outliers, to compare them */
+};
+
+static void
+sort (uint16_t *values, uint32_t count)
+{
+  for (uint32_t i = 1; i < count; i++)
+    {
+      uint16_t value = values[i];
+      uint32_t at = i;
+      for (; at > 0 && values[at - 1] > value; at--)
+        values[at] = values[at - 1];
+      values[at] = value;
+    }
+}
+
+/* The median and the upper quartile are used, which errors of less than half
+   of the answers do not change much.  */
+static uint16_t
+find_shortest_usual (const struct bb_answer_lengths *l)
+{
+  uint16_t sorted[BB_ANSWER_SAMPLES];
+  memcpy (sorted, l->samples, l->count * sizeof sorted[0]);
+  sort (sorted, l->count);
+  double median = sorted[l->count / 2];
+  double spread = sorted[l->count * 3 / 4] - median;
+  double tolerance = MAX (SPREAD_MULTIPLE * spread, median / LENGTH_TOLERANCE);
+  return (uint16_t)MAX (OUTLIER_PART_MIN * median, median - tolerance);
+}
+
+void
+bb_answer_lengths_add (struct bb_answer_lengths *l, uint32_t bytes)
+{
+  l->samples[l->next] = (uint16_t)MIN (bytes, UINT16_MAX);
+  l->next = (l->next + 1) % BB_ANSWER_SAMPLES;
+  l->count = (uint8_t)MIN (l->count + 1, BB_ANSWER_SAMPLES);
+  if (l->count >= SAMPLES_MIN && l->next % SAMPLES_INTERVAL == 0)
+    l->shortest_usual = find_shortest_usual (l);
+}
+
+static void
+age (struct bb_recent_answers *r, bb_usec now)
+{
+  if (now <= r->updated)
+    return;
+  double weight = exp (-(double)(now - r->updated) / RECENT_TIME);
+  r->usual *= weight;
+  r->outliers *= weight;
+  r->updated = now;
+}
+
+static void
+add_counts (struct bb_recent_answers *r, const struct bb_answer_counts *counts,
+            bb_usec now)
+{
+  age (r, now);
+  r->usual += counts->usual;
+  r->outliers += counts->outliers;
+}
+
+void
+bb_answer_quality_add (struct bb_server_quality *q,
+                       struct bb_service_quality *g,
+                       const struct bb_answer_counts *counts, bb_usec now)
+{
+  add_counts (&q->recent, counts, now);
+  age (&g->recent, now);
+  if (!q->is_failing)
+    add_counts (&g->recent, counts, now);
+  g->total.usual += counts->usual;
+  g->total.outliers += counts->outliers;
+  if (counts->outliers > 0)
+    {
+      q->last_outlier = now;
+      q->usual_in_a_row = 0;
+    }
+  else
+    q->usual_in_a_row += counts->usual;
+}
+
+static double
+own_share (const struct bb_server_quality *q)
+{
+  return q->recent.outliers / (q->recent.outliers + q->recent.usual);
+}
+
+/* Share of outliers of the other servers that are not failing.  */
+static double
+share_of_others (const struct bb_server_quality *q,
+                 const struct bb_service_quality *g)
+{
+  struct bb_recent_answers r = g->recent;
+  if (!q->is_failing)
+    {
+      r.outliers = MAX (r.outliers - q->recent.outliers, 0);
+      r.usual = MAX (r.usual - q->recent.usual, 0);
+    }
+  double share = (r.outliers + USUAL_SHARE_MIN * USUAL_SHARE_ANSWERS)
+                 / (r.outliers + r.usual + USUAL_SHARE_ANSWERS);
+  return MAX (share, USUAL_SHARE_MIN);
+}
+
+static bool
+is_much_worse (double own, double others)
+{
+  return own >= FAILING_SHARE_MIN && own >= FAILING_SHARE_RATIO * others;
+}
+
+bool
+bb_answer_quality_looks_failing (const struct bb_server_quality *q,
+                                 const struct bb_service_quality *g)
+{
+  if (q->recent.outliers < OUTLIERS_MIN)
+    return false;
+  double own = own_share (q), others = share_of_others (q, g);
+  if (!is_much_worse (own, others))
+    return false;
+  double evidence = q->recent.outliers * log (own / others);
+  if (own < 1)
+    evidence += q->recent.usual * log ((1 - own) / (1 - others));
+  return evidence >= EVIDENCE_MIN;
+}
+
+bool
+bb_answer_quality_looks_recovered (const struct bb_server_quality *q,
+                                   const struct bb_service_quality *g,
+                                   bb_usec now)
+{
+  return q->usual_in_a_row >= RECOVERED_AFTER
+         || now - q->last_outlier >= RETRY_AFTER
+         || !is_much_worse (own_share (q), share_of_others (q, g));
+}
+
+void
+bb_answer_quality_begin_failure (struct bb_server_quality *q,
+                                 struct bb_service_quality *g, bb_usec now)
+{
+  age (&q->recent, now);
+  age (&g->recent, now);
+  g->recent.usual = MAX (g->recent.usual - q->recent.usual, 0);
+  g->recent.outliers = MAX (g->recent.outliers - q->recent.outliers, 0);
+  g->failures++;
+  q->is_failing = true;
+  q->usual_in_a_row = 0;
+}
+
+void
+bb_answer_quality_end_failure (struct bb_server_quality *q, bb_usec now)
+{
+  q->recent = (struct bb_recent_answers){ .updated = now };
+  q->is_failing = false;
+  q->recovered = now;
+}
+
+bool
+bb_answer_quality_may_fail (uint32_t failing, uint32_t servers)
+{
+  return servers >= FAILING_SERVERS_MIN
+         && (failing + 1) * FAILING_PART <= servers;
+}
+
+double
+bb_answer_quality_factor (const struct bb_server_quality *q, bb_usec now)
+{
+  if (q->is_failing)
+    return FAILING_COST_FACTOR;
+  if (q->recovered == 0 || now - q->recovered >= RECOVERY_TIME)
+    return 1;
+  double remaining = 1 - (double)(now - q->recovered) / RECOVERY_TIME;
+  return 1 + (FAILING_COST_FACTOR - 1) * remaining;
+}
+
+bool
+bb_answer_counts_are_plausible (const struct bb_answer_counts *counts)
+{
+  return counts->usual <= BB_ANSWER_REPORT_MAX
+         && counts->outliers <= BB_ANSWER_REPORT_MAX;
+}
+
+void
+bb_answer_quality_note (struct bb_server_quality *q,
+                        const struct bb_answer_counts *counts, bb_usec now)
+{
+  struct bb_answer_counts *u = &q->unreported;
+  if (u->usual + u->outliers == 0)
+    q->unreported_since = now;
+  u->usual = MIN (u->usual + counts->usual, BB_ANSWER_REPORT_MAX);
+  u->outliers = MIN (u->outliers + counts->outliers, BB_ANSWER_REPORT_MAX);
+}
+
+bool
+bb_answer_quality_has_report (const struct bb_server_quality *q)
+{
+  return q->unreported.usual + q->unreported.outliers > 0;
+}
+
+struct bb_answer_counts
+bb_answer_quality_take_report (struct bb_server_quality *q, bb_usec now)
+{
+  struct bb_answer_counts report = q->unreported;
+  q->unreported = (struct bb_answer_counts){ 0 };
+  return now - q->unreported_since > REPORT_TIME_MAX
+             ? (struct bb_answer_counts){ 0 }
+             : report;
+}
+
+bool
+bb_answer_report_is_distinct (const struct bb_answer_counts *report,
+                              uint32_t servers)
+{
+  uint32_t usual = 0, outliers = 0, failing = 0;
+  for (uint32_t i = 0; i < servers; i++)
+    {
+      usual += report[i].usual;
+      outliers += report[i].outliers;
+      failing += report[i].outliers > 0;
+    }
+  return failing < REPORT_SERVERS_MIN || outliers <= usual;
+}
--- a/marked/flows.h
+++ b/marked/flows.h
@@ -18,6 +18,15 @@
   BB_FLOW_CLOSED /* not counted; late packets of the flow may follow */
 };
 
+/* The answer to the newest request of a flow.  */
+enum
+{
+  BB_ANSWER_NONE,
+  BB_ANSWER_AWAITED,
+  BB_ANSWER_SETTLING, /* short so far */
+  BB_ANSWER_COUNTED
+};
+
 struct bb_marked_flow
 {
   uint64_t hash; /* 0: free */
@@ -29,12 +38,14 @@
   uint32_t sent;            /* end of the newest data of the caller */
   uint32_t confirmed;       /* end of the data that the server acknowledged */
   uint32_t acknowledged;    /* newest answer byte that the caller has */
+  uint32_t answer_start;    /* acknowledged, when the request was sent */
   uint32_t chain;           /* next entry of the hash chain */
   uint32_t older;           /* neighbours in the order of seen_ms */
   uint32_t newer;
   uint32_t silence_id; /* last silence of the server that counts it; 0: none */
   bool was_queued;     /* the server had no free slot for the request */
   uint8_t state;
+  uint8_t answer_state;
   uint8_t repeats; /* of the same data, without an answer */
 };
 
--- a/marked/observe.c
+++ b/marked/observe.c
@@ -93,8 +93,9 @@
    from the server to the caller and are not observed here.  Data beyond the
    in-flight limit shows that the caller received an acknowledgement.  */
 static void
-record_data (struct bb_marked *m, struct bb_marked_flow *f,
-             struct bb_backend_server *s, uint32_t end, bb_usec now)
+record_data (struct bb_marked *m, struct bb_route *route,
+             struct bb_marked_flow *f, struct bb_backend_server *s,
+             uint32_t end, bb_usec now)
 {
   f->sent = end;
   f->repeats = 0;
@@ -103,6 +104,7 @@
       f->request_sent_ms = bb_marked_time_ms (now);
       f->was_queued = s->load.busy + s->load.peer_busy >= s->record.slots;
       s->load.busy++;
+      bb_marked_begin_answer (m, route, f, s, now);
     }
   if (!is_after (end - IN_FLIGHT_BYTES_MAX, f->confirmed))
     return;
@@ -111,7 +113,8 @@
 }
 
 void
-bb_marked_observe_packet (struct bb_marked *m, struct bb_marked_flow *f,
+bb_marked_observe_packet (struct bb_marked *m, struct bb_route *route,
+                          struct bb_marked_flow *f,
                           struct bb_backend_server *s,
                           const struct bb_packet *p, bb_usec now)
 {
@@ -124,11 +127,12 @@
       bb_marked_record_answer (m, s, f, now);
       if (f->request_sent_ms != 0)
         record_answer_time (m, f, s, now);
+      bb_marked_continue_answer (m, route, f, s, now);
     }
   if (p->payload == 0)
     return;
   if (is_after (end, f->sent))
-    record_data (m, f, s, end, now);
+    record_data (m, route, f, s, end, now);
   else if (is_after (end, f->confirmed))
     bb_marked_record_repeat (m, s, f, now);
 }
--- a/marked/placement/place.c
+++ b/marked/placement/place.c
@@ -108,7 +108,10 @@
           update_candidate (&candidates.least_busy, s, load_per_slot (s),
                             random);
         }
-      update_candidate (candidate, s, policy->cost (s), random);
+      update_candidate (candidate, s,
+                        policy->cost (s)
+                            * bb_answer_quality_factor (&s->load.quality, now),
+                        random);
     }
   return candidates;
 }
--- a/marked/state/directory.h
+++ b/marked/state/directory.h
@@ -10,6 +10,7 @@
 
 #include "core/histogram.h"
 #include "marked/evidence/admission.h"
+#include "marked/evidence/answer_quality.h"
 #include "marked/evidence/suspicion.h"
 #include "marked/state/list.h"
 #include "marked/state/revision.h"
@@ -69,6 +70,7 @@
   int32_t peer_busy;
   struct bb_suspicion_evidence evidence;
   bb_usec answer_time; /* smoothed time to the start of an answer */
+  struct bb_server_quality quality;
 };
 
 /* The servers of one service and their answer times as observed here.  */
@@ -81,6 +83,7 @@
   struct bb_answer_time remote_dc;
   struct bb_histogram answer_times; /* local and remote */
   struct bb_priorities priorities;
+  struct bb_service_quality quality;
   uint32_t cold_rate; /* of its struct bb_service_record */
   char name[BB_NAME_MAX];
 };
@@ -125,6 +128,7 @@
 {
   struct bb_route_record record;
   bb_usec dropped; /* 0: in force */
+  struct bb_answer_lengths answers;
   struct bb_link by_revision;
 };
 
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -145,6 +145,17 @@
                                 const struct bb_endpoint *from,
                                 const struct bb_sync_message *m, bb_usec now);
 
+/* sync_answers.c: the answers of servers as seen by all balancers of a data
+   centre.  */
+/* Adds the answers seen here since the last heartbeat to B, whose loads are
+   set.  Only a heartbeat that is sent to all peers may take them.  */
+void bb_sync_add_answers (struct bb_sync *s, struct bb_sync_heartbeat *b,
+                          bb_usec now);
+void bb_sync_apply_peer_answers (struct bb_sync *s,
+                                 const struct bb_sync_peer *p,
+                                 const struct bb_sync_heartbeat *b,
+                                 bb_usec now);
+
 /* sync_records.c: exchange of records, the state of the store.  */
 void bb_sync_send_records (struct bb_sync *s, const struct bb_endpoint *to,
                            size_t count, uint64_t from, bb_usec now);
--- a/runtime/marked_metrics.c
+++ b/runtime/marked_metrics.c
@@ -206,6 +206,22 @@
         group->name, places[i], (double)times[i]->estimate / BB_SEC);
 }
 
+static void
+write_quality (void *context, const struct bb_server_group *group)
+{
+  const struct bb_service_quality *q = &group->quality;
+  evbuffer_add_printf (
+      context,
+      "bluebellstand_service_answers_total{service=\"%s\","
+      "length=\"usual\"} %" PRIu32 "\n"
+      "bluebellstand_service_answers_total{service=\"%s\","
+      "length=\"short\"} %" PRIu32 "\n"
+      "bluebellstand_service_failing_servers_total{service=\"%s\"} %" PRIu32
+      "\n",
+      group->name, q->total.usual, group->name, q->total.outliers, group->name,
+      q->failures);
+}
+
 static void
 write_reasons (const struct bb_marked_counters *c, struct evbuffer *out)
 {
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -16,6 +16,7 @@
   HEADER_FIELDS = 4,
   VM_FIELDS = 4,
   LOAD_FIELDS = 5,
+  ANSWER_FIELDS = 2,
   /* Older builds put the suspicion of a server into a load.  */
   LOAD_NOT_SUSPECT = 0,
   SERVER_FIELDS = 13,
@@ -29,7 +30,7 @@
 #define NO_NAME "-"
 
 static const size_t body_fields[BB_SYNC_KINDS] = {
-  [BB_SYNC_HEARTBEAT] = 9,
+  [BB_SYNC_HEARTBEAT] = 10,
   [BB_SYNC_REQUEST] = 2,
   [BB_SYNC_RECORDS] = 16,
 };
@@ -42,6 +43,17 @@
   bb_writer_put_uint (pk, bb_revision_number (revision));
 }
 
+static void
+put_answers (msgpack_packer *pk, const struct bb_sync_heartbeat *h)
+{
+  msgpack_pack_array (pk, h->answer_count * ANSWER_FIELDS);
+  for (uint32_t i = 0; i < h->answer_count; i++)
+    {
+      bb_writer_put_uint (pk, h->answers[i].usual);
+      bb_writer_put_uint (pk, h->answers[i].outliers);
+    }
+}
+
 static void
 put_heartbeat (msgpack_packer *pk, const struct bb_sync_heartbeat *h)
 {
@@ -68,6 +80,7 @@
       bb_writer_put_uint (pk, h->loads[i].is_answering);
     }
   bb_writer_put_uint (pk, bb_revision_era (h->revision));
+  put_answers (pk, h);
 }
 
 static void
@@ -241,6 +254,24 @@
   return r->remaining ? bb_reader_get_uint (r, BB_REVISION_ERA_MAX) : 0;
 }
 
+/* Reads the answers, which earlier releases do not send.  */
+static void
+read_answers (struct bb_reader *r, struct bb_sync_heartbeat *h)
+{
+  if (r->remaining == 0)
+    return;
+  struct bb_reader inner
+      = read_groups (r, ANSWER_FIELDS, BB_SYNC_LOADS_MAX, &h->answer_count);
+  for (uint32_t i = 0; i < h->answer_count; i++)
+    {
+      h->answers[i].usual = bb_reader_get_u32 (&inner);
+      h->answers[i].outliers = bb_reader_get_u32 (&inner);
+    }
+  r->is_invalid
+      |= inner.is_invalid
+         || (h->answer_count > 0 && h->answer_count != h->load_count);
+}
+
 static void
 read_heartbeat (struct bb_reader *r, struct bb_sync_heartbeat *h)
 {
@@ -270,6 +301,7 @@
     }
   r->is_invalid |= inner.is_invalid;
   h->revision = bb_revision_make (read_era (r), h->revision);
+  read_answers (r, h);
 }
 
 static void
