--- a/runtime/marked_metrics.c
+++ b/runtime/marked_metrics.c
@@ -207,19 +207,26 @@
 }
 
 static void
-write_quality (void *context, const struct bb_server_group *group)
+write_answers (void *context, const struct bb_server_group *group)
+{
+  const struct bb_answer_counts *total = &group->quality.total;
+  const uint32_t counts[] = { total->usual, total->outliers };
+  static const char *const lengths[] = { "usual", "short" };
+  for (size_t i = 0; i < G_N_ELEMENTS (counts); i++)
+    evbuffer_add_printf (context,
+                         "bluebellstand_service_answers_total{service=\"%s\","
+                         "length=\"%s\"} %" PRIu32 "\n",
+                         group->name, lengths[i], counts[i]);
+}
+
+static void
+write_failures (void *context, const struct bb_server_group *group)
 {
-  const struct bb_service_quality *q = &group->quality;
   evbuffer_add_printf (
       context,
-      "bluebellstand_service_answers_total{service=\"%s\","
-      "length=\"usual\"} %" PRIu32 "\n"
-      "bluebellstand_service_answers_total{service=\"%s\","
-      "length=\"short\"} %" PRIu32 "\n"
       "bluebellstand_service_failing_servers_total{service=\"%s\"} %" PRIu32
       "\n",
-      group->name, q->total.usual, group->name, q->total.outliers, group->name,
-      q->failures);
+      group->name, group->quality.failures);
 }
 
 static void
@@ -337,5 +344,13 @@
                 out);
   bb_directory_foreach_service (bb_marked_directory (p->marked),
                                 write_estimate, out);
+  write_header ("service_answers_total", "counter",
+                "Answers by length, as seen by all near balancers.", out);
+  bb_directory_foreach_service (bb_marked_directory (p->marked), write_answers,
+                                out);
+  write_header ("service_failing_servers_total", "counter",
+                "Servers found failing by their short answers.", out);
+  bb_directory_foreach_service (bb_marked_directory (p->marked),
+                                write_failures, out);
   write_servers (p, out);
 }
