--- a/marked/evidence/answer_quality.c
+++ b/marked/evidence/answer_quality.c
@@ -17,29 +17,33 @@
    outlier at any spread.  */
 #define OUTLIER_PART_MIN 0.4
 
-/* Time in which the weight of an answer falls to 1/e.  With 7 answers a second
-   of a server, a failure of a fifth of them gives 3 outliers in this time.  */
+/* Time in which the weight of an answer falls to 1/e.  */
 #define RECENT_TIME (2 * BB_SEC)
 
-/* Natural logarithm of the likelihood ratio between a server with its own
-   share of outliers and one with that of the other servers.  With 1,000
-   servers, chance gives it to less than one server in 4 RECENT_TIME.  */
-#define EVIDENCE_MIN 9.0
+/* A usual server gives this evidence by chance once in e^10 = 22,000 answers
+   at most; two outliers in a row do not give it.  */
+#define EVIDENCE_MIN 10.0
 
-/* A server that loses its flows is a loss of capacity, which is justified only
-   if it fails this share of its requests and far more than the others.  */
-#define FAILING_SHARE_MIN 0.2
+/* Time in which the weight of evidence falls to 1/e.  A service with 3 answers
+   a second of a server gives 15 in this time.  */
+#define EVIDENCE_TIME (5 * BB_SEC)
+
+/* A failing server is expected to fail this share of its requests, and far
+   more than the others.  Above the largest share, failing servers cannot be
+   distinguished.  */
+#define FAILING_SHARE 0.3
 #define FAILING_SHARE_RATIO 2.0
-#define OUTLIERS_MIN 2.5
+#define FAILING_SHARE_MAX 0.9
 
 /* Share of outliers of the other servers that is assumed at least, and the
    number of answers that count in its favour.  */
 #define USUAL_SHARE_MIN 0.01
 #define USUAL_SHARE_ANSWERS 50.0
+#define USUAL_SHARE_MAX 0.99
 
 /* A failing server with no outlier for this time gets flows again: it
    recovered, or nobody asks it.  */
-#define RETRY_AFTER (3 * BB_SEC)
+#define RETRY_AFTER (2 * BB_SEC)
 
 #define FAILING_COST_FACTOR 16.0
 #define RECOVERY_TIME BB_SEC
@@ -109,30 +113,11 @@
   r->outliers += counts->outliers;
 }
 
-void
-bb_answer_quality_add (struct bb_server_quality *q,
-                       struct bb_service_quality *g,
-                       const struct bb_answer_counts *counts, bb_usec now)
-{
-  add_counts (&q->recent, counts, now);
-  age (&g->recent, now);
-  if (!q->is_failing)
-    add_counts (&g->recent, counts, now);
-  g->total.usual += counts->usual;
-  g->total.outliers += counts->outliers;
-  if (counts->outliers > 0)
-    {
-      q->last_outlier = now;
-      q->usual_in_a_row = 0;
-    }
-  else
-    q->usual_in_a_row += counts->usual;
-}
-
 static double
 own_share (const struct bb_server_quality *q)
 {
-  return q->recent.outliers / (q->recent.outliers + q->recent.usual);
+  double all = q->recent.outliers + q->recent.usual;
+  return all > 0 ? q->recent.outliers / all : 0;
 }
 
 /* Share of outliers of the other servers that are not failing.  */
@@ -148,28 +133,62 @@
     }
   double share = (r.outliers + USUAL_SHARE_MIN * USUAL_SHARE_ANSWERS)
                  / (r.outliers + r.usual + USUAL_SHARE_ANSWERS);
-  return MAX (share, USUAL_SHARE_MIN);
+  return CLAMP (share, USUAL_SHARE_MIN, USUAL_SHARE_MAX);
 }
 
-static bool
-is_much_worse (double own, double others)
+/* A cumulative sum test: the evidence grows with outliers and falls to 0 with
+   usual answers, so that those before a failure do not delay its detection.
+ */
+static void
+add_evidence (struct bb_server_quality *q, const struct bb_service_quality *g,
+              const struct bb_answer_counts *counts)
+{
+  double others = share_of_others (q, g);
+  double failing = MAX (FAILING_SHARE, FAILING_SHARE_RATIO * others);
+  if (failing > FAILING_SHARE_MAX)
+    return;
+  q->evidence += counts->outliers * log (failing / others)
+                 + counts->usual * log ((1 - failing) / (1 - others));
+  q->evidence = MAX (q->evidence, 0);
+}
+
+void
+bb_answer_quality_add (struct bb_server_quality *q,
+                       struct bb_service_quality *g,
+                       const struct bb_answer_counts *counts, bb_usec now)
 {
-  return own >= FAILING_SHARE_MIN && own >= FAILING_SHARE_RATIO * others;
+  if (now > q->recent.updated)
+    q->evidence *= exp (-(double)(now - q->recent.updated) / EVIDENCE_TIME);
+  add_counts (&q->recent, counts, now);
+  age (&g->recent, now);
+  if (!q->is_failing)
+    add_counts (&g->recent, counts, now);
+  g->total.usual += counts->usual;
+  g->total.outliers += counts->outliers;
+  add_evidence (q, g, counts);
+  if (counts->outliers > 0)
+    {
+      q->last_outlier = now;
+      q->usual_in_a_row = 0;
+    }
+  else
+    q->usual_in_a_row += counts->usual;
 }
 
 bool
-bb_answer_quality_looks_failing (const struct bb_server_quality *q,
-                                 const struct bb_service_quality *g)
+bb_answer_quality_looks_failing (const struct bb_server_quality *q)
+{
+  return q->evidence >= EVIDENCE_MIN;
+}
+
+/* Whether the other servers fail so often that Q is not much worse.  */
+static bool
+is_like_others (const struct bb_server_quality *q,
+                const struct bb_service_quality *g)
 {
-  if (q->recent.outliers < OUTLIERS_MIN)
-    return false;
-  double own = own_share (q), others = share_of_others (q, g);
-  if (!is_much_worse (own, others))
-    return false;
-  double evidence = q->recent.outliers * log (own / others);
-  if (own < 1)
-    evidence += q->recent.usual * log ((1 - own) / (1 - others));
-  return evidence >= EVIDENCE_MIN;
+  double others = share_of_others (q, g);
+  return others * FAILING_SHARE_RATIO > FAILING_SHARE
+         && own_share (q) < others * FAILING_SHARE_RATIO;
 }
 
 bool
@@ -178,8 +197,7 @@
                                    bb_usec now)
 {
   return q->usual_in_a_row >= RECOVERED_AFTER
-         || now - q->last_outlier >= RETRY_AFTER
-         || !is_much_worse (own_share (q), share_of_others (q, g));
+         || now - q->last_outlier >= RETRY_AFTER || is_like_others (q, g);
 }
 
 void
@@ -199,6 +217,7 @@
 bb_answer_quality_end_failure (struct bb_server_quality *q, bb_usec now)
 {
   q->recent = (struct bb_recent_answers){ .updated = now };
+  q->evidence = 0;
   q->is_failing = false;
   q->recovered = now;
 }
--- a/marked/evidence/answer_quality.h
+++ b/marked/evidence/answer_quality.h
@@ -53,6 +53,9 @@
 struct bb_server_quality
 {
   struct bb_recent_answers recent;
+  /* Logarithm of the likelihood ratio between a failing and a usual server,
+     over the answers since it was last 0.  */
+  double evidence;
   struct bb_answer_counts unreported; /* seen here since the last heartbeat */
   bb_usec unreported_since;           /* time of the first of them */
   uint32_t usual_in_a_row;
@@ -75,10 +78,9 @@
                             const struct bb_answer_counts *counts,
                             bb_usec now);
 
-/* Whether the evidence shows that the server, which is not failing yet, fails
-   far more often than the others.  */
-bool bb_answer_quality_looks_failing (const struct bb_server_quality *q,
-                                      const struct bb_service_quality *g);
+/* Whether the evidence shows that the server fails far more often than the
+   others.  */
+bool bb_answer_quality_looks_failing (const struct bb_server_quality *q);
 
 /* Whether the server, which is failing, answers again like the others, or has
    had no chance to for some time.  */
--- a/marked/state/server_quality.c
+++ b/marked/state/server_quality.c
@@ -46,8 +46,7 @@
   bb_answer_quality_add (q, &s->group->quality, counts, now);
   if (q->is_failing)
     return bb_server_review_quality (s, now);
-  if (counts->outliers == 0
-      || !bb_answer_quality_looks_failing (q, &s->group->quality)
+  if (counts->outliers == 0 || !bb_answer_quality_looks_failing (q)
       || !may_fail (s))
     return BB_QUALITY_UNCHANGED;
   bb_answer_quality_begin_failure (q, &s->group->quality, now);
