--- a/marked/evidence/answer_quality.c
+++ b/marked/evidence/answer_quality.c
@@ -15,7 +15,7 @@
 
 /* Long answers vary more; one of less than this part of the median is an
    outlier at any spread.  */
-#define OUTLIER_PART_MIN 0.4
+#define OUTLIER_PART_MIN (1 / 3.0)
 
 /* Time in which the weight of an answer falls to 1/e.  */
 #define RECENT_TIME (2 * BB_SEC)
