--- a/marked/evidence/answer_quality.c
+++ b/marked/evidence/answer_quality.c
@@ -36,9 +36,11 @@
 #define FAILING_SHARE_MAX 0.9
 
 /* Share of outliers of the other servers that is assumed at least, and the
-   number of answers that count in its favour.  */
+   number of answers that count in its favour.  With fewer recent answers of
+   the other servers, nothing is concluded.  */
+#define OTHERS_ANSWERS_MIN 20.0
 #define USUAL_SHARE_MIN 0.01
-#define USUAL_SHARE_ANSWERS 50.0
+#define USUAL_SHARE_ANSWERS 10.0
 #define USUAL_SHARE_MAX 0.99
 
 /* A failing server with no outlier for this time gets flows again: it
@@ -113,17 +115,10 @@
   r->outliers += counts->outliers;
 }
 
-static double
-own_share (const struct bb_server_quality *q)
-{
-  double all = q->recent.outliers + q->recent.usual;
-  return all > 0 ? q->recent.outliers / all : 0;
-}
-
-/* Share of outliers of the other servers that are not failing.  */
-static double
-share_of_others (const struct bb_server_quality *q,
-                 const struct bb_service_quality *g)
+/* Returns the recent answers of the other servers that are not failing.  */
+static struct bb_recent_answers
+answers_of_others (const struct bb_server_quality *q,
+                   const struct bb_service_quality *g)
 {
   struct bb_recent_answers r = g->recent;
   if (!q->is_failing)
@@ -131,8 +126,14 @@
       r.outliers = MAX (r.outliers - q->recent.outliers, 0);
       r.usual = MAX (r.usual - q->recent.usual, 0);
     }
-  double share = (r.outliers + USUAL_SHARE_MIN * USUAL_SHARE_ANSWERS)
-                 / (r.outliers + r.usual + USUAL_SHARE_ANSWERS);
+  return r;
+}
+
+static double
+outlier_share (const struct bb_recent_answers *r)
+{
+  double share = (r->outliers + USUAL_SHARE_MIN * USUAL_SHARE_ANSWERS)
+                 / (r->outliers + r->usual + USUAL_SHARE_ANSWERS);
   return CLAMP (share, USUAL_SHARE_MIN, USUAL_SHARE_MAX);
 }
 
@@ -143,9 +144,10 @@
 add_evidence (struct bb_server_quality *q, const struct bb_service_quality *g,
               const struct bb_answer_counts *counts)
 {
-  double others = share_of_others (q, g);
+  struct bb_recent_answers r = answers_of_others (q, g);
+  double others = outlier_share (&r);
   double failing = MAX (FAILING_SHARE, FAILING_SHARE_RATIO * others);
-  if (failing > FAILING_SHARE_MAX)
+  if (failing > FAILING_SHARE_MAX || r.usual + r.outliers < OTHERS_ANSWERS_MIN)
     return;
   q->evidence += counts->outliers * log (failing / others)
                  + counts->usual * log ((1 - failing) / (1 - others));
@@ -186,9 +188,10 @@
 is_like_others (const struct bb_server_quality *q,
                 const struct bb_service_quality *g)
 {
-  double others = share_of_others (q, g);
+  struct bb_recent_answers r = answers_of_others (q, g);
+  double others = outlier_share (&r);
   return others * FAILING_SHARE_RATIO > FAILING_SHARE
-         && own_share (q) < others * FAILING_SHARE_RATIO;
+         && outlier_share (&q->recent) < others * FAILING_SHARE_RATIO;
 }
 
 bool
--- a/marked/observe.c
+++ b/marked/observe.c
@@ -26,6 +26,7 @@
 {
   bb_marked_uncount_flow (m, flow);
   flow->state = BB_FLOW_CLOSED;
+  flow->answer_state = BB_ANSWER_NONE;
   flow->request_sent_ms = 0;
 }
 
