--- a/marked/evidence/answer_quality.c
+++ b/marked/evidence/answer_quality.c
@@ -4,19 +4,16 @@
 
 enum
 {
-  SAMPLES_MIN = 16,        /* needed to know the usual lengths */
-  SAMPLES_INTERVAL = 8,    /* answers between two evaluations of the lengths */
-  SPREAD_MULTIPLE = 6,     /* of the upper half of the usual lengths */
-  LENGTH_TOLERANCE = 8,    /* an answer may be 1/8 shorter than the median */
+  SAMPLES_MIN = 16,     /* needed to know the usual lengths */
+  SAMPLES_INTERVAL = 8, /* answers between two evaluations of the lengths */
+  SPREAD_MULTIPLE = 6,  /* of the upper half of the usual lengths */
+  LENGTH_TOLERANCE = 8, /* an answer may be 1/8 shorter than the median */
+  OUTLIER_PART = 3, /* less than 1/3 of the median is no usual answer at all */
   RECOVERED_AFTER = 8,     /* usual answers in a row */
   FAILING_PART = 3,        /* at most 1/3 of the servers are failing */
   FAILING_SERVERS_MIN = 3, /* a service of fewer has none */
 };
 
-/* Long answers vary more; one of less than this part of the median is an
-   outlier at any spread.  */
-#define OUTLIER_PART_MIN (1 / 3.0)
-
 /* Time in which the weight of an answer falls to 1/e.  */
 #define RECENT_TIME (2 * BB_SEC)
 
@@ -79,10 +76,10 @@
   uint16_t sorted[BB_ANSWER_SAMPLES];
   memcpy (sorted, l->samples, l->count * sizeof sorted[0]);
   sort (sorted, l->count);
-  double median = sorted[l->count / 2];
-  double spread = sorted[l->count * 3 / 4] - median;
-  double tolerance = MAX (SPREAD_MULTIPLE * spread, median / LENGTH_TOLERANCE);
-  return (uint16_t)MAX (OUTLIER_PART_MIN * median, median - tolerance);
+  int median = sorted[l->count / 2];
+  int spread = sorted[l->count * 3 / 4] - median;
+  int tolerance = MAX (SPREAD_MULTIPLE * spread, median / LENGTH_TOLERANCE);
+  return (uint16_t)MAX (median / OUTLIER_PART, median - tolerance);
 }
 
 void
--- a/tests/sync_message_test.c
+++ b/tests/sync_message_test.c
@@ -24,6 +24,8 @@
         .listed_peer_count = 1,
         .loads = { { 0xffffffff, 65535, 3, false }, { 1, 0, 1, true } },
         .load_count = 2,
+        .answers = { { 90, 10 }, { 0, 1 } },
+        .answer_count = 2,
       };
       break;
     case BB_SYNC_REQUEST:
@@ -95,6 +97,8 @@
                          m.heartbeat.loads[0].busy);
       ck_assert (!decoded.heartbeat.loads[0].is_answering);
       ck_assert (decoded.heartbeat.loads[1].is_answering);
+      ck_assert_uint_eq (decoded.heartbeat.answers[0].usual, 90);
+      ck_assert_uint_eq (decoded.heartbeat.answers[1].outliers, 1);
     }
   if (m.kind == BB_SYNC_RECORDS)
     {
@@ -180,6 +184,44 @@
 }
 END_TEST
 
+/* Guards against rejecting heartbeats of releases that do not report answers,
+   and against counts that belong to other servers.  */
+static const struct
+{
+  const char *description;
+  uint32_t answer_count;
+  bool is_cut; /* the last element is missing */
+  bool is_valid;
+} reports[] = {
+  { "one of each server", 2, false, true },
+  { "none", 0, false, true },
+  { "none, of an earlier release", 0, true, true },
+  { "of fewer servers", 1, false, false },
+  { "of more servers", 3, false, false },
+};
+
+START_TEST (answers_belong_to_loads)
+{
+  struct bb_sync_message m = make_message (BB_SYNC_HEARTBEAT), decoded;
+  m.heartbeat.answer_count = reports[_i].answer_count;
+  GByteArray *bytes = bb_sync_encode (&m);
+  if (reports[_i].is_cut)
+    {
+      g_byte_array_set_size (bytes, bytes->len - 1);
+      bytes->data[0]--;
+    }
+  GError *error = NULL;
+  bool is_valid = bb_sync_decode (bytes->data, bytes->len, &decoded, &error);
+  g_clear_error (&error);
+  ck_assert_msg (is_valid == reports[_i].is_valid, "%s",
+                 reports[_i].description);
+  if (is_valid)
+    ck_assert_uint_eq (decoded.heartbeat.answer_count,
+                       m.heartbeat.answer_count);
+  g_byte_array_unref (bytes);
+}
+END_TEST
+
 /* Guards against datagrams larger than one frame, which a busy link would
    fragment.  */
 START_TEST (messages_fit_a_frame)
@@ -192,7 +234,14 @@
   ck_assert_uint_ge (m.heartbeat.load_count, 1);
   ck_assert_uint_le (m.heartbeat.load_count, BB_SYNC_LOADS_MAX);
   for (int i = 0; i < BB_SYNC_LOADS_MAX; i++)
-    m.heartbeat.loads[i] = (struct bb_sync_load){ UINT32_MAX, 300, 20, true };
+    {
+      m.heartbeat.loads[i]
+          = (struct bb_sync_load){ UINT32_MAX, 300, 20, true };
+      m.heartbeat.answers[i]
+          = (struct bb_answer_counts){ BB_ANSWER_REPORT_MAX,
+                                       BB_ANSWER_REPORT_MAX };
+    }
+  m.heartbeat.answer_count = m.heartbeat.load_count;
   for (int i = 0; i < BB_SYNC_LISTED_PEERS_MAX; i++)
     m.heartbeat.listed_peers[i]
         = (struct bb_sync_vm){ UINT32_MAX, UINT32_MAX, { UINT32_MAX, 65535 } };
@@ -267,6 +316,7 @@
   tcase_add_loop_test (tc, records_of_older_versions_decode, 0,
                        G_N_ELEMENTS (appended));
   tcase_add_test (tc, eras_round_trip);
+  tcase_add_loop_test (tc, answers_belong_to_loads, 0, G_N_ELEMENTS (reports));
   tcase_add_loop_test (tc, messages_fit_a_frame, 0, 4);
   tcase_add_loop_test (tc, truncated_messages_are_refused, 0, BB_SYNC_KINDS);
   tcase_add_test (tc, changed_bytes_stay_in_bounds);
