--- a/marked/evidence/answer_quality.c
+++ b/marked/evidence/answer_quality.c
@@ -277,7 +277,7 @@
 bb_answer_report_is_distinct (const struct bb_answer_counts *report,
                               uint32_t servers)
 {
-  uint32_t usual = 0, outliers = 0, failing = 0;
+  uint64_t usual = 0, outliers = 0, failing = 0;
   for (uint32_t i = 0; i < servers; i++)
     {
       usual += report[i].usual;
--- a/tests/answers_test.c
+++ b/tests/answers_test.c
@@ -217,6 +217,56 @@
 }
 END_TEST
 
+/* Guards against a peer with absurd or one-sided reports that ejects servers.
+ */
+static const struct
+{
+  const char *description;
+  struct bb_answer_counts report[SERVERS];
+  unsigned failing, refused;
+} reports[] = {
+  { "one failing server", { { 0, 4 }, { 4, 0 }, { 4, 0 } }, 1, 0 },
+  { "more answers than a server can give", { { 0, 101 }, { 4, 0 } }, 0, 1 },
+  { "absurd counts of all servers",
+    { { UINT32_MAX, UINT32_MAX }, { UINT32_MAX, 0 }, { 0, UINT32_MAX } },
+    0,
+    1 },
+  { "all servers seem to fail", { { 0, 4 }, { 0, 4 }, { 0, 4 } }, 0, 0 },
+};
+
+START_TEST (reports_of_peers_are_checked)
+{
+  setup_service ();
+  const struct bb_endpoint from = { 0x0a000102, 7000 };
+  struct bb_sync_message m = {
+    .kind = BB_SYNC_HEARTBEAT,
+    .from = 2,
+    .heartbeat = { .data_centre = bb_name_key ("north"),
+                   .load_count = SERVERS,
+                   .answer_count = SERVERS },
+  };
+  struct bb_backend_server *servers[SERVERS];
+  for (int i = 0; i < SERVERS; i++)
+    {
+      char name[8];
+      g_snprintf (name, sizeof name, "s%d", i);
+      servers[i] = bb_directory_find_server (bb_marked_directory (t.m), name);
+      m.heartbeat.loads[i].cookie = servers[i]->cookie;
+      m.heartbeat.answers[i] = reports[_i].report[i];
+    }
+  for (int i = 0; i < 2 * TRAINING; i++)
+    ask (USUAL, AT (i * 5));
+  bb_sync_receive (bb_marked_get_sync (t.m), &from, &m, AT (400));
+  unsigned failing = 0;
+  for (int i = 0; i < SERVERS; i++)
+    failing += servers[i]->load.quality.is_failing;
+  ck_assert_msg (failing == reports[_i].failing, "%s: %u failing",
+                 reports[_i].description, failing);
+  ck_assert_uint_ge (t.events[BB_EVENT_ENTRY_REFUSED], reports[_i].refused);
+  teardown ();
+}
+END_TEST
+
 /* Guards against a failing server whose evidence outlives its process.  */
 START_TEST (restarted_server_is_trusted)
 {
@@ -241,6 +291,8 @@
   TCase *c = tcase_create ("packets");
   tcase_add_loop_test (c, answer_is_counted_once, 0, G_N_ELEMENTS (exchanges));
   tcase_add_test (c, failing_server_gets_few_new_flows);
+  tcase_add_loop_test (c, reports_of_peers_are_checked, 0,
+                       G_N_ELEMENTS (reports));
   tcase_add_test (c, restarted_server_is_trusted);
   suite_add_tcase (s, c);
   return run_suite (s);
