marked: a balancer without evidence adopts failures that peers report

A balancer that has just started knows no usual lengths of answers, and a failing server has the fewest flows.

Only what a balancer found by evidence is reported as failing, so that balancers that adopt it do not keep it up among each other.

--- a/marked/evidence/answer_quality.c
+++ b/marked/evidence/answer_quality.c
@@ -47,12 +47,16 @@
 #define FAILING_COST_FACTOR 16.0
 #define RECOVERY_TIME BB_SEC
 
+/* Less than the interval of heartbeats, so that a peer is counted once.  */
+#define PEER_REPORT_TIME (200 * BB_MSEC)
+
 /* A balancer that was frozen for longer has old counts to report.  */
 #define REPORT_TIME_MAX BB_SEC
 
 enum
 {
   REPORT_SERVERS_MIN = 3, /* with outliers, to compare them */
+  PEER_REPORTS_MIN = 3,
 };
 
 static void
@@ -165,6 +169,8 @@
   g->total.usual += counts->usual;
   g->total.outliers += counts->outliers;
   add_evidence (q, g, counts);
+  if (q->is_adopted && bb_answer_quality_looks_failing (q))
+    q->is_adopted = false;
   if (counts->outliers > 0)
     {
       q->last_outlier = now;
@@ -218,10 +224,28 @@
 {
   q->recent = (struct bb_recent_answers){ .updated = now };
   q->evidence = 0;
-  q->is_failing = false;
+  q->is_failing = q->is_adopted = false;
   q->recovered = now;
 }
 
+bool
+bb_answer_quality_add_peer_report (struct bb_server_quality *q, bb_usec now)
+{
+  if (now - q->reports_since >= PEER_REPORT_TIME)
+    {
+      q->reports_since = now;
+      q->peer_reports = 0;
+    }
+  if (q->peer_reports < PEER_REPORTS_MIN)
+    q->peer_reports++;
+  if (q->peer_reports < PEER_REPORTS_MIN)
+    return false;
+  if (q->is_adopted)
+    q->last_outlier = now;
+  return !q->is_failing
+         && (q->recovered == 0 || now - q->recovered >= RETRY_AFTER);
+}
+
 bool
 bb_answer_quality_may_fail (uint32_t failing, uint32_t servers)
 {
@@ -261,28 +285,33 @@
 bool
 bb_answer_quality_has_report (const struct bb_server_quality *q)
 {
-  return q->unreported.usual + q->unreported.outliers > 0;
+  return q->unreported.usual + q->unreported.outliers > 0
+         || (q->is_failing && !q->is_adopted);
 }
 
-struct bb_answer_counts
+struct bb_answer_report
 bb_answer_quality_take_report (struct bb_server_quality *q, bb_usec now)
 {
   const struct bb_answer_counts none = { 0 };
-  struct bb_answer_counts report = q->unreported;
+  struct bb_answer_report report
+      = { .counts = q->unreported,
+          .is_failing = q->is_failing && !q->is_adopted };
   q->unreported = none;
-  return now - q->unreported_since > REPORT_TIME_MAX ? none : report;
+  if (now - q->unreported_since > REPORT_TIME_MAX)
+    report.counts = none;
+  return report;
 }
 
 bool
-bb_answer_report_is_distinct (const struct bb_answer_counts *report,
+bb_answer_report_is_distinct (const struct bb_answer_report *report,
                               uint32_t servers)
 {
   uint64_t usual = 0, outliers = 0, failing = 0;
   for (uint32_t i = 0; i < servers; i++)
     {
-      usual += report[i].usual;
-      outliers += report[i].outliers;
-      failing += report[i].outliers > 0;
+      usual += report[i].counts.usual;
+      outliers += report[i].counts.outliers;
+      failing += report[i].counts.outliers > 0;
     }
   return failing < REPORT_SERVERS_MIN || outliers <= usual;
 }
--- a/marked/evidence/answer_quality.h
+++ b/marked/evidence/answer_quality.h
@@ -41,6 +41,13 @@
   uint32_t outliers; /* far shorter than the usual answers of the route */
 };
 
+/* What a balancer tells its peers of a server in a heartbeat.  */
+struct bb_answer_report
+{
+  struct bb_answer_counts counts; /* since the last heartbeat */
+  bool is_failing;                /* by evidence of the sender */
+};
+
 /* Counts in which older answers have less weight.  */
 struct bb_recent_answers
 {
@@ -60,8 +67,11 @@
   bb_usec unreported_since;           /* time of the first of them */
   uint32_t usual_in_a_row;
   bool is_failing;
-  bb_usec last_outlier; /* 0: none */
-  bb_usec recovered;    /* last end of a failure; 0: none */
+  bool is_adopted;       /* failing by reports of peers alone */
+  uint8_t peer_reports;  /* that it is failing, since the next time */
+  bb_usec reports_since; /* 0: none */
+  bb_usec last_outlier;  /* 0: none */
+  bb_usec recovered;     /* last end of a failure; 0: none */
 };
 
 /* Evidence on a service: the answers of its servers that are not failing.  */
@@ -94,6 +104,13 @@
                                       bb_usec now);
 void bb_answer_quality_end_failure (struct bb_server_quality *q, bb_usec now);
 
+/* Records the report of a peer that the server is failing.  Returns whether so
+   many peers say so that a balancer without evidence, which has just started,
+   adopts it.  What is adopted is not reported in turn, so that it does not
+   outlast the evidence.  */
+bool bb_answer_quality_add_peer_report (struct bb_server_quality *q,
+                                        bb_usec now);
+
 /* Whether one more of SERVERS servers may be found failing, of which FAILING
    are already.  Without this bound, the rest would be overloaded.  */
 bool bb_answer_quality_may_fail (uint32_t failing, uint32_t servers);
@@ -111,9 +128,9 @@
 
 bool bb_answer_quality_has_report (const struct bb_server_quality *q);
 
-/* Returns the counts to report to the peers and removes them from Q.  Counts
-   that are too old to be added to the recent ones are dropped.  */
-struct bb_answer_counts
+/* Returns the report to the peers and removes its counts from Q.  Counts that
+   are too old to be added to the recent ones are dropped.  */
+struct bb_answer_report
 bb_answer_quality_take_report (struct bb_server_quality *q, bb_usec now);
 
 /* Whether COUNTS, the report of a peer on one server, can be true.  */
@@ -122,6 +139,6 @@
 /* Whether a report of SERVERS servers tells failing servers from others.  One
    in which most servers fail shows that the peer misjudges its routes, or that
    a service fails as a whole.  */
-bool bb_answer_report_is_distinct (const struct bb_answer_counts *report,
+bool bb_answer_report_is_distinct (const struct bb_answer_report *report,
                                    uint32_t servers);
 #endif
--- a/marked/state/server_quality.c
+++ b/marked/state/server_quality.c
@@ -53,6 +53,19 @@
   return BB_QUALITY_FAILING;
 }
 
+enum bb_quality_change
+bb_server_add_peer_report (struct bb_backend_server *s, bb_usec now)
+{
+  struct bb_server_quality *q = &s->load.quality;
+  if (!s->group || !bb_answer_quality_add_peer_report (q, now)
+      || !may_fail (s))
+    return BB_QUALITY_UNCHANGED;
+  bb_answer_quality_begin_failure (q, &s->group->quality, now);
+  q->is_adopted = true;
+  q->last_outlier = now;
+  return BB_QUALITY_FAILING;
+}
+
 struct bb_event
 bb_server_quality_event (const struct bb_backend_server *s,
                          enum bb_quality_change change)
--- a/marked/state/server_quality.h
+++ b/marked/state/server_quality.h
@@ -18,6 +18,10 @@
 bb_server_add_answers (struct bb_backend_server *s,
                        const struct bb_answer_counts *counts, bb_usec now);
 
+/* Adds the report of a peer that S is failing.  */
+enum bb_quality_change bb_server_add_peer_report (struct bb_backend_server *s,
+                                                  bb_usec now);
+
 /* Trusts S again if it is failing and the evidence allows it.  */
 enum bb_quality_change bb_server_review_quality (struct bb_backend_server *s,
                                                  bb_usec now);
--- a/marked/sync/sync_messages.h
+++ b/marked/sync/sync_messages.h
@@ -66,8 +66,8 @@
   uint32_t listed_peer_count;
   struct bb_sync_load loads[BB_SYNC_LOADS_MAX];
   uint32_t load_count;
-  /* Answers since the last heartbeat, one entry for each of loads.  */
-  struct bb_answer_counts answers[BB_SYNC_LOADS_MAX];
+  /* The answers of servers, one entry for each of loads.  */
+  struct bb_answer_report answers[BB_SYNC_LOADS_MAX];
   uint32_t answer_count; /* 0: not reported */
 };
 
--- a/tests/answer_quality_test.c
+++ b/tests/answer_quality_test.c
@@ -326,14 +326,20 @@
 static const struct
 {
   const char *description;
-  struct bb_answer_counts report[4];
+  struct bb_answer_report report[4];
   bool is_distinct;
 } reports[] = {
-  { "nothing", { { 0, 0 } }, true },
-  { "one failing server", { { 3, 0 }, { 0, 2 }, { 4, 0 } }, true },
-  { "only one server was asked", { { 0, 3 } }, true },
-  { "all servers seem to fail", { { 0, 2 }, { 1, 3 }, { 0, 2 } }, false },
-  { "some of each", { { 2, 1 }, { 3, 1 }, { 2, 2 }, { 5, 0 } }, true },
+  { "nothing", { { { 0, 0 }, false } }, true },
+  { "one failing server",
+    { { { 3, 0 }, false }, { { 0, 2 }, true }, { { 4, 0 }, false } },
+    true },
+  { "only one server was asked", { { { 0, 3 }, false } }, true },
+  { "all servers seem to fail",
+    { { { 0, 2 }, true }, { { 1, 3 }, true }, { { 0, 2 }, true } },
+    false },
+  { "some of each",
+    { { { 2, 1 }, false }, { { 3, 1 }, false }, { { 2, 2 }, false } },
+    true },
 };
 
 START_TEST (report_that_blames_all_servers_is_ignored)
@@ -351,20 +357,20 @@
   struct bb_server_quality q = { 0 };
   struct bb_answer_counts one = { .usual = 2, .outliers = 1 };
   bb_answer_quality_note (&q, &one, BB_SEC);
-  struct bb_answer_counts report
+  struct bb_answer_report report
       = bb_answer_quality_take_report (&q, BB_SEC + 300 * BB_MSEC);
-  ck_assert_uint_eq (report.usual, 2);
-  ck_assert_uint_eq (report.outliers, 1);
+  ck_assert_uint_eq (report.counts.usual, 2);
+  ck_assert_uint_eq (report.counts.outliers, 1);
   ck_assert (!bb_answer_quality_has_report (&q));
   bb_answer_quality_note (&q, &one, 2 * BB_SEC);
   report = bb_answer_quality_take_report (&q, 7 * BB_SEC);
-  ck_assert_uint_eq (report.usual + report.outliers, 0);
+  ck_assert_uint_eq (report.counts.usual + report.counts.outliers, 0);
   for (int i = 0; i < 1000; i++)
     bb_answer_quality_note (&q, &one, 8 * BB_SEC);
   report = bb_answer_quality_take_report (&q, 8 * BB_SEC);
-  ck_assert (bb_answer_counts_are_plausible (&report));
-  report.outliers = BB_ANSWER_REPORT_MAX + 1;
-  ck_assert (!bb_answer_counts_are_plausible (&report));
+  ck_assert (bb_answer_counts_are_plausible (&report.counts));
+  report.counts.outliers = BB_ANSWER_REPORT_MAX + 1;
+  ck_assert (!bb_answer_counts_are_plausible (&report.counts));
 }
 END_TEST
 
--- a/tests/answers_test.c
+++ b/tests/answers_test.c
@@ -252,7 +252,7 @@
       g_snprintf (name, sizeof name, "s%d", i);
       servers[i] = bb_directory_find_server (bb_marked_directory (t.m), name);
       m.heartbeat.loads[i].cookie = servers[i]->cookie;
-      m.heartbeat.answers[i] = reports[_i].report[i];
+      m.heartbeat.answers[i].counts = reports[_i].report[i];
     }
   for (int i = 0; i < 2 * TRAINING; i++)
     ask (USUAL, AT (i * 5));
--- a/tests/sync_message_test.c
+++ b/tests/sync_message_test.c
@@ -24,7 +24,7 @@
         .listed_peer_count = 1,
         .loads = { { 0xffffffff, 65535, 3, false }, { 1, 0, 1, true } },
         .load_count = 2,
-        .answers = { { 90, 10 }, { 0, 1 } },
+        .answers = { { { 90, 10 }, false }, { { 0, 1 }, true } },
         .answer_count = 2,
       };
       break;
@@ -97,8 +97,10 @@
                          m.heartbeat.loads[0].busy);
       ck_assert (!decoded.heartbeat.loads[0].is_answering);
       ck_assert (decoded.heartbeat.loads[1].is_answering);
-      ck_assert_uint_eq (decoded.heartbeat.answers[0].usual, 90);
-      ck_assert_uint_eq (decoded.heartbeat.answers[1].outliers, 1);
+      ck_assert_uint_eq (decoded.heartbeat.answers[0].counts.usual, 90);
+      ck_assert_uint_eq (decoded.heartbeat.answers[1].counts.outliers, 1);
+      ck_assert (!decoded.heartbeat.answers[0].is_failing);
+      ck_assert (decoded.heartbeat.answers[1].is_failing);
     }
   if (m.kind == BB_SYNC_RECORDS)
     {
@@ -237,11 +239,13 @@
     {
       m.heartbeat.loads[i]
           = (struct bb_sync_load){ UINT32_MAX, 300, 20, true };
-      m.heartbeat.answers[i]
-          = (struct bb_answer_counts){ BB_ANSWER_REPORT_MAX,
-                                       BB_ANSWER_REPORT_MAX };
+      m.heartbeat.answers[i] = (struct bb_answer_report){
+        { BB_ANSWER_REPORT_MAX, BB_ANSWER_REPORT_MAX }, true
+      };
     }
-  m.heartbeat.answer_count = m.heartbeat.load_count;
+  /* The reply to a joining balancer lists many peers, but no answers.  */
+  m.heartbeat.answer_count
+      = listed_peers[_i] <= BB_SYNC_LISTED_PEERS ? m.heartbeat.load_count : 0;
   for (int i = 0; i < BB_SYNC_LISTED_PEERS_MAX; i++)
     m.heartbeat.listed_peers[i]
         = (struct bb_sync_vm){ UINT32_MAX, UINT32_MAX, { UINT32_MAX, 65535 } };
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -16,7 +16,7 @@
   HEADER_FIELDS = 4,
   VM_FIELDS = 4,
   LOAD_FIELDS = 5,
-  ANSWER_FIELDS = 2,
+  ANSWER_FIELDS = 3,
   /* Older builds put the suspicion of a server into a load.  */
   LOAD_NOT_SUSPECT = 0,
   SERVER_FIELDS = 13,
@@ -49,8 +49,9 @@
   msgpack_pack_array (pk, h->answer_count * ANSWER_FIELDS);
   for (uint32_t i = 0; i < h->answer_count; i++)
     {
-      bb_writer_put_uint (pk, h->answers[i].usual);
-      bb_writer_put_uint (pk, h->answers[i].outliers);
+      bb_writer_put_uint (pk, h->answers[i].counts.usual);
+      bb_writer_put_uint (pk, h->answers[i].counts.outliers);
+      bb_writer_put_uint (pk, h->answers[i].is_failing);
     }
 }
 
@@ -264,8 +265,9 @@
       = read_groups (r, ANSWER_FIELDS, BB_SYNC_LOADS_MAX, &h->answer_count);
   for (uint32_t i = 0; i < h->answer_count; i++)
     {
-      h->answers[i].usual = bb_reader_get_u32 (&inner);
-      h->answers[i].outliers = bb_reader_get_u32 (&inner);
+      h->answers[i].counts.usual = bb_reader_get_u32 (&inner);
+      h->answers[i].counts.outliers = bb_reader_get_u32 (&inner);
+      h->answers[i].is_failing = bb_reader_get_uint (&inner, 1) != 0;
     }
   r->is_invalid
       |= inner.is_invalid
