--- a/marked/evidence/answer_quality.c
+++ b/marked/evidence/answer_quality.c
@@ -44,6 +44,9 @@
    recovered, or nobody asks it.  */
 #define RETRY_AFTER (2 * BB_SEC)
 
+/* Evidence that is kept in the second case: one more outlier is enough.  */
+#define EVIDENCE_AT_RETRY (0.7 * EVIDENCE_MIN)
+
 #define FAILING_COST_FACTOR 16.0
 #define RECOVERY_TIME BB_SEC
 
@@ -223,7 +226,7 @@
 bb_answer_quality_end_failure (struct bb_server_quality *q, bb_usec now)
 {
   q->recent = (struct bb_recent_answers){ .updated = now };
-  q->evidence = 0;
+  q->evidence = q->usual_in_a_row >= RECOVERED_AFTER ? 0 : EVIDENCE_AT_RETRY;
   q->is_failing = q->is_adopted = false;
   q->recovered = now;
 }
--- a/tests/failing_servers_test.c
+++ b/tests/failing_servers_test.c
@@ -154,6 +154,29 @@
   bb_marked_confirm_revision (m, SERVERS + 1, 0, 0);
 }
 
+static void
+start_balancer (unsigned index)
+{
+  struct bb_endpoint seed = endpoint_of (index == 0);
+  struct bb_marked_options options = {
+    .sync_options = { .self = { .id = index + 1,
+                                .data_centre = bb_name_key ("north"),
+                                .endpoint = endpoint_of (index) },
+                      .capacity = 1000,
+                      .incarnation = (uint64_t)sim.now,
+                      .seed = index + 1 },
+    .data_centre = "north",
+    .flow_capacity = 1024,
+    .idle_ms = 15000,
+  };
+  bb_marked_free (sim.nodes[index]);
+  sim.nodes[index]
+      = bb_marked_new (&options, &sink, GUINT_TO_POINTER (index), sim.now);
+  sim.is_up[index] = true;
+  bb_sync_set_seeds (bb_marked_get_sync (sim.nodes[index]), &seed, 1);
+  put_state (sim.nodes[index]);
+}
+
 static void
 setup (void)
 {
@@ -161,26 +184,8 @@
   sim.random = g_rand_new_with_seed (1);
   sim.now = BB_SEC;
   sim.delay = BB_MSEC;
-  struct bb_endpoint seed = endpoint_of (0);
   for (unsigned i = 0; i < BALANCERS; i++)
-    {
-      struct bb_marked_options options = {
-        .sync_options = { .self = { .id = i + 1,
-                                    .data_centre = bb_name_key ("north"),
-                                    .endpoint = endpoint_of (i) },
-                          .capacity = 1000,
-                          .incarnation = 1,
-                          .seed = i + 1 },
-        .data_centre = "north",
-        .flow_capacity = 1024,
-        .idle_ms = 15000,
-      };
-      sim.nodes[i]
-          = bb_marked_new (&options, &sink, GUINT_TO_POINTER (i), sim.now);
-      sim.is_up[i] = true;
-      bb_sync_set_seeds (bb_marked_get_sync (sim.nodes[i]), &seed, 1);
-      put_state (sim.nodes[i]);
-    }
+    start_balancer (i);
   for (unsigned i = 0; i < FAILING; i++)
     {
       char name[8];
@@ -357,6 +362,30 @@
 }
 END_TEST
 
+/* Guards against a balancer that starts during a fault and places its flows on
+   the failing servers, which have the fewest, and against reports that
+   balancers keep up among each other after the fault.  */
+START_TEST (joining_balancer_adopts_failures)
+{
+  enum
+  {
+    JOINING = 4,
+  };
+  run (10 * BB_SEC);
+  sim.errors = 100;
+  run (2 * BB_SEC);
+  ck_assert_uint_eq (count_known (), count_live () * FAILING);
+  for (unsigned i = 0; i < JOINING; i++)
+    start_balancer (i * 4);
+  run (600 * BB_MSEC);
+  ck_assert_uint_ge (count_known (), (count_live () * FAILING * 9) / 10);
+  sim.errors = 0;
+  run (6 * BB_SEC);
+  ck_assert_uint_eq (count_known (), 0);
+  ck_assert_uint_eq (sim.alarms[0], 0);
+}
+END_TEST
+
 /* Guards against servers that stay without flows after a fault.  */
 START_TEST (servers_recover)
 {
@@ -392,6 +421,7 @@
   tcase_add_checked_fixture (c, setup, teardown);
   tcase_add_loop_test (c, failing_servers_are_found_together, 0,
                        G_N_ELEMENTS (loads));
+  tcase_add_test (c, joining_balancer_adopts_failures);
   tcase_add_test (c, servers_recover);
   tcase_add_test (c, lost_balancers_cause_no_alarm);
   suite_add_tcase (s, c);
