--- a/marked/balancer.c
+++ b/marked/balancer.c
@@ -51,7 +51,8 @@
       = bb_directory_find_by_cookie (m->directory, flow->cookie);
   if (!s || s->record.state == BB_SERVER_GONE
       || bb_suspicion_is_dead (&s->load.evidence,
-                               bb_marked_observed_until (m, now)))
+                               bb_marked_observed_until (m, now))
+      || bb_marked_server_has_ended (m, s, now))
     return NULL;
   return s;
 }
--- a/marked/balancer_private.h
+++ b/marked/balancer_private.h
@@ -120,6 +120,9 @@
  */
 void bb_marked_check_link (struct bb_marked *m, bb_usec now);
 
+/* Adds the servers that are dead by the silences of several balancers.  */
+void bb_marked_check_peer_silences (struct bb_marked *m, bb_usec now);
+
 /* Returns the time up to which all answers have been observed here.  Packets
    that callers sent after later answers may still be queued at a link, so
    servers are evaluated as of this time.  */
--- a/marked/balancer_state.c
+++ b/marked/balancer_state.c
@@ -161,6 +161,7 @@
   bb_directory_remove_expired (m->directory, now, handle_expired_server, m);
   bb_marked_count_short_answers (m, now);
   bb_marked_check_link (m, now);
+  bb_marked_check_peer_silences (m, now);
   bb_marked_reset_ended_flows (m, now);
   if (now - m->last_sweep < SWEEP_INTERVAL)
     return;
--- a/marked/evidence/suspicion.c
+++ b/marked/evidence/suspicion.c
@@ -19,6 +19,7 @@
   DEAD_FLOWS = 3,
   DEAD_FLOWS_FEW = 2, /* for servers with few flows here */
   PROVEN_REPEATS = 2, /* a single one may be due to a lost packet */
+  DEAD_BALANCERS = 2, /* whose silences together are enough */
 };
 
 bool
@@ -27,6 +28,7 @@
   bool was_suspect = bb_suspicion_is_suspect (e, now);
   *e = (struct bb_suspicion_evidence){ .last_answer = now,
                                        .last_peer_answer = e->last_peer_answer,
+                                       .peer_silence = e->peer_silence,
                                        .silence_id = e->silence_id };
   return was_suspect;
 }
@@ -36,6 +38,7 @@
 {
   *e = (struct bb_suspicion_evidence){ .last_answer = e->last_answer,
                                        .last_peer_answer = e->last_peer_answer,
+                                       .peer_silence = e->peer_silence,
                                        .silent_since = now,
                                        .silence_id = e->silence_id + 1 };
 }
@@ -108,6 +111,56 @@
          && bb_suspicion_is_dead (e, now);
 }
 
+struct bb_silence
+bb_suspicion_silence (const struct bb_suspicion_evidence *e, bb_usec now)
+{
+  if (!bb_suspicion_is_silent (e, now) || e->first_proven_repeat == 0)
+    return (struct bb_silence){ 0 };
+  return (struct bb_silence){
+    .flows = MIN (e->silent_flows, e->proven_repeats),
+    .since = e->first_proven_repeat,
+  };
+}
+
+void
+bb_suspicion_add_peer_silence (struct bb_suspicion_evidence *e,
+                               const struct bb_silence *silence, bb_usec now)
+{
+  struct bb_peer_silence *p = &e->peer_silence;
+  if (p->since == 0 || silence->since < p->since)
+    p->since = silence->since;
+  p->peers++;
+  p->flows += silence->flows;
+  if (p->peers >= DEAD_BALANCERS
+      && MAX (e->last_answer, e->last_peer_answer) < p->since)
+    e->suspect_until = now + BB_SUSPICION_TIME;
+}
+
+void
+bb_suspicion_remove_peer_silence (struct bb_suspicion_evidence *e,
+                                  const struct bb_silence *silence)
+{
+  struct bb_peer_silence *p = &e->peer_silence;
+  p->flows -= MIN (silence->flows, p->flows);
+  p->peers -= MIN (1, p->peers);
+  if (p->peers == 0)
+    *p = (struct bb_peer_silence){ 0 };
+}
+
+bool
+bb_suspicion_is_dead_for_peers (const struct bb_suspicion_evidence *e,
+                                bb_usec now)
+{
+  const struct bb_peer_silence *p = &e->peer_silence;
+  struct bb_silence own = bb_suspicion_silence (e, now);
+  if (p->peers + (own.flows > 0) < DEAD_BALANCERS
+      || p->flows + own.flows < DEAD_FLOWS)
+    return false;
+  bb_usec since = own.flows > 0 ? MIN (own.since, p->since) : p->since;
+  return MAX (e->last_answer, e->last_peer_answer) < since
+         && now - since >= DEAD_AFTER;
+}
+
 void
 bb_suspicion_set_link_state (struct bb_suspicion_evidence *e,
                              bool is_link_working, bb_usec now)
--- a/marked/evidence/suspicion.h
+++ b/marked/evidence/suspicion.h
@@ -21,6 +21,28 @@
    between retransmissions.  */
 #define BB_SUSPICION_TIME (1500 * BB_MSEC)
 
+enum
+{
+  /* Limit of the silent flows of one server that a balancer reports.  */
+  BB_SILENCE_FLOWS_MAX = 100,
+};
+
+/* Silence of a server at one balancer: flows with retransmissions while the
+   link of the balancer works.  */
+struct bb_silence
+{
+  uint32_t flows; /* 0: none */
+  bb_usec since;  /* first of these retransmissions */
+};
+
+/* Silences of a server at the peers, as in their last heartbeats.  */
+struct bb_peer_silence
+{
+  uint32_t peers;
+  uint32_t flows;
+  bb_usec since; /* of the longest one; 0: none */
+};
+
 /* Evidence on one server from the packets of callers.  */
 struct bb_suspicion_evidence
 {
@@ -32,6 +54,7 @@
   uint32_t silent_flows; /* flows with retransmissions since silent_since */
   bb_usec suspect_until;
   bb_usec last_peer_answer; /* last report of an answer by a peer; 0: never */
+  struct bb_peer_silence peer_silence;
   /* A silence is evidence against the server only while the link of this
      balancer works.  */
   bb_usec link_proven_since; /* time the link was seen to work; 0: not yet */
@@ -79,6 +102,22 @@
 bool bb_suspicion_is_proven (const struct bb_suspicion_evidence *e,
                              bb_usec now);
 
+/* Returns the silence to report to the peers.  */
+struct bb_silence bb_suspicion_silence (const struct bb_suspicion_evidence *e,
+                                        bb_usec now);
+
+/* Add and remove the silence that a peer reported.  */
+void bb_suspicion_add_peer_silence (struct bb_suspicion_evidence *e,
+                                    const struct bb_silence *silence,
+                                    bb_usec now);
+void bb_suspicion_remove_peer_silence (struct bb_suspicion_evidence *e,
+                                       const struct bb_silence *silence);
+
+/* Whether the silences of several balancers together show that the server is
+   dead.  Each of them found that its link works.  */
+bool bb_suspicion_is_dead_for_peers (const struct bb_suspicion_evidence *e,
+                                     bb_usec now);
+
 /* Records in the evidence on a silent server whether the link of this balancer
    works.  */
 void bb_suspicion_set_link_state (struct bb_suspicion_evidence *e,
--- a/marked/flow_resets.c
+++ b/marked/flow_resets.c
@@ -74,10 +74,12 @@
 bb_marked_server_has_ended (const struct bb_marked *m,
                             const struct bb_backend_server *s, bb_usec now)
 {
+  const struct bb_suspicion_evidence *e = &s->load.evidence;
+  bb_usec until = bb_marked_observed_until (m, now);
   if (s->record.state != BB_SERVER_GONE)
-    return bb_suspicion_is_proven (&s->load.evidence,
-                                   bb_marked_observed_until (m, now));
-  bb_usec last_answer = s->load.evidence.last_answer;
+    return bb_suspicion_is_proven (e, until)
+           || (!m->is_isolated && bb_suspicion_is_dead_for_peers (e, until));
+  bb_usec last_answer = e->last_answer;
   return s->has_announced_end ? last_answer < s->gone_since
                               : now - last_answer > RECENT_ANSWER_TIME;
 }
--- a/marked/link_check.c
+++ b/marked/link_check.c
@@ -78,6 +78,27 @@
   return is_link_working || now - e->silent_since < LIVE_ANSWER_TIME;
 }
 
+void
+bb_marked_check_peer_silences (struct bb_marked *m, bb_usec now)
+{
+  if (bb_sync_peer_silences (m->sync) == 0 || m->is_isolated)
+    return;
+  bb_usec until = bb_marked_observed_until (m, now);
+  struct bb_link *head = bb_directory_servers (m->directory);
+  for (struct bb_link *at = head->previous; at != head; at = at->previous)
+    {
+      struct bb_backend_server *s
+          = BB_LINKED (at, struct bb_backend_server, by_revision);
+      struct bb_suspicion_evidence *e = &s->load.evidence;
+      if (e->peer_silence.peers == 0 || e->is_declared_dead
+          || s->record.state == BB_SERVER_GONE
+          || !bb_suspicion_is_dead_for_peers (e, until))
+        continue;
+      e->is_declared_dead = true;
+      bb_marked_add_ended_server (m, s);
+    }
+}
+
 void
 bb_marked_check_link (struct bb_marked *m, bb_usec now)
 {
--- a/marked/sync/sync_heartbeats.c
+++ b/marked/sync/sync_heartbeats.c
@@ -103,6 +103,7 @@
   b->version = bb_directory_version (s->directory);
   b->verified_ms = bb_sync_age_ms (s->last_verified, now);
   b->listed_peer_count = b->load_count = b->answer_count = 0;
+  b->silence_count = 0;
   bb_sync_list_peers (s, b, data_centre, listed_max, now);
   if (data_centre == s->options.self.data_centre)
     add_loads (s, b, now);
@@ -248,10 +249,12 @@
   fill_heartbeat (s, &m, s->options.self.data_centre, BB_SYNC_LISTED_PEERS,
                   now);
   bb_sync_add_answers (s, &m.heartbeat, now);
+  bb_sync_add_silences (s, &m.heartbeat, now);
   if (count > 0)
     bb_sync_send (s, s->targets, count, &m);
   count = select_remote_targets (s, now);
   m.heartbeat.load_count = m.heartbeat.answer_count = 0;
+  m.heartbeat.silence_count = 0;
   if (count > 0)
     bb_sync_send (s, s->targets, count, &m);
 }
@@ -360,6 +363,7 @@
   keep_loads (s, p, b);
   bb_sync_apply_peer_loads (s, p, 1, now);
   bb_sync_apply_peer_answers (s, p, b, now);
+  bb_sync_keep_silences (s, p, b, now);
   for (uint32_t i = 0; i < b->listed_peer_count; i++)
     add_listed_peer (s, &b->listed_peers[i], i, now);
   update_from_peer (s, p, b, now);
--- a/marked/sync/sync_messages.h
+++ b/marked/sync/sync_messages.h
@@ -14,6 +14,7 @@
   BB_SYNC_LISTED_PEERS = 6,      /* balancers listed in a heartbeat */
   BB_SYNC_LISTED_PEERS_MAX = 48, /* in the reply to a joining balancer */
   BB_SYNC_LOADS_MAX = 64,        /* servers whose load is in a heartbeat */
+  BB_SYNC_SILENCES_MAX = 24,     /* silent servers in a heartbeat */
   BB_SYNC_SERVERS_MAX = 8,       /* servers in one datagram of records */
   BB_SYNC_ROUTES_MAX = 24,       /* routes in one datagram of records */
   BB_SYNC_EVACUATIONS_MAX = 12,  /* evacuations in one datagram of records */
@@ -54,6 +55,14 @@
   bool is_answering; /* answered since the last heartbeat */
 };
 
+/* A silence of a server at the sender.  */
+struct bb_sync_silence
+{
+  uint32_t load; /* index of the server in the loads */
+  uint32_t flows;
+  uint32_t age_ms;
+};
+
 struct bb_sync_heartbeat
 {
   uint32_t data_centre;
@@ -69,6 +78,8 @@
   /* The answers of servers, one entry for each of loads.  */
   struct bb_answer_report answers[BB_SYNC_LOADS_MAX];
   uint32_t answer_count; /* 0: not reported */
+  struct bb_sync_silence silences[BB_SYNC_SILENCES_MAX];
+  uint32_t silence_count;
 };
 
 /* Number of loads that fit into a datagram with LISTED_PEER_COUNT balancers.
--- a/marked/sync/sync_peers.c
+++ b/marked/sync/sync_peers.c
@@ -77,6 +77,7 @@
       if (!is_sender)
         return false;
       bb_sync_apply_peer_loads (s, s->peers[silent], -1, 0);
+      bb_sync_drop_silences (s, s->peers[silent]);
       g_free (s->peers[silent]);
       s->peers[silent] = s->peers[--s->peer_count];
     }
@@ -128,6 +129,7 @@
   p->was_leader = false;
   bb_sync_apply_peer_loads (s, p, -1, now);
   p->load_count = 0;
+  bb_sync_drop_silences (s, p);
   p->flags = 0;
   p->last_received = 0;
   p->last_sent = now;
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -20,6 +20,12 @@
   BB_SYNC_CHUNK_WORDS = BB_SYNC_CHUNKS_MAX / 64,
 };
 
+struct bb_sync_peer_silence
+{
+  uint32_t cookie;
+  struct bb_silence silence;
+};
+
 struct bb_sync_peer
 {
   struct bb_sync_vm vm;
@@ -35,6 +41,8 @@
   bb_usec last_mentioned;
   struct bb_sync_load loads[BB_SYNC_LOADS_MAX];
   uint32_t load_count;
+  struct bb_sync_peer_silence silences[BB_SYNC_SILENCES_MAX];
+  uint32_t silence_count;
 };
 
 /* Time without a datagram after which an incomplete batch is dropped.  A
@@ -79,6 +87,7 @@
   bb_usec last_seed_hello;
   bb_usec next_remote_heartbeat;
   bb_usec members_changed; /* balancers of the own data centre; 0: never */
+  uint32_t peer_silences;  /* of servers, that peers report now */
   bool is_reader;
   bool is_first; /* of all readers */
   bool is_leader;
@@ -156,6 +165,15 @@
                                  const struct bb_sync_heartbeat *b,
                                  bb_usec now);
 
+/* sync_silences.c: silent servers, as found by all balancers of a data centre.
+ */
+void bb_sync_add_silences (struct bb_sync *s, struct bb_sync_heartbeat *b,
+                           bb_usec now);
+/* Replaces the silences that P reported by those of B.  */
+void bb_sync_keep_silences (struct bb_sync *s, struct bb_sync_peer *p,
+                            const struct bb_sync_heartbeat *b, bb_usec now);
+void bb_sync_drop_silences (struct bb_sync *s, struct bb_sync_peer *p);
+
 /* sync_records.c: exchange of records, the state of the store.  */
 void bb_sync_send_records (struct bb_sync *s, const struct bb_endpoint *to,
                            size_t count, uint64_t from, bb_usec now);
--- /dev/null
+++ b/marked/sync/sync_silences.c
@@ -0,0 +1,74 @@
+#include "marked/sync/sync_private.h"
+
+void
+bb_sync_add_silences (struct bb_sync *s, struct bb_sync_heartbeat *b,
+                      bb_usec now)
+{
+  for (uint32_t i = 0;
+       i < b->load_count && b->silence_count < BB_SYNC_SILENCES_MAX; i++)
+    {
+      const struct bb_backend_server *server
+          = bb_directory_find_by_cookie (s->directory, b->loads[i].cookie);
+      if (!server || !server->is_local)
+        continue;
+      struct bb_silence silence
+          = bb_suspicion_silence (&server->load.evidence, now);
+      if (silence.flows > 0)
+        b->silences[b->silence_count++] = (struct bb_sync_silence){
+          .load = i,
+          .flows = MIN (silence.flows, BB_SILENCE_FLOWS_MAX),
+          .age_ms = bb_sync_age_ms (silence.since, now),
+        };
+    }
+}
+
+void
+bb_sync_drop_silences (struct bb_sync *s, struct bb_sync_peer *p)
+{
+  for (uint32_t i = 0; i < p->silence_count; i++)
+    {
+      struct bb_backend_server *server
+          = bb_directory_find_by_cookie (s->directory, p->silences[i].cookie);
+      if (server)
+        bb_suspicion_remove_peer_silence (&server->load.evidence,
+                                          &p->silences[i].silence);
+    }
+  s->peer_silences -= p->silence_count;
+  p->silence_count = 0;
+}
+
+uint32_t
+bb_sync_peer_silences (const struct bb_sync *s)
+{
+  return s->peer_silences;
+}
+
+/* A silence of a server in another data centre may be due to the path to that
+   data centre, which the balancers of this one share.  */
+void
+bb_sync_keep_silences (struct bb_sync *s, struct bb_sync_peer *p,
+                       const struct bb_sync_heartbeat *b, bb_usec now)
+{
+  bb_sync_drop_silences (s, p);
+  for (uint32_t i = 0; bb_sync_peer_is_local (s, p) && i < b->silence_count;
+       i++)
+    {
+      const struct bb_sync_silence *from = &b->silences[i];
+      uint32_t cookie = b->loads[from->load].cookie;
+      struct bb_backend_server *server
+          = bb_directory_find_by_cookie (s->directory, cookie);
+      if (!server || !server->is_local || from->flows == 0
+          || from->flows > BB_SILENCE_FLOWS_MAX
+          || from->age_ms > BB_SUSPICION_TIME / BB_MSEC)
+        continue;
+      struct bb_sync_peer_silence *kept = &p->silences[p->silence_count++];
+      kept->cookie = cookie;
+      kept->silence = (struct bb_silence){
+        .flows = from->flows,
+        .since = now - from->age_ms * BB_MSEC,
+      };
+      s->peer_silences++;
+      bb_suspicion_add_peer_silence (&server->load.evidence, &kept->silence,
+                                     now);
+    }
+}
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -17,6 +17,7 @@
   VM_FIELDS = 4,
   LOAD_FIELDS = 5,
   ANSWER_FIELDS = 3,
+  SILENCE_FIELDS = 3,
   /* Older builds put the suspicion of a server into a load.  */
   LOAD_NOT_SUSPECT = 0,
   SERVER_FIELDS = 13,
@@ -30,7 +31,7 @@
 #define NO_NAME "-"
 
 static const size_t body_fields[BB_SYNC_KINDS] = {
-  [BB_SYNC_HEARTBEAT] = 10,
+  [BB_SYNC_HEARTBEAT] = 11,
   [BB_SYNC_REQUEST] = 2,
   [BB_SYNC_RECORDS] = 16,
 };
@@ -55,6 +56,18 @@
     }
 }
 
+static void
+put_silences (msgpack_packer *pk, const struct bb_sync_heartbeat *h)
+{
+  msgpack_pack_array (pk, h->silence_count * SILENCE_FIELDS);
+  for (uint32_t i = 0; i < h->silence_count; i++)
+    {
+      bb_writer_put_uint (pk, h->silences[i].load);
+      bb_writer_put_uint (pk, h->silences[i].flows);
+      bb_writer_put_uint (pk, h->silences[i].age_ms);
+    }
+}
+
 static void
 put_heartbeat (msgpack_packer *pk, const struct bb_sync_heartbeat *h)
 {
@@ -82,6 +95,7 @@
     }
   bb_writer_put_uint (pk, bb_revision_era (h->revision));
   put_answers (pk, h);
+  put_silences (pk, h);
 }
 
 static void
@@ -274,6 +288,23 @@
          || (h->answer_count > 0 && h->answer_count != h->load_count);
 }
 
+static void
+read_silences (struct bb_reader *r, struct bb_sync_heartbeat *h)
+{
+  if (r->remaining == 0)
+    return;
+  struct bb_reader inner = read_groups (
+      r, SILENCE_FIELDS, BB_SYNC_SILENCES_MAX, &h->silence_count);
+  for (uint32_t i = 0; i < h->silence_count; i++)
+    {
+      h->silences[i].load = bb_reader_get_u32 (&inner);
+      h->silences[i].flows = bb_reader_get_u32 (&inner);
+      h->silences[i].age_ms = bb_reader_get_u32 (&inner);
+      r->is_invalid |= h->silences[i].load >= h->load_count;
+    }
+  r->is_invalid |= inner.is_invalid;
+}
+
 static void
 read_heartbeat (struct bb_reader *r, struct bb_sync_heartbeat *h)
 {
@@ -304,6 +335,7 @@
   r->is_invalid |= inner.is_invalid;
   h->revision = bb_revision_make (read_era (r), h->revision);
   read_answers (r, h);
+  read_silences (r, h);
 }
 
 static void
