--- a/marked/balancer_private.h
+++ b/marked/balancer_private.h
@@ -35,6 +35,8 @@
   bb_usec last_freeze_end;   /* 0: never frozen */
   bb_usec removal_grace_end; /* expired entries may come back before this */
   bb_usec last_repeat;       /* last retransmission by any caller */
+  bb_usec last_answer;       /* last answer of any server */
+  bb_usec answered_since;    /* no longer gap between answers since then */
   /* Most servers are silent: the link of this balancer may have failed.  */
   bool is_isolated;
   struct bb_path_delay path_delay;
--- a/marked/evidence/suspicion.c
+++ b/marked/evidence/suspicion.c
@@ -111,15 +111,28 @@
          && bb_suspicion_is_dead (e, now);
 }
 
+void
+bb_suspicion_add_silent_flow (struct bb_suspicion_evidence *e, bb_usec now)
+{
+  if (e->silence.flows == 0)
+    e->silence.since = now;
+  e->silence.flows++;
+}
+
 struct bb_silence
 bb_suspicion_silence (const struct bb_suspicion_evidence *e, bb_usec now)
 {
-  if (!bb_suspicion_is_silent (e, now) || e->first_proven_repeat == 0)
-    return (struct bb_silence){ 0 };
-  return (struct bb_silence){
-    .flows = MIN (e->silent_flows, e->proven_repeats),
-    .since = e->first_proven_repeat,
-  };
+  return bb_suspicion_is_silent (e, now) ? e->silence
+                                         : (struct bb_silence){ 0 };
+}
+
+/* Whether the server answered at some balancer after SINCE.  A peer reports
+   answers of the time since its last heartbeat.  */
+static bool
+has_answered_since (const struct bb_suspicion_evidence *e, bb_usec since)
+{
+  return e->last_answer >= since
+         || e->last_peer_answer - PEER_HEARTBEAT_INTERVAL >= since;
 }
 
 void
@@ -131,8 +144,7 @@
     p->since = silence->since;
   p->peers++;
   p->flows += silence->flows;
-  if (p->peers >= DEAD_BALANCERS
-      && MAX (e->last_answer, e->last_peer_answer) < p->since)
+  if (p->peers >= DEAD_BALANCERS && !has_answered_since (e, p->since))
     e->suspect_until = now + BB_SUSPICION_TIME;
 }
 
@@ -157,8 +169,8 @@
       || p->flows + own.flows < DEAD_FLOWS)
     return false;
   bb_usec since = own.flows > 0 ? MIN (own.since, p->since) : p->since;
-  return MAX (e->last_answer, e->last_peer_answer) < since
-         && now - since >= DEAD_AFTER;
+  return !has_answered_since (e, since)
+         && now - MAX (since, e->last_peer_answer) >= DEAD_AFTER;
 }
 
 void
--- a/marked/evidence/suspicion.h
+++ b/marked/evidence/suspicion.h
@@ -27,8 +27,9 @@
   BB_SILENCE_FLOWS_MAX = 100,
 };
 
-/* Silence of a server at one balancer: flows with retransmissions while the
-   link of the balancer works.  */
+/* Silence of a server at one balancer: flows whose caller retransmitted a
+   packet for the first time, and the link of the balancer has worked all the
+   time since the packet itself.  */
 struct bb_silence
 {
   uint32_t flows; /* 0: none */
@@ -53,7 +54,8 @@
   uint32_t repeats;     /* retransmissions since silent_since */
   uint32_t silent_flows; /* flows with retransmissions since silent_since */
   bb_usec suspect_until;
-  bb_usec last_peer_answer; /* last report of an answer by a peer; 0: never */
+  bb_usec last_peer_answer;  /* last report of an answer by a peer; 0: never */
+  struct bb_silence silence; /* here; part of the silence above */
   struct bb_peer_silence peer_silence;
   /* A silence is evidence against the server only while the link of this
      balancer works.  */
@@ -102,6 +104,11 @@
 bool bb_suspicion_is_proven (const struct bb_suspicion_evidence *e,
                              bb_usec now);
 
+/* Records a retransmission that counts in a struct bb_silence, after
+   bb_suspicion_add_repeat.  */
+void bb_suspicion_add_silent_flow (struct bb_suspicion_evidence *e,
+                                   bb_usec now);
+
 /* Returns the silence to report to the peers.  */
 struct bb_silence bb_suspicion_silence (const struct bb_suspicion_evidence *e,
                                         bb_usec now);
--- a/marked/observe.c
+++ b/marked/observe.c
@@ -30,12 +30,19 @@
   flow->request_sent_ms = 0;
 }
 
+/* Time without any answer after which the link of this balancer may have been
+   down.  */
+#define ANSWER_GAP (150 * BB_MSEC)
+
 void
 bb_marked_record_answer (struct bb_marked *m, struct bb_backend_server *s,
                          const struct bb_marked_flow *flow, bb_usec now)
 {
   const struct bb_suspicion_evidence *e = &s->load.evidence;
   uint32_t repeats = e->repeats;
+  if (now - m->last_answer > ANSWER_GAP)
+    m->answered_since = now;
+  m->last_answer = now;
   /* A flow that was counted in this silence is answered now, so the server was
      alive all the time and packets or answers were delayed.  */
   if (bb_suspicion_is_silent (e, now) && flow->silence_id == e->silence_id)
@@ -45,6 +52,19 @@
                           BB_REASON_NONE, now);
 }
 
+/* Whether the link of this balancer has worked all the time since the first
+   packet of the pending request of FLOW: servers have answered throughout.  */
+static bool
+has_link_worked (const struct bb_marked *m, const struct bb_marked_flow *flow,
+                 bb_usec now)
+{
+  bb_usec waited
+      = (bb_usec)(bb_marked_time_ms (now) - flow->request_sent_ms) * BB_MSEC;
+  return flow->request_sent_ms != 0 && now - waited >= m->answered_since
+         && now - m->last_answer <= ANSWER_GAP
+         && !bb_path_delay_is_unreliable (&m->path_delay, now);
+}
+
 void
 bb_marked_record_repeat (struct bb_marked *m, struct bb_backend_server *s,
                          struct bb_marked_flow *flow, bb_usec now)
@@ -55,6 +75,8 @@
   if (flow->repeats < UINT8_MAX)
     flow->repeats++;
   bool became_suspect = bb_suspicion_add_repeat (e, &flow->silence_id, now);
+  if (flow->repeats == 1 && has_link_worked (m, flow, now))
+    bb_suspicion_add_silent_flow (e, now);
   if (!became_suspect)
     return;
   m->counters.suspicions++;
