--- a/marked/flow_resets.c
+++ b/marked/flow_resets.c
@@ -26,12 +26,13 @@
 /* Resets one flow of a server that has ended.  A caller with an idle flow
    opens a new one for its next request, so that no request is lost.  The reset
    of a flow that has moved would have an old sequence number; the balancer
-   that has the flow now resets it.  */
+   that has the flow now resets it.  A caller that retransmits to the server
+   has received nothing since.  */
 static void
 reset_flow (void *context, struct bb_marked_flow *f)
 {
   struct bb_marked *m = context;
-  if (f->state != BB_FLOW_OPEN || !has_stayed (m, f))
+  if (f->state != BB_FLOW_OPEN || !(has_stayed (m, f) || f->repeats > 0))
     return;
   struct bb_marked_packet packet = {
     .packet = { .source = f->caller.address,
@@ -78,7 +79,7 @@
   bb_usec until = bb_marked_observed_until (m, now);
   if (s->record.state != BB_SERVER_GONE)
     return bb_suspicion_is_proven (e, until)
-           || (!m->is_isolated && bb_suspicion_is_dead_for_peers (e, until));
+           || (!m->is_isolated && bb_suspicion_is_dead_for_peers (e, now));
   bb_usec last_answer = e->last_answer;
   return s->has_announced_end ? last_answer < s->gone_since
                               : now - last_answer > RECENT_ANSWER_TIME;
--- a/marked/link_check.c
+++ b/marked/link_check.c
@@ -83,7 +83,6 @@
 {
   if (bb_sync_peer_silences (m->sync) == 0 || m->is_isolated)
     return;
-  bb_usec until = bb_marked_observed_until (m, now);
   struct bb_link *head = bb_directory_servers (m->directory);
   for (struct bb_link *at = head->previous; at != head; at = at->previous)
     {
@@ -92,7 +91,7 @@
       struct bb_suspicion_evidence *e = &s->load.evidence;
       if (e->peer_silence.peers == 0 || e->is_declared_dead
           || s->record.state == BB_SERVER_GONE
-          || !bb_suspicion_is_dead_for_peers (e, until))
+          || !bb_suspicion_is_dead_for_peers (e, now))
         continue;
       e->is_declared_dead = true;
       bb_marked_add_ended_server (m, s);
--- a/marked/observe.c
+++ b/marked/observe.c
@@ -53,7 +53,8 @@
 }
 
 /* Whether the link of this balancer has worked all the time since the first
-   packet of the pending request of FLOW: servers have answered throughout.  */
+   packet of the pending request of FLOW: servers have answered throughout, and
+   an answer would have been observed by now.  */
 static bool
 has_link_worked (const struct bb_marked *m, const struct bb_marked_flow *flow,
                  bb_usec now)
@@ -62,6 +63,7 @@
       = (bb_usec)(bb_marked_time_ms (now) - flow->request_sent_ms) * BB_MSEC;
   return flow->request_sent_ms != 0 && now - waited >= m->answered_since
          && now - m->last_answer <= ANSWER_GAP
+         && bb_path_delay_longest (&m->path_delay, now) < waited
          && !bb_path_delay_is_unreliable (&m->path_delay, now);
 }
 
