--- a/marked/flows.h
+++ b/marked/flows.h
@@ -36,6 +36,7 @@
   uint32_t seen_ms;
   uint32_t request_sent_ms; /* of the unanswered request; 0: none */
   uint32_t sent;            /* end of the newest data of the caller */
+  uint32_t sent_ms;         /* arrival of that data */
   uint32_t confirmed;       /* end of the data that the server acknowledged */
   uint32_t acknowledged;    /* newest answer byte that the caller has */
   uint32_t answer_start;    /* acknowledged, when the request was sent */
--- a/marked/observe.c
+++ b/marked/observe.c
@@ -6,6 +6,9 @@
   /* Maximum of unacknowledged bytes of a caller: 16 packets of 1,200 bytes
      (flows of the platform).  */
   IN_FLIGHT_BYTES_MAX = 16 * 1200,
+  /* Callers retransmit after 200 ms.  Older data that follows newer data
+     sooner was overtaken on the way.  */
+  RETRANSMISSION_MS = 150,
 };
 
 void
@@ -123,6 +126,7 @@
              uint32_t end, bb_usec now)
 {
   f->sent = end;
+  f->sent_ms = bb_marked_time_ms (now);
   f->repeats = 0;
   if (f->request_sent_ms == 0)
     {
@@ -158,6 +162,7 @@
     return;
   if (is_after (end, f->sent))
     record_data (m, route, f, s, end, now);
-  else if (is_after (end, f->confirmed))
+  else if (is_after (end, f->confirmed)
+           && bb_marked_time_ms (now) - f->sent_ms >= RETRANSMISSION_MS)
     bb_marked_record_repeat (m, s, f, now);
 }
