--- a/marked/evidence/suspicion.c
+++ b/marked/evidence/suspicion.c
@@ -39,6 +39,7 @@
   *e = (struct bb_suspicion_evidence){ .last_answer = e->last_answer,
                                        .last_peer_answer = e->last_peer_answer,
                                        .peer_silence = e->peer_silence,
+                                       .suspect_until = e->suspect_until,
                                        .silent_since = now,
                                        .silence_id = e->silence_id + 1 };
 }
@@ -62,7 +63,7 @@
     }
   if (e->repeats < SUSPECT_REPEATS || now - e->silent_since < SUSPECT_AFTER)
     return false;
-  e->suspect_until = now + BB_SUSPICION_TIME;
+  e->suspect_until = MAX (e->suspect_until, now + BB_SUSPICION_TIME);
   return !was_suspect;
 }
 
@@ -145,7 +146,7 @@
   p->peers++;
   p->flows += silence->flows;
   if (p->peers >= DEAD_BALANCERS && !has_answered_since (e, p->since))
-    e->suspect_until = now + BB_SUSPICION_TIME;
+    e->suspect_until = MAX (e->suspect_until, now + BB_SUSPICION_TIME);
 }
 
 void
@@ -173,6 +174,13 @@
          && now - MAX (since, e->last_peer_answer) >= DEAD_AFTER;
 }
 
+void
+bb_suspicion_declare_dead (struct bb_suspicion_evidence *e, bb_usec now)
+{
+  e->is_declared_dead = true;
+  e->suspect_until = now + BB_DEAD_TIME;
+}
+
 void
 bb_suspicion_set_link_state (struct bb_suspicion_evidence *e,
                              bool is_link_working, bb_usec now)
--- a/marked/evidence/suspicion.h
+++ b/marked/evidence/suspicion.h
@@ -44,6 +44,11 @@
   bb_usec since; /* of the longest one; 0: none */
 };
 
+/* A server that is declared dead gets no new flows for this time, unless it
+   answers: without flows there are no retransmissions, and the registry
+   removes its entry 3.6 s after its last heartbeat.  */
+#define BB_DEAD_TIME (4 * BB_SEC)
+
 /* Evidence on one server from the packets of callers.  */
 struct bb_suspicion_evidence
 {
@@ -125,6 +130,9 @@
 bool bb_suspicion_is_dead_for_peers (const struct bb_suspicion_evidence *e,
                                      bb_usec now);
 
+/* Records that the server is dead.  */
+void bb_suspicion_declare_dead (struct bb_suspicion_evidence *e, bb_usec now);
+
 /* Records in the evidence on a silent server whether the link of this balancer
    works.  */
 void bb_suspicion_set_link_state (struct bb_suspicion_evidence *e,
--- a/marked/link_check.c
+++ b/marked/link_check.c
@@ -72,7 +72,7 @@
   if (!e->is_declared_dead
       && bb_suspicion_is_proven (e, bb_marked_observed_until (m, now)))
     {
-      e->is_declared_dead = true;
+      bb_suspicion_declare_dead (e, now);
       bb_marked_add_ended_server (m, s);
     }
   return is_link_working || now - e->silent_since < LIVE_ANSWER_TIME;
@@ -93,7 +93,7 @@
           || s->record.state == BB_SERVER_GONE
           || !bb_suspicion_is_dead_for_peers (e, now))
         continue;
-      e->is_declared_dead = true;
+      bb_suspicion_declare_dead (e, now);
       bb_marked_add_ended_server (m, s);
     }
 }
