--- a/tests/sync_message_test.c
+++ b/tests/sync_message_test.c
@@ -26,6 +26,8 @@
         .load_count = 2,
         .answers = { { { 90, 10 }, false }, { { 0, 1 }, true } },
         .answer_count = 2,
+        .silences = { { 1, 3, 250 } },
+        .silence_count = 1,
       };
       break;
     case BB_SYNC_REQUEST:
@@ -101,6 +103,9 @@
       ck_assert_uint_eq (decoded.heartbeat.answers[1].counts.outliers, 1);
       ck_assert (!decoded.heartbeat.answers[0].is_failing);
       ck_assert (decoded.heartbeat.answers[1].is_failing);
+      ck_assert_uint_eq (decoded.heartbeat.silences[0].load, 1);
+      ck_assert_uint_eq (decoded.heartbeat.silences[0].flows, 3);
+      ck_assert_uint_eq (decoded.heartbeat.silences[0].age_ms, 250);
     }
   if (m.kind == BB_SYNC_RECORDS)
     {
@@ -192,26 +197,28 @@
 {
   const char *description;
   uint32_t answer_count;
-  bool is_cut; /* the last element is missing */
+  uint32_t silent; /* index of the silent server */
+  guint cut;       /* the last elements are missing */
   bool is_valid;
 } reports[] = {
-  { "one of each server", 2, false, true },
-  { "none", 0, false, true },
-  { "none, of an earlier release", 0, true, true },
-  { "of fewer servers", 1, false, false },
-  { "of more servers", 3, false, false },
+  { "one of each server", 2, 1, 0, true },
+  { "none", 0, 1, 0, true },
+  { "none, of an earlier release", 0, 1, 2, true },
+  { "of fewer servers", 1, 1, 0, false },
+  { "of more servers", 3, 1, 0, false },
+  { "a silent server that is not listed", 2, 2, 0, false },
 };
 
 START_TEST (answers_belong_to_loads)
 {
   struct bb_sync_message m = make_message (BB_SYNC_HEARTBEAT), decoded;
   m.heartbeat.answer_count = reports[_i].answer_count;
+  m.heartbeat.silences[0].load = reports[_i].silent;
+  m.heartbeat.silence_count = reports[_i].cut ? 0 : 1;
   GByteArray *bytes = bb_sync_encode (&m);
-  if (reports[_i].is_cut)
-    {
-      g_byte_array_set_size (bytes, bytes->len - 1);
-      bytes->data[0]--;
-    }
+  /* An empty array is one byte.  */
+  g_byte_array_set_size (bytes, bytes->len - reports[_i].cut);
+  bytes->data[0] -= (guint8)reports[_i].cut;
   GError *error = NULL;
   bool is_valid = bb_sync_decode (bytes->data, bytes->len, &decoded, &error);
   g_clear_error (&error);
@@ -246,6 +253,11 @@
   /* The reply to a joining balancer lists many peers, but no answers.  */
   m.heartbeat.answer_count
       = listed_peers[_i] <= BB_SYNC_LISTED_PEERS ? m.heartbeat.load_count : 0;
+  m.heartbeat.silence_count
+      = m.heartbeat.answer_count ? BB_SYNC_SILENCES_MAX : 0;
+  for (uint32_t i = 0; i < BB_SYNC_SILENCES_MAX; i++)
+    m.heartbeat.silences[i]
+        = (struct bb_sync_silence){ i, BB_SILENCE_FLOWS_MAX, 1500 };
   for (int i = 0; i < BB_SYNC_LISTED_PEERS_MAX; i++)
     m.heartbeat.listed_peers[i]
         = (struct bb_sync_vm){ UINT32_MAX, UINT32_MAX, { UINT32_MAX, 65535 } };
