--- a/marked/answers.c
+++ b/marked/answers.c
@@ -35,6 +35,9 @@
   struct bb_answer_counts counts
       = { .usual = !is_outlier, .outliers = is_outlier };
   f->answer_state = BB_ANSWER_COUNTED;
+  if (is_outlier)
+    bb_recent_callers_add (&m->recent_callers, f->caller.address,
+                           BB_FLOW_CAUSE_SHORT_ANSWER, now);
   bb_answer_quality_note (&s->load.quality, &counts, now);
   send_quality_event (m, s, bb_server_add_answers (s, &counts, now), now);
 }
--- a/marked/balancer.c
+++ b/marked/balancer.c
@@ -29,13 +29,15 @@
 }
 
 static void
-reset_flow (struct bb_marked *m, uint64_t hash,
+reset_flow (struct bb_marked *m, const struct bb_marked_flow *f,
             const struct bb_backend_server *s, enum bb_reason reason,
             bb_usec now, struct bb_marked_verdict *v)
 {
   v->kind = BB_MARKED_RESET;
   m->counters.resets++;
-  bb_marked_send_event (m, BB_EVENT_FLOW_RESET, s, hash, 0, reason, now);
+  bb_recent_callers_add (&m->recent_callers, f->caller.address,
+                         BB_FLOW_CAUSE_RESET, now);
+  bb_marked_send_event (m, BB_EVENT_FLOW_RESET, s, f->hash, 0, reason, now);
 }
 
 /* Returns the server to which the first packet of FLOW was forwarded, or NULL
@@ -75,7 +77,7 @@
 
 static void
 place_flow (struct bb_marked *m, const struct bb_route *route, uint64_t hash,
-            const struct bb_packet *p, bb_usec now,
+            const struct bb_packet *p, enum bb_flow_cause cause, bb_usec now,
             struct bb_marked_verdict *v)
 {
   struct bb_placement choice = bb_place_flow (
@@ -84,6 +86,8 @@
   if (!s)
     {
       refuse_flow (m, hash, choice.reason, now, v);
+      bb_recent_callers_add (&m->recent_callers, p->source,
+                             BB_FLOW_CAUSE_REFUSED, now);
       return;
     }
   struct bb_marked_flow *f
@@ -94,6 +98,7 @@
   f->sent = f->confirmed = p->sequence + 1;
   s->load.open++;
   m->counters.placed++;
+  m->counters.placed_for[cause]++;
   if (!s->is_local)
     m->counters.placed_remote++;
   bb_marked_send_event (m, BB_EVENT_FLOW_PLACED, s, hash,
@@ -116,9 +121,15 @@
       forward_packet (m, s, v);
       return;
     }
+  enum bb_flow_cause cause
+      = bb_recent_callers_take (&m->recent_callers, p->source, now);
   if (f)
-    bb_marked_flows_remove (m->flows, f);
-  place_flow (m, route, hash, p, now, v);
+    {
+      if (f->state == BB_FLOW_OPENING)
+        cause = BB_FLOW_CAUSE_COPY;
+      bb_marked_flows_remove (m->flows, f);
+    }
+  place_flow (m, route, hash, p, cause, now, v);
 }
 
 /* Returns the flow of HASH.  Adds it if it was opened at another balancer.  */
@@ -219,13 +230,13 @@
   if (route->record.share_count == 0 && f->request_sent_ms == 0
       && p->payload > 0)
     {
-      reset_flow (m, hash, s, BB_REASON_ROUTE_DROPPED, now, v);
+      reset_flow (m, f, s, BB_REASON_ROUTE_DROPPED, now, v);
       return;
     }
   bb_marked_observe_packet (m, route, f, s, p, now);
   if (must_reset_flow (m, f, s, p, now))
     {
-      reset_flow (m, hash, s,
+      reset_flow (m, f, s,
                   s->record.state == BB_SERVER_GONE ? BB_REASON_SERVER_GONE
                                                     : BB_REASON_SERVER_SILENT,
                   now, v);
--- a/marked/balancer.h
+++ b/marked/balancer.h
@@ -12,6 +12,7 @@
 #define BB_MARKED_BALANCER_H
 
 #include "core/histogram.h"
+#include "marked/flow_causes.h"
 #include "marked/state/snapshot.h"
 #include "marked/sync/sync.h"
 
@@ -54,7 +55,8 @@
   uint64_t forwarded;
   uint64_t placed;
   uint64_t placed_remote; /* in another data centre */
-  uint64_t syn_copies;    /* copies of first packets */
+  uint64_t placed_for[BB_FLOW_CAUSES];
+  uint64_t syn_copies; /* copies of first packets */
   uint64_t refused[BB_REASONS];
   uint64_t resets;
   uint64_t drops[BB_DROP_KINDS];
--- a/marked/balancer_private.h
+++ b/marked/balancer_private.h
@@ -30,6 +30,7 @@
   struct bb_sync *sync;
   struct bb_marked_flows *flows;
   GRand *random;
+  struct bb_recent_callers recent_callers;
   bb_usec last_sweep;
   bb_usec last_tick;
   bb_usec last_freeze_end;   /* 0: never frozen */
--- a/marked/flow_resets.c
+++ b/marked/flow_resets.c
@@ -47,6 +47,8 @@
   };
   m->counters.resets++;
   m->sink->reset (m->context, &packet);
+  bb_recent_callers_add (&m->recent_callers, f->caller.address,
+                         BB_FLOW_CAUSE_RESET, m->last_tick);
   bb_marked_flows_remove (m->flows, f);
 }
 
--- a/runtime/marked_metrics.c
+++ b/runtime/marked_metrics.c
@@ -239,6 +239,13 @@
         out,
         "bluebellstand_dropped_packets_total{reason=\"%s\"} %" PRIu64 "\n",
         bb_drop_name ((enum bb_drop)i), c->drops[i]);
+  write_header ("flows_placed_for_total", "counter",
+                "New flows, by what their callers met shortly before.", out);
+  for (int i = 0; i < BB_FLOW_CAUSES; i++)
+    evbuffer_add_printf (
+        out,
+        "bluebellstand_flows_placed_for_total{cause=\"%s\"} %" PRIu64 "\n",
+        bb_flow_cause_name ((enum bb_flow_cause)i), c->placed_for[i]);
   write_header ("flows_refused_total", "counter",
                 "New flows refused, by reason.", out);
   for (int i = BB_REASON_NONE + 1; i < BB_REASONS; i++)
--- a/tests/answers_test.c
+++ b/tests/answers_test.c
@@ -267,6 +267,35 @@
 }
 END_TEST
 
+/* Guards against new flows that are counted for a cause that is not theirs.
+ */
+static const struct
+{
+  const char *description;
+  uint32_t length; /* of the answer before */
+  bb_usec after;
+  enum bb_flow_cause cause;
+} causes[] = {
+  { "usual answer", USUAL, 100 * BB_MSEC, BB_FLOW_CAUSE_NONE },
+  { "error", ERROR_LENGTH, 100 * BB_MSEC, BB_FLOW_CAUSE_SHORT_ANSWER },
+  { "error long ago", ERROR_LENGTH, 2 * BB_SEC, BB_FLOW_CAUSE_NONE },
+};
+
+START_TEST (new_flows_are_counted_by_cause)
+{
+  setup_service ();
+  ask (causes[_i].length, AT (0));
+  uint64_t before = bb_marked_get_counters (t.m)->placed_for[causes[_i].cause];
+  for (int i = 0; i < 2; i++)
+    open_flow (++next_port, AT (20) + causes[_i].after);
+  uint64_t count
+      = bb_marked_get_counters (t.m)->placed_for[causes[_i].cause] - before;
+  ck_assert_msg (count == (causes[_i].cause == BB_FLOW_CAUSE_NONE ? 2 : 1),
+                 "%s", causes[_i].description);
+  teardown ();
+}
+END_TEST
+
 /* Guards against a failing server whose evidence outlives its process.  */
 START_TEST (restarted_server_is_trusted)
 {
@@ -293,6 +322,8 @@
   tcase_add_test (c, failing_server_gets_few_new_flows);
   tcase_add_loop_test (c, reports_of_peers_are_checked, 0,
                        G_N_ELEMENTS (reports));
+  tcase_add_loop_test (c, new_flows_are_counted_by_cause, 0,
+                       G_N_ELEMENTS (causes));
   tcase_add_test (c, restarted_server_is_trusted);
   suite_add_tcase (s, c);
   return run_suite (s);
