--- a/marked/flow_resets.c
+++ b/marked/flow_resets.c
@@ -23,6 +23,16 @@
                 > 0;
 }
 
+/* Whether the caller of F retransmitted recently to the server, which has
+   ended, and so has received nothing more.  */
+static bool
+is_waiting (const struct bb_marked *m, const struct bb_marked_flow *f)
+{
+  return f->repeats > 0
+         && bb_marked_time_ms (m->last_tick) - f->seen_ms
+                < BB_SUSPICION_TIME / BB_MSEC;
+}
+
 /* Resets one flow of a server that has ended.  A caller with an idle flow
    opens a new one for its next request, so that no request is lost.  The reset
    of a flow that has moved would have an old sequence number; the balancer
@@ -32,7 +42,7 @@
 reset_flow (void *context, struct bb_marked_flow *f)
 {
   struct bb_marked *m = context;
-  if (f->state != BB_FLOW_OPEN || !(has_stayed (m, f) || f->repeats > 0))
+  if (f->state != BB_FLOW_OPEN || !(has_stayed (m, f) || is_waiting (m, f)))
     return;
   struct bb_marked_packet packet = {
     .packet = { .source = f->caller.address,
--- a/tests/pool_fixture.h
+++ b/tests/pool_fixture.h
@@ -60,7 +60,8 @@
   for (size_t i = 0; i < count; i++)
     {
       unsigned target = to[i].address - 0x0a000001;
-      if (g_rand_int_range (pool.random, 0, 100) < (gint32)pool.loss)
+      if (target >= BALANCERS
+          || g_rand_int_range (pool.random, 0, 100) < (gint32)pool.loss)
         continue;
       ck_assert_uint_lt (pool.tail - pool.head, QUEUE);
       pool.queue[pool.tail++ % QUEUE]
