--- a/marked/balancer.h
+++ b/marked/balancer.h
@@ -12,6 +12,7 @@
 #define BB_MARKED_BALANCER_H
 
 #include "core/histogram.h"
+#include "marked/flow_causes.h"
 #include "marked/state/snapshot.h"
 #include "marked/sync/sync.h"
 
@@ -53,7 +54,8 @@
 {
   uint64_t forwarded;
   uint64_t placed;
-  uint64_t placed_remote;  /* in another data centre */
+  uint64_t placed_for[BB_FLOW_CAUSES];
+  uint64_t placed_remote; /* in another data centre */
   /* In another data centre, because the own one is evacuated.  */
   uint64_t placed_evacuated;
   uint64_t placed_random;  /* BB_CHOICE_RANDOM */
--- a/marked/balancer_state.c
+++ b/marked/balancer_state.c
@@ -246,11 +246,14 @@
   bb_directory_release_withheld (m->directory, now, handle_released_server, m);
   bb_directory_end_held_evacuations (m->directory, now,
                                      handle_ended_evacuation, m);
+  bb_marked_count_short_answers (m, now);
   bb_marked_check_link (m, now);
+  bb_marked_check_peer_silences (m, now);
   bb_marked_reset_ended_flows (m, now);
   if (now - m->last_sweep < SWEEP_INTERVAL)
     return;
   m->last_sweep = now;
+  bb_marked_review_failing_servers (m, now);
   bb_marked_flows_expire (m->flows, bb_marked_time_ms (now),
                           m->options.idle_ms);
   bb_directory_sweep (m->directory, now);
--- a/marked/flow_resets.c
+++ b/marked/flow_resets.c
@@ -23,15 +23,26 @@
                 > 0;
 }
 
+/* Whether the caller of F retransmitted recently to the server, which has
+   ended, and so has received nothing more.  */
+static bool
+is_waiting (const struct bb_marked *m, const struct bb_marked_flow *f)
+{
+  return f->repeats > 0
+         && bb_marked_time_ms (m->last_tick) - f->seen_ms
+                < BB_SUSPICION_TIME / BB_MSEC;
+}
+
 /* Resets one flow of a server that has ended.  A caller with an idle flow
    opens a new one for its next request, so that no request is lost.  The reset
    of a flow that has moved would have an old sequence number; the balancer
-   that has the flow now resets it.  */
+   that has the flow now resets it.  A caller that retransmits to the server
+   has received nothing since.  */
 static void
 reset_flow (void *context, struct bb_marked_flow *f)
 {
   struct bb_marked *m = context;
-  if (f->state != BB_FLOW_OPEN || !has_stayed (m, f))
+  if (f->state != BB_FLOW_OPEN || !(has_stayed (m, f) || is_waiting (m, f)))
     return;
   struct bb_marked_packet packet = {
     .packet = { .source = f->caller.address,
@@ -46,6 +57,8 @@
   };
   m->counters.resets++;
   m->sink->reset (m->context, &packet);
+  bb_recent_callers_add (&m->recent_callers, f->caller.address,
+                         BB_FLOW_CAUSE_RESET, m->last_tick);
   bb_marked_flows_remove (m->flows, f);
 }
 
@@ -74,10 +87,12 @@
 bb_marked_server_has_ended (const struct bb_marked *m,
                             const struct bb_backend_server *s, bb_usec now)
 {
+  const struct bb_suspicion_evidence *e = &s->load.evidence;
+  bb_usec until = bb_marked_observed_until (m, now);
   if (s->record.state != BB_SERVER_GONE)
-    return bb_suspicion_is_proven (&s->load.evidence,
-                                   bb_marked_observed_until (m, now));
-  bb_usec last_answer = s->load.evidence.last_answer;
+    return bb_suspicion_is_proven (e, until)
+           || (!m->is_isolated && bb_suspicion_is_dead_for_peers (e, now));
+  bb_usec last_answer = e->last_answer;
   return s->has_announced_end ? last_answer < s->gone_since
                               : now - last_answer > RECENT_ANSWER_TIME;
 }
--- a/marked/observe.c
+++ b/marked/observe.c
@@ -6,6 +6,9 @@
   /* Maximum of unacknowledged bytes of a caller: 16 packets of 1,200 bytes
      (flows of the platform).  */
   IN_FLIGHT_BYTES_MAX = 16 * 1200,
+  /* Callers retransmit after 200 ms.  Older data that follows newer data
+     sooner was overtaken on the way.  */
+  RETRANSMISSION_MS = 150,
 };
 
 void
@@ -26,15 +29,23 @@
 {
   bb_marked_uncount_flow (m, flow);
   flow->state = BB_FLOW_CLOSED;
+  flow->answer_state = BB_ANSWER_NONE;
   flow->request_sent_ms = 0;
 }
 
+/* Time without any answer after which the link of this balancer may have been
+   down.  */
+#define ANSWER_GAP (150 * BB_MSEC)
+
 void
 bb_marked_record_answer (struct bb_marked *m, struct bb_backend_server *s,
                          const struct bb_marked_flow *flow, bb_usec now)
 {
   const struct bb_suspicion_evidence *e = &s->load.evidence;
   uint32_t repeats = e->repeats;
+  if (now - m->last_answer > ANSWER_GAP)
+    m->answered_since = now;
+  m->last_answer = now;
   /* A flow that was counted in this silence is answered now, so the server was
      alive all the time and packets or answers were delayed.  */
   if (bb_suspicion_is_silent (e, now) && flow->silence_id == e->silence_id)
@@ -44,6 +55,21 @@
                           BB_REASON_NONE, now);
 }
 
+/* Whether the link of this balancer has worked all the time since the first
+   packet of the pending request of FLOW: servers have answered throughout, and
+   an answer would have been observed by now.  */
+static bool
+has_link_worked (const struct bb_marked *m, const struct bb_marked_flow *flow,
+                 bb_usec now)
+{
+  bb_usec waited
+      = (bb_usec)(bb_marked_time_ms (now) - flow->request_sent_ms) * BB_MSEC;
+  return flow->request_sent_ms != 0 && now - waited >= m->answered_since
+         && now - m->last_answer <= ANSWER_GAP
+         && bb_path_delay_longest (&m->path_delay, now) < waited
+         && !bb_path_delay_is_unreliable (&m->path_delay, now);
+}
+
 void
 bb_marked_record_repeat (struct bb_marked *m, struct bb_backend_server *s,
                          struct bb_marked_flow *flow, bb_usec now)
@@ -54,6 +80,8 @@
   if (flow->repeats < UINT8_MAX)
     flow->repeats++;
   bool became_suspect = bb_suspicion_add_repeat (e, &flow->silence_id, now);
+  if (flow->repeats == 1 && has_link_worked (m, flow, now))
+    bb_suspicion_add_silent_flow (e, now);
   if (!became_suspect)
     return;
   m->counters.suspicions++;
@@ -93,16 +121,19 @@
    from the server to the caller and are not observed here.  Data beyond the
    in-flight limit shows that the caller received an acknowledgement.  */
 static void
-record_data (struct bb_marked *m, struct bb_marked_flow *f,
-             struct bb_backend_server *s, uint32_t end, bb_usec now)
+record_data (struct bb_marked *m, struct bb_route *route,
+             struct bb_marked_flow *f, struct bb_backend_server *s,
+             uint32_t end, bb_usec now)
 {
   f->sent = end;
+  f->sent_ms = bb_marked_time_ms (now);
   f->repeats = 0;
   if (f->request_sent_ms == 0)
     {
       f->request_sent_ms = bb_marked_time_ms (now);
       f->was_queued = s->load.busy + s->load.peer_busy >= s->record.slots;
       s->load.busy++;
+      bb_marked_begin_answer (m, route, f, s, now);
     }
   if (!is_after (end - IN_FLIGHT_BYTES_MAX, f->confirmed))
     return;
@@ -111,7 +142,8 @@
 }
 
 void
-bb_marked_observe_packet (struct bb_marked *m, struct bb_marked_flow *f,
+bb_marked_observe_packet (struct bb_marked *m, struct bb_route *route,
+                          struct bb_marked_flow *f,
                           struct bb_backend_server *s,
                           const struct bb_packet *p, bb_usec now)
 {
@@ -124,11 +156,13 @@
       bb_marked_record_answer (m, s, f, now);
       if (f->request_sent_ms != 0)
         record_answer_time (m, f, s, now);
+      bb_marked_continue_answer (m, route, f, s, now);
     }
   if (p->payload == 0)
     return;
   if (is_after (end, f->sent))
-    record_data (m, f, s, end, now);
-  else if (is_after (end, f->confirmed))
+    record_data (m, route, f, s, end, now);
+  else if (is_after (end, f->confirmed)
+           && bb_marked_time_ms (now) - f->sent_ms >= RETRANSMISSION_MS)
     bb_marked_record_repeat (m, s, f, now);
 }
--- a/marked/placement/choice.c
+++ b/marked/placement/choice.c
@@ -33,7 +33,7 @@
    least cost first.  Servers of equal cost are in random order.  */
 static uint32_t
 draw_sample (struct bb_pool *pool, const struct bb_placement_policy *policy,
-             GRand *random, struct sampled *sample)
+             GRand *random, bb_usec now, struct sampled *sample)
 {
   uint32_t count = MIN (pool->count, SAMPLE_MAX);
   for (uint32_t i = 0; i < count; i++)
@@ -43,7 +43,7 @@
       struct bb_backend_server *s = pool->servers[index];
       pool->servers[index] = pool->servers[i];
       pool->servers[i] = s;
-      double cost = policy->cost (s);
+      double cost = policy->cost (s, now);
       uint32_t place = i;
       for (; place > 0 && sample[place - 1].cost > cost; place--)
         sample[place] = sample[place - 1];
@@ -54,10 +54,11 @@
 
 struct bb_backend_server *
 bb_choose_server (struct bb_pool *pool, double part,
-                  const struct bb_placement_policy *policy, GRand *random)
+                  const struct bb_placement_policy *policy, GRand *random,
+                  bb_usec now)
 {
   struct sampled sample[SAMPLE_MAX];
-  uint32_t count = draw_sample (pool, policy, random, sample);
+  uint32_t count = draw_sample (pool, policy, random, now, sample);
   struct bb_backend_server *s = NULL;
   double best = part * count;
   uint32_t choices = (uint32_t)best;
@@ -67,7 +68,7 @@
   for (int i = 0; count > 0 && i < DRAWS_MAX; i++)
     {
       s = sample[g_rand_int_range (random, 0, (gint32)choices)].server;
-      double weight = policy->weight (s);
+      double weight = policy->weight (s, now);
       if (weight >= pool->weight_max
           || g_rand_double (random) * pool->weight_max < weight)
         break;
--- a/marked/placement/choice.h
+++ b/marked/placement/choice.h
@@ -15,10 +15,10 @@
 {
   const char *name;
   /* Expected load of SERVER with one more flow, for each slot.  */
-  double (*cost) (const struct bb_backend_server *server);
+  double (*cost) (const struct bb_backend_server *server, bb_usec now);
   /* Part of the new flows that SERVER can take, relative to the others; above
      0.  */
-  double (*weight) (const struct bb_backend_server *server);
+  double (*weight) (const struct bb_backend_server *server, bb_usec now);
 };
 
 /* Servers that may get a new flow.  Their order changes with each choice.  */
@@ -42,5 +42,6 @@
    compared.  */
 struct bb_backend_server *
 bb_choose_server (struct bb_pool *pool, double part,
-                  const struct bb_placement_policy *policy, GRand *random);
+                  const struct bb_placement_policy *policy, GRand *random,
+                  bb_usec now);
 #endif
--- a/marked/placement/place.c
+++ b/marked/placement/place.c
@@ -27,18 +27,25 @@
 }
 
 static double
-load_cost (const struct bb_backend_server *s)
+load_cost (const struct bb_backend_server *s, bb_usec now)
 {
   const struct bb_server_load *l = &s->load;
   double flows = l->open + l->peer_open;
   double busy = l->busy + l->peer_busy;
-  return (flows + BUSY_WEIGHT * busy + 1) / slots_of (s);
+  return (flows + BUSY_WEIGHT * busy + 1) / slots_of (s)
+         * bb_answer_quality_factor (&s->load.quality, now);
+}
+
+static double
+load_weight (const struct bb_backend_server *s, bb_usec now)
+{
+  return slots_of (s) / bb_answer_quality_factor (&s->load.quality, now);
 }
 
 const struct bb_placement_policy bb_placement_by_load = {
   .name = "load",
   .cost = load_cost,
-  .weight = slots_of,
+  .weight = load_weight,
 };
 
 /* The server of lowest cost so far.  Servers of equal cost are equally likely
@@ -103,7 +110,7 @@
 static void
 add_to_pool (struct candidates *p, struct bb_server_group *group,
              const struct bb_placement_policy *policy,
-             struct bb_backend_server *s)
+             struct bb_backend_server *s, bb_usec now)
 {
   struct bb_pool *pool = s->is_local ? &p->local : &p->remote;
   if (s->is_local)
@@ -113,7 +120,7 @@
   pool->servers[s->is_local ? pool->count : 0] = s;
   pool->count++;
   pool->slots += slots_of (s);
-  pool->weight_max = MAX (pool->weight_max, policy->weight (s));
+  pool->weight_max = MAX (pool->weight_max, policy->weight (s, now));
 }
 
 static struct candidates
@@ -134,14 +141,14 @@
       if (bb_suspicion_is_suspect (&s->load.evidence, now))
         candidate = &candidates.suspect;
       else
-        add_to_pool (&candidates, group, policy, s);
+        add_to_pool (&candidates, group, policy, s, now);
       if (s->is_local && candidate != &candidates.suspect)
         {
           add_local_load (&candidates, s);
           update_candidate (&candidates.least_busy, s, load_per_slot (s),
                             random);
         }
-      update_candidate (candidate, s, policy->cost (s), random);
+      update_candidate (candidate, s, policy->cost (s, now), random);
     }
   return candidates;
 }
@@ -207,7 +214,7 @@
   if (part <= 0)
     return choice;
   choice.choice = BB_CHOICE_RANDOM;
-  choice.server = bb_choose_server (pool, part, p->policy, p->random);
+  choice.server = bb_choose_server (pool, part, p->policy, p->random, p->now);
   return choice;
 }
 
@@ -227,8 +234,9 @@
       pool->servers[i] = pool->servers[selected.count];
       pool->servers[selected.count++] = s;
       selected.slots += slots_of (s);
-      selected.weight_max = MAX (selected.weight_max, p->policy->weight (s));
-      update_candidate (&best, s, p->policy->cost (s), p->random);
+      selected.weight_max
+          = MAX (selected.weight_max, p->policy->weight (s, p->now));
+      update_candidate (&best, s, p->policy->cost (s, p->now), p->random);
     }
   *least = best.server;
   return selected;
--- a/marked/state/directory.h
+++ b/marked/state/directory.h
@@ -10,6 +10,7 @@
 
 #include "core/histogram.h"
 #include "marked/evidence/admission.h"
+#include "marked/evidence/answer_quality.h"
 #include "marked/evidence/demand.h"
 #include "marked/evidence/suspicion.h"
 #include "marked/state/list.h"
@@ -75,6 +76,7 @@
   int32_t peer_busy;
   struct bb_suspicion_evidence evidence;
   bb_usec answer_time; /* smoothed time to the start of an answer */
+  struct bb_server_quality quality;
 };
 
 /* The servers of one service and their answer times as observed here.  */
@@ -87,6 +89,7 @@
   struct bb_answer_time remote_dc;
   struct bb_histogram answer_times; /* local and remote */
   struct bb_priorities priorities;
+  struct bb_service_quality quality;
   struct bb_demand demand;
   struct bb_rooms rooms; /* in other data centres */
   /* Room for all servers of the list, for the placement of a flow.  */
@@ -148,6 +151,7 @@
 {
   struct bb_route_record record;
   bb_usec dropped; /* 0: in force */
+  struct bb_answer_lengths answers;
   struct bb_link by_revision;
 };
 
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -20,6 +20,12 @@
   BB_SYNC_CHUNK_WORDS = BB_SYNC_CHUNKS_MAX / 64,
 };
 
+struct bb_sync_peer_silence
+{
+  uint32_t cookie;
+  struct bb_silence silence;
+};
+
 struct bb_sync_peer
 {
   struct bb_sync_vm vm;
@@ -37,6 +43,8 @@
   uint32_t load_count;
   struct bb_sync_demand demands[BB_SYNC_DEMANDS_MAX];
   uint32_t demand_count;
+  struct bb_sync_peer_silence silences[BB_SYNC_SILENCES_MAX];
+  uint32_t silence_count;
 };
 
 /* Time without a datagram after which an incomplete batch is dropped.  A
@@ -98,6 +106,7 @@
   bb_usec next_remote_heartbeat;
   uint32_t candidate_hellos; /* in this round of heartbeats */
   bb_usec members_changed;   /* balancers of the own data centre; 0: never */
+  uint32_t peer_silences;    /* of servers, that peers report now */
   bool is_reader;
   bool is_first; /* of all readers */
   bool is_leader;
@@ -180,6 +189,26 @@
                                 const struct bb_endpoint *from,
                                 const struct bb_sync_message *m, bb_usec now);
 
+/* sync_answers.c: the answers of servers as seen by all balancers of a data
+   centre.  */
+/* Adds the answers seen here since the last heartbeat to B, whose loads are
+   set.  Only a heartbeat that is sent to all peers may take them.  */
+void bb_sync_add_answers (struct bb_sync *s, struct bb_sync_heartbeat *b,
+                          bb_usec now);
+void bb_sync_apply_peer_answers (struct bb_sync *s,
+                                 const struct bb_sync_peer *p,
+                                 const struct bb_sync_heartbeat *b,
+                                 bb_usec now);
+
+/* sync_silences.c: silent servers, as found by all balancers of a data centre.
+ */
+void bb_sync_add_silences (struct bb_sync *s, struct bb_sync_heartbeat *b,
+                           bb_usec now);
+/* Replaces the silences that P reported by those of B.  */
+void bb_sync_keep_silences (struct bb_sync *s, struct bb_sync_peer *p,
+                            const struct bb_sync_heartbeat *b, bb_usec now);
+void bb_sync_drop_silences (struct bb_sync *s, struct bb_sync_peer *p);
+
 /* sync_records.c: exchange of records, the state of the store.  */
 void bb_sync_send_records (struct bb_sync *s, const struct bb_endpoint *to,
                            size_t count, uint64_t from, bb_usec now);
--- a/runtime/marked_metrics.c
+++ b/runtime/marked_metrics.c
@@ -230,6 +230,29 @@
         group->name, places[i], (double)times[i]->estimate / BB_SEC);
 }
 
+static void
+write_answers (void *context, struct bb_server_group *group)
+{
+  const struct bb_answer_counts *total = &group->quality.total;
+  const uint32_t counts[] = { total->usual, total->outliers };
+  static const char *const lengths[] = { "usual", "short" };
+  for (size_t i = 0; i < G_N_ELEMENTS (counts); i++)
+    evbuffer_add_printf (context,
+                         "bluebellstand_service_answers_total{service=\"%s\","
+                         "length=\"%s\"} %" PRIu32 "\n",
+                         group->name, lengths[i], counts[i]);
+}
+
+static void
+write_failures (void *context, struct bb_server_group *group)
+{
+  evbuffer_add_printf (
+      context,
+      "bluebellstand_service_failing_servers_total{service=\"%s\"} %" PRIu32
+      "\n",
+      group->name, group->quality.failures);
+}
+
 static void
 write_reasons (const struct bb_marked_counters *c, struct evbuffer *out)
 {
@@ -240,6 +263,13 @@
         out,
         "bluebellstand_dropped_packets_total{reason=\"%s\"} %" PRIu64 "\n",
         bb_drop_name ((enum bb_drop)i), c->drops[i]);
+  write_header ("flows_placed_for_total", "counter",
+                "New flows, by what their callers met shortly before.", out);
+  for (int i = 0; i < BB_FLOW_CAUSES; i++)
+    evbuffer_add_printf (
+        out,
+        "bluebellstand_flows_placed_for_total{cause=\"%s\"} %" PRIu64 "\n",
+        bb_flow_cause_name ((enum bb_flow_cause)i), c->placed_for[i]);
   write_header ("flows_refused_total", "counter",
                 "New flows refused, by reason.", out);
   for (int i = BB_REASON_NONE + 1; i < BB_REASONS; i++)
@@ -347,5 +377,13 @@
                 out);
   bb_directory_foreach_service (bb_marked_directory (p->marked),
                                 write_estimate, out);
+  write_header ("service_answers_total", "counter",
+                "Answers by length, as seen by all near balancers.", out);
+  bb_directory_foreach_service (bb_marked_directory (p->marked), write_answers,
+                                out);
+  write_header ("service_failing_servers_total", "counter",
+                "Servers found failing by their short answers.", out);
+  bb_directory_foreach_service (bb_marked_directory (p->marked),
+                                write_failures, out);
   write_servers (p, out);
 }
--- a/tests/sync_message_test.c
+++ b/tests/sync_message_test.c
@@ -28,6 +28,10 @@
         .demand_count = 1,
         .rooms = { { 7, 9, 31, 80, 250 }, { 8, 9, 0, 80, UINT32_MAX } },
         .room_count = 2,
+        .answers = { { { 90, 10 }, false }, { { 0, 1 }, true } },
+        .answer_count = 2,
+        .silences = { { 1, 3, 250 } },
+        .silence_count = 1,
       };
       break;
     case BB_SYNC_REQUEST:
@@ -105,6 +109,13 @@
       ck_assert_uint_eq (decoded.heartbeat.rooms[1].data_centre, 8);
       ck_assert_uint_eq (decoded.heartbeat.rooms[1].slots, 80);
       ck_assert_uint_eq (decoded.heartbeat.rooms[0].age_ms, 250);
+      ck_assert_uint_eq (decoded.heartbeat.answers[0].counts.usual, 90);
+      ck_assert_uint_eq (decoded.heartbeat.answers[1].counts.outliers, 1);
+      ck_assert (!decoded.heartbeat.answers[0].is_failing);
+      ck_assert (decoded.heartbeat.answers[1].is_failing);
+      ck_assert_uint_eq (decoded.heartbeat.silences[0].load, 1);
+      ck_assert_uint_eq (decoded.heartbeat.silences[0].flows, 3);
+      ck_assert_uint_eq (decoded.heartbeat.silences[0].age_ms, 250);
     }
   if (m.kind == BB_SYNC_RECORDS)
     {
@@ -172,20 +183,28 @@
 }
 END_TEST
 
-/* The same of heartbeats: no rooms, no demands, no era.  */
+/* The same of heartbeats: no silences, answers, rooms, demands, era.  */
+enum
+{
+  APPENDED_TO_HEARTBEATS = 5,
+};
+
 START_TEST (heartbeats_of_older_versions_decode)
 {
   struct bb_sync_message m = make_message (BB_SYNC_HEARTBEAT), decoded;
   m.heartbeat.demand_count = m.heartbeat.room_count = 0;
+  m.heartbeat.answer_count = m.heartbeat.silence_count = 0;
   m.heartbeat.revision = 17;
   GByteArray *bytes = bb_sync_encode (&m);
   size_t length = bytes->len - (size_t)_i - 1;
-  ck_assert_uint_eq (bytes->data[0] & 0xf0, 0x90);
-  bytes->data[0] -= (guint8)(_i + 1);
+  ck_assert_uint_eq (bytes->data[0], 0xdc);
+  bytes->data[2] -= (guint8)(_i + 1);
   ck_assert (bb_sync_decode (bytes->data, length, &decoded, NULL));
   ck_assert_uint_eq (decoded.heartbeat.load_count, 2);
   ck_assert_uint_eq (decoded.heartbeat.demand_count, 0);
   ck_assert_uint_eq (decoded.heartbeat.room_count, 0);
+  ck_assert_uint_eq (decoded.heartbeat.answer_count, 0);
+  ck_assert_uint_eq (decoded.heartbeat.silence_count, 0);
   ck_assert_uint_eq (decoded.heartbeat.revision, 17);
   g_byte_array_unref (bytes);
 }
@@ -234,6 +253,47 @@
 }
 END_TEST
 
+/* Guards against rejecting heartbeats of releases that do not report answers,
+   and against counts that belong to other servers.  */
+static const struct
+{
+  const char *description;
+  uint32_t answer_count;
+  uint32_t silent; /* index of the silent server */
+  guint cut;       /* the last elements are missing */
+  bool is_valid;
+} reports[] = {
+  { "one of each server", 2, 1, 0, true },
+  { "none", 0, 1, 0, true },
+  { "none, of an earlier release", 0, 1, 2, true },
+  { "of fewer servers", 1, 1, 0, false },
+  { "of more servers", 3, 1, 0, false },
+  { "a silent server that is not listed", 2, 2, 0, false },
+};
+
+START_TEST (answers_belong_to_loads)
+{
+  struct bb_sync_message m = make_message (BB_SYNC_HEARTBEAT), decoded;
+  m.heartbeat.answer_count = reports[_i].answer_count;
+  m.heartbeat.silences[0].load = reports[_i].silent;
+  m.heartbeat.silence_count = reports[_i].cut ? 0 : 1;
+  GByteArray *bytes = bb_sync_encode (&m);
+  /* An empty array is one byte.  */
+  g_byte_array_set_size (bytes, bytes->len - reports[_i].cut);
+  ck_assert_uint_eq (bytes->data[0], 0xdc);
+  bytes->data[2] -= (guint8)reports[_i].cut;
+  GError *error = NULL;
+  bool is_valid = bb_sync_decode (bytes->data, bytes->len, &decoded, &error);
+  g_clear_error (&error);
+  ck_assert_msg (is_valid == reports[_i].is_valid, "%s",
+                 reports[_i].description);
+  if (is_valid)
+    ck_assert_uint_eq (decoded.heartbeat.answer_count,
+                       m.heartbeat.answer_count);
+  g_byte_array_unref (bytes);
+}
+END_TEST
+
 /* Guards against datagrams larger than one frame, which a busy link would
    fragment.  */
 START_TEST (messages_fit_a_frame)
@@ -246,7 +306,21 @@
   ck_assert_uint_ge (m.heartbeat.load_count, 1);
   ck_assert_uint_le (m.heartbeat.load_count, BB_SYNC_LOADS_MAX);
   for (int i = 0; i < BB_SYNC_LOADS_MAX; i++)
-    m.heartbeat.loads[i] = (struct bb_sync_load){ UINT32_MAX, 300, 20, true };
+    {
+      m.heartbeat.loads[i]
+          = (struct bb_sync_load){ UINT32_MAX, 300, 20, true };
+      m.heartbeat.answers[i] = (struct bb_answer_report){
+        { BB_ANSWER_REPORT_MAX, BB_ANSWER_REPORT_MAX }, true
+      };
+    }
+  /* The reply to a joining balancer lists many peers, but no answers.  */
+  m.heartbeat.answer_count
+      = listed_peers[_i] <= BB_SYNC_LISTED_PEERS ? m.heartbeat.load_count : 0;
+  m.heartbeat.silence_count
+      = m.heartbeat.answer_count ? BB_SYNC_SILENCES_MAX : 0;
+  for (uint32_t i = 0; i < BB_SYNC_SILENCES_MAX; i++)
+    m.heartbeat.silences[i]
+        = (struct bb_sync_silence){ i, BB_SILENCE_FLOWS_MAX, 1500 };
   for (int i = 0; i < BB_SYNC_LISTED_PEERS_MAX; i++)
     m.heartbeat.listed_peers[i]
         = (struct bb_sync_vm){ UINT32_MAX, UINT32_MAX, { UINT32_MAX, 65535 } };
@@ -335,8 +409,10 @@
   tcase_add_loop_test (tc, records_of_older_versions_decode, 0,
                        G_N_ELEMENTS (appended));
   tcase_add_test (tc, withheld_servers_round_trip);
-  tcase_add_loop_test (tc, heartbeats_of_older_versions_decode, 0, 3);
+  tcase_add_loop_test (tc, heartbeats_of_older_versions_decode, 0,
+                       APPENDED_TO_HEARTBEATS);
   tcase_add_test (tc, eras_round_trip);
+  tcase_add_loop_test (tc, answers_belong_to_loads, 0, G_N_ELEMENTS (reports));
   tcase_add_loop_test (tc, messages_fit_a_frame, 0, 4);
   tcase_add_loop_test (tc, truncated_messages_are_refused, 0, BB_SYNC_KINDS);
   tcase_add_test (tc, changed_bytes_stay_in_bounds);
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -18,6 +18,8 @@
   LOAD_FIELDS = 5,
   DEMAND_FIELDS = 2,
   ROOM_FIELDS = 5,
+  ANSWER_FIELDS = 3,
+  SILENCE_FIELDS = 3,
   /* Older builds put the suspicion of a server into a load.  */
   LOAD_NOT_SUSPECT = 0,
   SERVER_FIELDS = 13,
@@ -33,7 +35,7 @@
 #define NO_NAME "-"
 
 static const size_t body_fields[BB_SYNC_KINDS] = {
-  [BB_SYNC_HEARTBEAT] = 11,
+  [BB_SYNC_HEARTBEAT] = 13,
   [BB_SYNC_REQUEST] = 2,
   [BB_SYNC_RECORDS] = 18,
 };
@@ -66,6 +68,30 @@
     }
 }
 
+static void
+put_answers (msgpack_packer *pk, const struct bb_sync_heartbeat *h)
+{
+  msgpack_pack_array (pk, h->answer_count * ANSWER_FIELDS);
+  for (uint32_t i = 0; i < h->answer_count; i++)
+    {
+      bb_writer_put_uint (pk, h->answers[i].counts.usual);
+      bb_writer_put_uint (pk, h->answers[i].counts.outliers);
+      bb_writer_put_uint (pk, h->answers[i].is_failing);
+    }
+}
+
+static void
+put_silences (msgpack_packer *pk, const struct bb_sync_heartbeat *h)
+{
+  msgpack_pack_array (pk, h->silence_count * SILENCE_FIELDS);
+  for (uint32_t i = 0; i < h->silence_count; i++)
+    {
+      bb_writer_put_uint (pk, h->silences[i].load);
+      bb_writer_put_uint (pk, h->silences[i].flows);
+      bb_writer_put_uint (pk, h->silences[i].age_ms);
+    }
+}
+
 static void
 put_heartbeat (msgpack_packer *pk, const struct bb_sync_heartbeat *h)
 {
@@ -93,6 +119,8 @@
     }
   bb_writer_put_uint (pk, bb_revision_era (h->revision));
   put_demands_and_rooms (pk, h);
+  put_answers (pk, h);
+  put_silences (pk, h);
 }
 
 static void
@@ -294,6 +322,42 @@
   return r->remaining ? bb_reader_get_uint (r, BB_REVISION_ERA_MAX) : 0;
 }
 
+/* Reads the answers, which earlier releases do not send.  */
+static void
+read_answers (struct bb_reader *r, struct bb_sync_heartbeat *h)
+{
+  if (r->remaining == 0)
+    return;
+  struct bb_reader inner
+      = read_groups (r, ANSWER_FIELDS, BB_SYNC_LOADS_MAX, &h->answer_count);
+  for (uint32_t i = 0; i < h->answer_count; i++)
+    {
+      h->answers[i].counts.usual = bb_reader_get_u32 (&inner);
+      h->answers[i].counts.outliers = bb_reader_get_u32 (&inner);
+      h->answers[i].is_failing = bb_reader_get_uint (&inner, 1) != 0;
+    }
+  r->is_invalid
+      |= inner.is_invalid
+         || (h->answer_count > 0 && h->answer_count != h->load_count);
+}
+
+static void
+read_silences (struct bb_reader *r, struct bb_sync_heartbeat *h)
+{
+  if (r->remaining == 0)
+    return;
+  struct bb_reader inner = read_groups (
+      r, SILENCE_FIELDS, BB_SYNC_SILENCES_MAX, &h->silence_count);
+  for (uint32_t i = 0; i < h->silence_count; i++)
+    {
+      h->silences[i].load = bb_reader_get_u32 (&inner);
+      h->silences[i].flows = bb_reader_get_u32 (&inner);
+      h->silences[i].age_ms = bb_reader_get_u32 (&inner);
+      r->is_invalid |= h->silences[i].load >= h->load_count;
+    }
+  r->is_invalid |= inner.is_invalid;
+}
+
 static void
 read_demands (struct bb_reader *r, struct bb_sync_heartbeat *h)
 {
@@ -357,6 +421,8 @@
     read_demands (r, h);
   if (r->remaining > 0)
     read_rooms (r, h);
+  read_answers (r, h);
+  read_silences (r, h);
 }
 
 static void
