marked: a leader contacts candidates at intervals

While a data centre had no leader, a leader sent a hello to each candidate in each reply, and each reply listed candidates again: the number of messages grew without limit. Each candidate is contacted once in 100 ms now, those that are not in the peer list one at a time.

--- a/marked/sync/sync_heartbeats.c
+++ b/marked/sync/sync_heartbeats.c
@@ -280,7 +280,8 @@
 /* Adds VM, which is at INDEX in the peer list of a heartbeat.  A joining
    balancer contacts the first ones of its data centre at once.  A leader
    contacts those that may be the leader of a data centre of which it has no
-   live leader.  */
+   live leader.  Their replies list further ones, so without an interval the
+   number of messages would grow with each reply while there is no leader.  */
 static void
 add_listed_peer (struct bb_sync *s, const struct bb_sync_vm *vm,
                  uint32_t index, bb_usec now)
@@ -297,8 +298,10 @@
       = is_new && is_local && s->revision == 0 && index < JOIN_HELLOS;
   if (!is_join_target && !is_leader_candidate)
     return;
-  if (p)
-    p->last_sent = now;
+  bb_usec *last = p ? &p->last_sent : &s->last_unlisted_hello;
+  if (*last != 0 && now - *last < JOIN_INTERVAL)
+    return;
+  *last = now;
   send_hello (s, &vm->endpoint, now);
 }
 
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -88,6 +88,7 @@
   bb_usec next_heartbeat;
   bb_usec last_request;
   bb_usec last_seed_hello;
+  bb_usec last_unlisted_hello; /* to a balancer that is not in the peer list */
   bb_usec next_remote_heartbeat;
   bb_usec members_changed; /* balancers of the own data centre; 0: never */
   bool is_reader;
