--- a/tests/sync_message_test.c
+++ b/tests/sync_message_test.c
@@ -259,6 +259,56 @@
 }
 END_TEST
 
+/* Guards against datagrams of evacuations or limits of services that are
+   larger than one frame.  */
+START_TEST (operator_records_fit_a_frame)
+{
+  struct bb_sync_message m = { .kind = BB_SYNC_RECORDS,
+                               .from = UINT32_MAX,
+                               .incarnation = UINT64_MAX };
+  struct bb_sync_records *r = &m.record_chunk;
+  *r = (struct bb_sync_records){ .batch = UINT32_MAX,
+                                 .chunk = BB_SYNC_CHUNKS_MAX - 1,
+                                 .chunk_count = BB_SYNC_CHUNKS_MAX,
+                                 .from = UINT64_MAX,
+                                 .to = UINT64_MAX,
+                                 .removals_since = UINT64_MAX,
+                                 .route_history_ms = UINT32_MAX,
+                                 .version = UINT64_MAX,
+                                 .verified_ms = UINT32_MAX,
+                                 .has_evacuations = true };
+  r->evacuation_count = _i ? 0 : BB_SYNC_EVACUATIONS_MAX;
+  r->service_count = _i ? BB_SYNC_SERVICES_MAX : 0;
+  for (size_t i = 0; i < BB_SYNC_EVACUATIONS_MAX; i++)
+    {
+      memset (r->evacuations[i].data_centre, 'x', BB_NAME_MAX - 1);
+      r->evacuations[i].is_active = true;
+      r->evacuations[i].revision = UINT64_MAX;
+    }
+  for (size_t i = 0; i < BB_SYNC_SERVICES_MAX; i++)
+    r->services[i]
+        = (struct bb_service_record){ UINT32_MAX, UINT32_MAX, UINT64_MAX };
+  GByteArray *bytes = bb_sync_encode (&m);
+  ck_assert_uint_le (bytes->len, BB_SYNC_DATAGRAM_BYTES);
+  g_byte_array_unref (bytes);
+}
+END_TEST
+
+/* Guards against a receiver that takes the records of a balancer that lacks
+   evacuations for a whole state of them.  */
+START_TEST (missing_evacuations_are_told)
+{
+  struct bb_sync_message m = make_message (BB_SYNC_RECORDS), decoded;
+  m.record_chunk.has_evacuations = _i;
+  GByteArray *bytes = bb_sync_encode (&m);
+  ck_assert (bb_sync_decode (bytes->data, bytes->len, &decoded, NULL));
+  ck_assert_int_eq (decoded.record_chunk.has_evacuations, _i);
+  ck_assert_uint_eq (decoded.record_chunk.evacuation_count, _i ? 2 : 0);
+  ck_assert_uint_eq (decoded.record_chunk.route_count, 2);
+  g_byte_array_unref (bytes);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -271,6 +321,8 @@
   tcase_add_loop_test (tc, messages_fit_a_frame, 0, 4);
   tcase_add_loop_test (tc, truncated_messages_are_refused, 0, BB_SYNC_KINDS);
   tcase_add_test (tc, changed_bytes_stay_in_bounds);
+  tcase_add_loop_test (tc, operator_records_fit_a_frame, 0, 2);
+  tcase_add_loop_test (tc, missing_evacuations_are_told, 0, 2);
   suite_add_tcase (suite, tc);
   return run_suite (suite);
 }
