--- a/tests/marked_process_test.c
+++ b/tests/marked_process_test.c
@@ -286,6 +286,29 @@
 }
 END_TEST
 
+/* Guards against an evacuation that an operator cannot see: in the log with
+   the name of the data centre, in the metrics, and for each flow.  */
+START_TEST (evacuation_is_shown)
+{
+  const struct bb_evacuation_record r
+      = { .data_centre = "north", .is_active = true, .revision = 3 };
+  publish_state ();
+  t.sink->evacuation (t.context, &r);
+  send_syn (ROUTE_PORT);
+  uint8_t bytes[256];
+  ck_assert_int_eq (receive (t.caller, bytes, sizeof bytes),
+                    BB_PLATFORM_HEADER_SIZE);
+  ck_assert_int_eq (get (&t.settings.metrics, "/metrics"), 200);
+  ck_assert_ptr_nonnull (strstr (t.body, "\nbluebellstand_evacuations 1\n"));
+  ck_assert_ptr_nonnull (strstr (
+      t.body,
+      "\nbluebellstand_flows_refused_total{reason=\"evacuated\"} 1\n"));
+  ck_assert_int_eq (get (&t.settings.metrics, "/events"), 200);
+  ck_assert_ptr_nonnull (strstr (t.body, "\"event\":\"evacuation\""));
+  ck_assert_ptr_nonnull (strstr (t.body, "\"target_data_centre\":\"north\""));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -295,6 +318,7 @@
   tcase_add_checked_fixture (tc, set_up, tear_down);
   tcase_add_test (tc, readiness_follows_state);
   tcase_add_test (tc, packets);
+  tcase_add_test (tc, evacuation_is_shown);
   tcase_add_loop_test (tc, metrics, 0, G_N_ELEMENTS (lines));
   suite_add_tcase (suite, tc);
   tc = tcase_create ("ports");
