marked: an old batch at the revision held loses nothing

Records of an older build that bring no new revision do not make a complete balancer read the store. An incomplete one also requests the changes after its complete revision from peers. Tests for both kinds of records.

--- a/marked/sync/sync_heartbeats.c
+++ b/marked/sync/sync_heartbeats.c
@@ -261,7 +261,7 @@
     return;
   s->last_request = now;
   struct bb_sync_message m = { .kind = BB_SYNC_REQUEST };
-  m.request.revision = s->revision;
+  m.request.revision = s->complete_revision;
   bb_sync_send (s, &p->vm.endpoint, 1, &m);
 }
 
--- a/marked/sync/sync_records.c
+++ b/marked/sync/sync_records.c
@@ -338,8 +338,10 @@
   if (m->from == 0)
     remove_unlisted (s, b, m, has_routes_in_force, now);
   s->revision = m->to;
-  bb_sync_set_complete (
-      s, m->to, !b->lacks_evacuations && m->from <= s->complete_revision, now);
+  bool is_complete
+      = s->complete_revision >= m->to
+        || (!b->lacks_evacuations && m->from <= s->complete_revision);
+  bb_sync_set_complete (s, m->to, is_complete, now);
   if (m->from == 0)
     bb_sync_send_event (s, BB_EVENT_STATE_ADOPTED, b->from, m->version,
                         BB_REASON_PEER, (bb_usec)m->verified_ms * BB_MSEC);
--- a/tests/evacuation_sync_test.c
+++ b/tests/evacuation_sync_test.c
@@ -274,6 +274,53 @@
 }
 END_TEST
 
+/* Records that balancer 0, which has read everything up to REVISION_HELD,
+   receives, and the revisions that it then reports.  */
+#define REVISION_HELD 40
+
+static const struct
+{
+  const char *guards;
+  uint64_t from, to;
+  bool has_evacuations;
+  uint64_t revision, complete;
+} batches[] = {
+  { "changes that are taken for complete ones", 40, 50, false, 50, 40 },
+  { "a whole state that is taken for a complete one", 0, 50, false, 50, 40 },
+  { "a store that is read for nothing", 0, 40, false, 40, 40 },
+  { "complete changes that are not believed", 40, 50, true, 50, 50 },
+};
+
+START_TEST (older_builds_send_no_evacuations)
+{
+  const struct node *n = &sim.nodes[0];
+  struct bb_endpoint from = endpoint_of (1);
+  struct bb_sync_message m
+      = { .kind = BB_SYNC_RECORDS,
+          .from = 101,
+          .incarnation = 1,
+          .record_chunk = { .batch = 1,
+                            .chunk_count = 1,
+                            .from = batches[_i].from,
+                            .to = batches[_i].to,
+                            .has_evacuations = batches[_i].has_evacuations,
+                            .version = 1 } };
+  begun = 30;
+  put (n, true, begun);
+  bb_sync_confirm_revision (n->sync, REVISION_HELD, sim.now, sim.now);
+  bb_sync_receive (n->sync, &from, &m, sim.now);
+  ck_assert_msg (bb_sync_revision (n->sync) == batches[_i].revision
+                     && bb_sync_complete_revision (n->sync)
+                            == batches[_i].complete,
+                 "%s", batches[_i].guards);
+  ck_assert (is_evacuated (n));
+  bb_sync_tick (n->sync, sim.now + BB_SEC);
+  ck_assert_msg (batches[_i].revision == batches[_i].complete
+                     || bb_sync_is_reader (n->sync),
+                 "%s", batches[_i].guards);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -283,5 +330,10 @@
   tcase_add_loop_test (tc, all_balancers_know_in_time, 0,
                        G_N_ELEMENTS (cases));
   suite_add_tcase (suite, tc);
+  tc = tcase_create ("older builds");
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_loop_test (tc, older_builds_send_no_evacuations, 0,
+                       G_N_ELEMENTS (batches));
+  suite_add_tcase (suite, tc);
   return run_suite (suite);
 }
