marked: limits get the revision of each configuration

A balancer that had missed two configurations found the limit of the third one equal to what it held and left its revision. Limits are few, so all of them get the new revision.

--- a/marked/state/directory_services.c
+++ b/marked/state/directory_services.c
@@ -140,13 +140,10 @@
     g_hash_table_add (listed, GUINT_TO_POINTER (c->services[i].service));
   bb_directory_drop_unlisted_services (d, listed, c->revision, now);
   g_hash_table_unref (listed);
+  /* Also those that look the same: a peer may hold another one from a
+     configuration in between.  */
   for (size_t i = 0; i < c->service_count; i++)
-    {
-      const struct bb_service_limit *limit = g_hash_table_lookup (
-          d->limits, GUINT_TO_POINTER (c->services[i].service));
-      if (!limit || limit->record.cold_rate != c->services[i].cold_rate)
-        bb_directory_put_service (d, &c->services[i], now);
-    }
+    bb_directory_put_service (d, &c->services[i], now);
 }
 
 void
