--- a/marked/sync/sync_heartbeats.c
+++ b/marked/sync/sync_heartbeats.c
@@ -16,7 +16,6 @@
   LEADER_HELLOS = 4, /* hellos in each round to discover leaders */
   /* Hellos in each round to the candidates that replies list.  A reply of one
      that is not a leader lists further candidates.  */
-  CANDIDATE_HELLOS = 32,
   /* Pending requests that a server may have at one balancer, far above what
      fits into the queue of a server.  */
   SERVER_PENDING_MAX = 256,
@@ -248,7 +247,6 @@
 bb_sync_send_heartbeats (struct bb_sync *s, bb_usec now)
 {
   struct bb_sync_message m;
-  s->candidate_hellos = 0;
   size_t count = select_local_targets (s, now);
   fill_heartbeat (s, &m, s->options.self.data_centre, BB_SYNC_LISTED_PEERS,
                   now);
@@ -290,7 +288,8 @@
   if (b->revision == s->revision && b->revision > 0)
     bb_sync_set_verified (s, b->verified_ms, now);
   if (b->revision > s->revision)
-    request_records (s, p, s->needs_whole_state ? 0 : s->revision, now);
+    request_records (s, p, s->needs_whole_state ? 0 : s->complete_revision,
+                     now);
   else if (b->revision > 0 && b->version > bb_directory_version (s->directory))
     request_records (s, p, 0, now);
 }
@@ -298,7 +297,8 @@
 /* Adds VM, which is at INDEX in the peer list of a heartbeat.  A joining
    balancer contacts the first ones of its data centre at once.  A leader
    contacts those that may be the leader of a data centre of which it has no
-   live leader.  */
+   live leader.  Their replies list further ones, so without an interval the
+   number of messages would grow with each reply while there is no leader.  */
 static void
 add_listed_peer (struct bb_sync *s, const struct bb_sync_vm *vm,
                  uint32_t index, bb_usec now)
@@ -315,10 +315,10 @@
       = is_new && is_local && s->revision == 0 && index < JOIN_HELLOS;
   if (!is_join_target && !is_leader_candidate)
     return;
-  if (!is_join_target && s->candidate_hellos++ >= CANDIDATE_HELLOS)
+  bb_usec *last = p ? &p->last_sent : &s->last_unlisted_hello;
+  if (*last != 0 && now - *last < JOIN_INTERVAL)
     return;
-  if (p)
-    p->last_sent = now;
+  *last = now;
   send_hello (s, &vm->endpoint, now);
 }
 
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -103,10 +103,10 @@
   bb_usec next_heartbeat;
   bb_usec last_request;
   bb_usec last_seed_hello;
+  bb_usec last_unlisted_hello; /* to a balancer that is not in the peer list */
   bb_usec next_remote_heartbeat;
-  uint32_t candidate_hellos; /* in this round of heartbeats */
-  bb_usec members_changed;   /* balancers of the own data centre; 0: never */
-  uint32_t peer_silences;    /* of servers, that peers report now */
+  bb_usec members_changed; /* balancers of the own data centre; 0: never */
+  uint32_t peer_silences;  /* of servers, that peers report now */
   bool is_reader;
   bool is_first; /* of all readers */
   bool is_leader;
@@ -226,8 +226,9 @@
                        const struct bb_sync_message *message, bb_usec now);
 void bb_sync_clear_batch (struct bb_sync_batch *b);
 /* Returns the configuration VERSION in the records of B, at REVISION.  */
-struct bb_configuration bb_sync_get_configuration (
-    const struct bb_sync_batch *b, uint64_t version, uint64_t revision);
+struct bb_configuration
+bb_sync_get_configuration (const struct bb_sync_batch *b, uint64_t version,
+                           uint64_t revision);
 /* Drops the batches that have been incomplete for too long.  */
 void bb_sync_expire_batches (struct bb_sync *s, bb_usec now);
 
--- a/marked/sync/sync_records.c
+++ b/marked/sync/sync_records.c
@@ -350,8 +350,10 @@
   else
     bb_directory_restart_history (s->directory, m->to, now);
   s->revision = m->to;
-  bb_sync_set_complete (
-      s, m->to, !b->lacks_evacuations && m->from <= s->complete_revision, now);
+  bool is_complete
+      = s->complete_revision >= m->to
+        || (!b->lacks_evacuations && m->from <= s->complete_revision);
+  bb_sync_set_complete (s, m->to, is_complete, now);
   if (m->from == 0)
     {
       s->needs_whole_state = false;
