--- a/tests/herd_test.c
+++ b/tests/herd_test.c
@@ -237,6 +237,7 @@
   { "normal load", 0.5, { 1, 4, 40, 10 * BB_SEC }, 0, 0, 0 },
   { "load begins to wait", 0.8, { 1, 4, 40, 10 * BB_SEC }, 0, 0.01, 0.25 },
   { "more load than slots", 1.3, { 1, 4, 40, 10 * BB_SEC }, 0, 1, 1 },
+  { "no server here", INFINITY, { 1, 4, 40, 10 * BB_SEC }, 0, 1, 1 },
   { "the other one is as busy", 1.3, { 1, 52, 40, 10 * BB_SEC }, 0, 0, 0 },
   { "the other one is nearly as busy",
     0.9,
