--- a/marked/sync/sync_heartbeats.c
+++ b/marked/sync/sync_heartbeats.c
@@ -328,6 +328,17 @@
                         b->load_count - p->load_count, BB_REASON_PEER, 0);
 }
 
+/* Keeps what B reports for placement.  */
+static void
+keep_reports (struct bb_sync *s, struct bb_sync_peer *p,
+              const struct bb_sync_heartbeat *b, bb_usec now)
+{
+  keep_loads (s, p, b);
+  bb_sync_apply_peer_loads (s, p, 1, now);
+  bb_sync_keep_demands (p, b);
+  bb_sync_keep_rooms (s, p, b, now);
+}
+
 void
 bb_sync_receive_heartbeat (struct bb_sync *s, const struct bb_endpoint *from,
                            const struct bb_sync_message *m, bb_usec now)
@@ -358,10 +369,7 @@
   p->revision = b->revision;
   p->version = b->version;
   p->last_mentioned = now;
-  keep_loads (s, p, b);
-  bb_sync_apply_peer_loads (s, p, 1, now);
-  bb_sync_keep_demands (p, b);
-  bb_sync_keep_rooms (s, p, b, now);
+  keep_reports (s, p, b, now);
   for (uint32_t i = 0; i < b->listed_peer_count; i++)
     add_listed_peer (s, &b->listed_peers[i], i, now);
   update_from_peer (s, p, b, now);
