placement: what the lower limit of the spill means

The comment named a part of waiting requests that is wrong: with two slots and random arrivals, 0.7 pending requests per slot are a utilisation of 0.51, at which a request waits 0.36 of its time.

--- a/marked/placement/spill.c
+++ b/marked/placement/spill.c
@@ -1,8 +1,8 @@
 #include "marked/placement/spill.h"
 
 /* Pending requests per slot above which flows leave the data centre, and at
-   which all of them may.  With two slots a server, a tenth of the requests
-   wait at the lower one if they arrive at random.  */
+   which all of them may.  If requests arrive at random at servers of two
+   slots, they wait a third of their own time at the lower one.  */
 #define SPILL_LOAD_MIN 0.7
 #define SPILL_LOAD_FULL 1.2
 
