marked: cold servers have one owner and a bounded rate

Each cold server whose service has a rate for cold servers now has one owner among the balancers of its data centre, by rendezvous hash over a list that grows only by balancers that all others have confirmed and shrinks only by those that say so themselves or are silent for ten minutes. The owner places new flows by a token bucket. Without a rate, a cold server gets a growing part of its share. Shares of the bucket by live balancers were ruled out: both sides of a cut would give out all of it.

--- a/config/config.h
+++ b/config/config.h
@@ -93,6 +93,10 @@
   uint32_t flow_capacity;
   uint32_t idle_ms;
   uint32_t drain_ms; /* longest stop, during which packets are forwarded */
+  /* Bound on the requests of a cold server in any second: its rate times
+     cold_factor, and cold_slack, both in thousandths.  */
+  uint32_t cold_factor;
+  uint32_t cold_slack;
 };
 
 /* Settings of one balancer process.  */
--- a/config/keys_vms_settings.c
+++ b/config/keys_vms_settings.c
@@ -152,7 +152,7 @@
     "balancers to contact first; only their addresses are used", 0, 0 },
   { "settings", "marked.seeds[]", BB_KEY_ENDPOINT, "", 0, 0, NULL, "",
     "one balancer", 0, 0 },
-  { "settings", "marked.cpu_share", BB_KEY_DECIMAL, "cores", 0, 0, NULL, "1.0",
+  { "settings", "marked.cpu_share", BB_KEY_DECIMAL, "cores", 1, 0, NULL, "1.0",
     "processor of the VM; balancers with more read the store first",
     BB_KEY_FIELD (bb_marked_settings, capacity) },
   { "settings", "marked.flow_capacity", BB_KEY_INTEGER, "flows", 64, 16777216,
@@ -164,6 +164,13 @@
   { "settings", "marked.drain_ms", BB_KEY_INTEGER, "ms", 0, 3600000, NULL,
     "3000", "time for which packets are forwarded after SIGTERM",
     BB_KEY_FIELD (bb_marked_settings, drain_ms) },
+  { "settings", "marked.cold_factor", BB_KEY_DECIMAL, "", 1, 0, NULL, "1.0",
+    "a cold server gets at most its rate times this, and marked.cold_slack, "
+    "requests in any second",
+    BB_KEY_FIELD (bb_marked_settings, cold_factor) },
+  { "settings", "marked.cold_slack", BB_KEY_DECIMAL, "requests", 0, 0, NULL,
+    "0", "see marked.cold_factor",
+    BB_KEY_FIELD (bb_marked_settings, cold_slack) },
   { "settings", "log_level", BB_KEY_CHOICE, "", 0, 0, levels, "info",
     "least severe level that is logged", 0, 0 },
 };
--- a/config/schema.c
+++ b/config/schema.c
@@ -87,6 +87,8 @@
 
   if (key->type == BB_KEY_CHOICE)
     return join_choices (key->choices);
+  if (key->type == BB_KEY_DECIMAL && key->min == 0)
+    return g_strdup ("a number from 0 to 1000");
   if (key->type != BB_KEY_INTEGER)
     return g_strdup (texts[key->type]);
   if (key->max == INT64_MAX)
@@ -189,11 +191,11 @@
 
 /* Accepts integers as well as decimal numbers.  */
 static bool
-is_decimal_in_range (json_object *value)
+is_decimal_in_range (const struct bb_key *key, json_object *value)
 {
   double n = json_object_get_double (value);
 
-  return n >= 0.001 && n <= 1000;
+  return n * 1000 >= (double)key->min && n <= 1000;
 }
 
 bool
@@ -214,7 +216,7 @@
       && json_object_is_type (value, json_type_int))
     {
       *kind = BB_ERROR_RANGE;
-      return is_decimal_in_range (value);
+      return is_decimal_in_range (key, value);
     }
   if (!json_object_is_type (value, types[key->type]))
     return false;
@@ -227,7 +229,7 @@
              && is_string_in_range (key, s);
     }
   if (key->type == BB_KEY_DECIMAL)
-    return is_decimal_in_range (value);
+    return is_decimal_in_range (key, value);
   return key->type != BB_KEY_INTEGER || is_integer_in_range (key, value);
 }
 
--- a/config/schema.h
+++ b/config/schema.h
@@ -39,7 +39,7 @@
   const char *path; /* services.NAME.port, vms[].name */
   enum bb_key_type type;
   const char *unit;
-  int64_t min; /* range of an integer */
+  int64_t min; /* range of an integer; of a decimal in thousandths */
   int64_t max;
   const struct bb_choice *choices;
   const char *default_text; /* default value, or "required" */
--- a/config/settings.c
+++ b/config/settings.c
@@ -57,9 +57,9 @@
   const struct bb_key *key = bb_key_lookup ("settings", "marked.seeds[]");
   enum bb_error_kind error;
 
-  /* The default of 1.0 core is set here, because bb_key_store does not store
+  /* The defaults of 1.0 are set here, because bb_key_store does not store
      defaults of decimals.  */
-  m->capacity = 1000;
+  m->capacity = m->cold_factor = 1000;
   bb_schema_read (layers, "settings", "marked", "/marked", object, m);
   m->seeds = g_new0 (struct bb_endpoint, count);
   for (size_t i = 0; i < count; i++)
--- a/core/core.h
+++ b/core/core.h
@@ -336,6 +336,8 @@
   BB_EVENT_LINK_TRUSTED,
   BB_EVENT_STATE_ADOPTED, /* the whole state of the store or of a peer */
   BB_EVENT_STATE_REFUSED, /* records of a peer that contradict each other */
+  BB_EVENT_COLD_OWNER,    /* places the new flows of a cold server, or not */
+  BB_EVENT_COLD_END,      /* a server that was owned is not cold any more */
   BB_EVENT_KINDS
 };
 
@@ -364,6 +366,7 @@
   BB_REASON_HISTORY_LOST,
   BB_REASON_UNREADABLE,
   BB_REASON_CONTRADICTORY,
+  BB_REASON_COLD, /* all servers are cold and have no room left */
   BB_REASONS
 };
 
--- a/core/strings.c
+++ b/core/strings.c
@@ -69,6 +69,8 @@
   [BB_EVENT_LINK_TRUSTED] = "link_trusted",
   [BB_EVENT_STATE_ADOPTED] = "state_adopted",
   [BB_EVENT_STATE_REFUSED] = "state_refused",
+  [BB_EVENT_COLD_OWNER] = "cold_owner",
+  [BB_EVENT_COLD_END] = "cold_end",
 };
 
 static const char *const reasons[BB_REASONS] = {
@@ -94,6 +96,7 @@
   [BB_REASON_HISTORY_LOST] = "history_lost",
   [BB_REASON_UNREADABLE] = "unreadable",
   [BB_REASON_CONTRADICTORY] = "contradictory",
+  [BB_REASON_COLD] = "cold",
 };
 
 const char *
--- a/marked/balancer.c
+++ b/marked/balancer.c
@@ -80,6 +80,7 @@
   struct bb_placement choice = bb_place_flow (
       m->directory, route, &bb_placement_by_load, m->random, now);
   struct bb_backend_server *s = choice.server;
+  m->counters.cold_passed_over += choice.passed_cold;
   if (!s)
     {
       refuse_flow (m, hash, choice.reason, now, v);
@@ -91,6 +92,7 @@
   set_flow_endpoints (f, p);
   f->request_sent_ms = bb_marked_time_ms (now);
   f->sent = f->confirmed = p->sequence + 1;
+  f->is_counted_cold = bb_cold_start_take (s, now);
   s->load.open++;
   m->counters.placed++;
   if (!s->is_local)
--- a/marked/balancer.h
+++ b/marked/balancer.h
@@ -12,6 +12,7 @@
 #define BB_MARKED_BALANCER_H
 
 #include "core/histogram.h"
+#include "marked/placement/cold_start.h"
 #include "marked/state/snapshot.h"
 #include "marked/sync/sync.h"
 
@@ -53,8 +54,9 @@
 {
   uint64_t forwarded;
   uint64_t placed;
-  uint64_t placed_remote; /* in another data centre */
-  uint64_t syn_copies;    /* copies of first packets */
+  uint64_t placed_remote;    /* in another data centre */
+  uint64_t syn_copies;       /* copies of first packets */
+  uint64_t cold_passed_over; /* flows for which a cold server had no room */
   uint64_t refused[BB_REASONS];
   uint64_t resets;
   uint64_t drops[BB_DROP_KINDS];
@@ -69,6 +71,7 @@
   const char *data_centre;
   uint32_t flow_capacity;
   uint32_t idle_ms; /* a flow without packets for this time has ended */
+  struct bb_cold_limits cold_limits;
 };
 
 struct bb_marked;
@@ -120,4 +123,7 @@
 const struct bb_histogram *bb_marked_answer_times (const struct bb_marked *m);
 const struct bb_histogram *bb_marked_open_times (const struct bb_marked *m);
 uint32_t bb_marked_flow_count (const struct bb_marked *m);
+
+/* Cold servers whose new flows this balancer places.  */
+uint32_t bb_marked_count_owned_cold_servers (const struct bb_marked *m);
 #endif
--- a/marked/balancer_private.h
+++ b/marked/balancer_private.h
@@ -33,6 +33,7 @@
   GArray *alive_times;
   struct bb_backend_server *ended_servers[ENDED_SERVERS_MAX];
   uint32_t ended_count;
+  uint32_t owned_cold_servers;
   struct bb_marked_counters counters;
   struct bb_histogram answer_times;
   struct bb_histogram open_times;
@@ -47,6 +48,13 @@
  */
 uint32_t bb_marked_time_ms (bb_usec now);
 
+/* cold_servers.c: which cold servers this balancer owns.  */
+/* Decides whether this balancer owns the cold servers of its data centre, as
+   of this tick.  */
+void bb_marked_check_cold_servers (struct bb_marked *m, bb_usec now);
+/* Takes part in the division of cold servers if a service limits them.  */
+void bb_marked_enable_cold_owner (struct bb_marked *m);
+
 /* observe.c: evidence on servers from the packets of callers.  */
 /* Subtracts a removed FLOW from the load of its server.  */
 void bb_marked_uncount_flow (void *context, const struct bb_marked_flow *flow);
--- a/marked/balancer_state.c
+++ b/marked/balancer_state.c
@@ -159,11 +159,13 @@
   m->last_tick = now;
   bb_sync_tick (m->sync, now);
   bb_directory_remove_expired (m->directory, now, handle_expired_server, m);
+  bb_marked_check_cold_servers (m, now);
   bb_marked_check_link (m, now);
   bb_marked_reset_ended_flows (m, now);
   if (now - m->last_sweep < SWEEP_INTERVAL)
     return;
   m->last_sweep = now;
+  bb_marked_enable_cold_owner (m);
   bb_marked_flows_expire (m->flows, bb_marked_time_ms (now),
                           m->options.idle_ms);
   bb_directory_sweep (m->directory, now);
--- a/marked/flows.h
+++ b/marked/flows.h
@@ -34,6 +34,7 @@
   uint32_t newer;
   uint32_t silence_id; /* last silence of the server that counts it; 0: none */
   bool was_queued;     /* the server had no free slot for the request */
+  bool is_counted_cold; /* the first request had a token of a cold server */
   uint8_t state;
   uint8_t repeats; /* of the same data, without an answer */
 };
--- a/marked/observe.c
+++ b/marked/observe.c
@@ -100,6 +100,10 @@
   f->repeats = 0;
   if (f->request_sent_ms == 0)
     {
+      /* The first request of a flow was counted with its first packet.  */
+      if (!f->is_counted_cold)
+        bb_cold_start_take (s, now);
+      f->is_counted_cold = false;
       f->request_sent_ms = bb_marked_time_ms (now);
       f->was_queued = s->load.busy + s->load.peer_busy >= s->record.slots;
       s->load.busy++;
--- a/marked/placement/place.c
+++ b/marked/placement/place.c
@@ -1,4 +1,5 @@
 #include "marked/placement/place.h"
+#include "marked/placement/cold_start.h"
 
 /* Cost of a pending request relative to an open flow.  The request occupies a
    slot now; most of the open flows are idle.  */
@@ -75,6 +76,10 @@
   double local_pending; /* of the local servers that are not suspect */
   double local_slots;
   bool has_unknown_slots; /* a local server does not tell its slots */
+  bool passed_cold;       /* a cold server has no room */
+  /* Local servers that get less than their share while they are cold.  */
+  struct candidate starting;
+  double starting_slots;
 };
 
 static void
@@ -100,8 +105,18 @@
       if (s->record.state != BB_SERVER_READY
           && s->record.state != BB_SERVER_EXPIRED)
         continue;
+      if (!bb_cold_start_admits (s, now))
+        {
+          candidates.passed_cold = true;
+          continue;
+        }
       if (bb_suspicion_is_suspect (&s->load.evidence, now))
         candidate = &candidates.suspect;
+      else if (s->is_local && bb_cold_start_weight (s, now) < 1)
+        {
+          candidate = &candidates.starting;
+          candidates.starting_slots += slots_of (s);
+        }
       else if (s->is_local)
         {
           add_local_load (&candidates, s);
@@ -113,6 +128,27 @@
   return candidates;
 }
 
+/* Lets a server that gets less than its share while it is cold take the place
+   of the local candidate: one drawn by its share, or the best one if there is
+   no other candidate.  */
+static void
+add_starting_server (struct candidates *p, const struct bb_link *servers,
+                     GRand *random, bb_usec now)
+{
+  if (!p->starting.server)
+    return;
+  if (!p->local_dc.server)
+    {
+      p->local_dc = p->least_busy = p->starting;
+      p->least_busy.cost = load_per_slot (p->starting.server);
+      return;
+    }
+  struct bb_backend_server *drawn = bb_cold_start_draw (
+      servers, p->local_slots + p->starting_slots, random, now);
+  if (drawn)
+    p->local_dc.server = drawn;
+}
+
 static bool
 prefers_remote (const struct bb_backend_server *local,
                 const struct bb_backend_server *remote)
@@ -154,44 +190,61 @@
 }
 
 static struct bb_placement
-choose_server (struct bb_server_group *group,
-               const struct bb_placement_policy *policy,
-               const struct bb_route_record *route, GRand *random, bb_usec now)
+choose (struct bb_backend_server *s, enum bb_reason reason)
+{
+  return (struct bb_placement){ .server = s, .reason = reason };
+}
+
+static struct bb_placement
+choose_candidate (const struct candidates *p, struct bb_server_group *group,
+                  const struct bb_route_record *route, bool is_low_priority,
+                  bb_usec now)
 {
   bb_usec objective = route->objective_ms * BB_MSEC;
-  bool is_low_priority
-      = bb_priorities_add_flow (&group->priorities, route->priority, now);
-  struct candidates p = find_candidates (&group->servers, policy, random, now);
-  if (p.local_slots > 0)
-    bb_concurrency_add_load (&group->concurrency,
-                             p.local_pending / p.local_slots, now);
-  struct bb_backend_server *local = p.local_dc.server,
-                           *remote = p.remote_dc.server;
+  struct bb_backend_server *local = p->local_dc.server,
+                           *remote = p->remote_dc.server;
   bool local_admitted
-      = local_is_admitted (&p, group, objective, is_low_priority, now);
+      = local_is_admitted (p, group, objective, is_low_priority, now);
   bool remote_admitted
-      = remote_is_admitted (&p, group, objective, is_low_priority, now);
+      = remote_is_admitted (p, group, objective, is_low_priority, now);
   if ((local || remote) && !local_admitted && !remote_admitted)
     {
       /* Slow answers are no reason to refuse a flow while a slot is free: the
          servers may be slow, or the requests of the route long.  */
-      if (p.has_unknown_slots && p.least_busy.cost < BB_FULL_LOAD)
-        return (struct bb_placement){ p.least_busy.server,
-                                      BB_REASON_OWN_DATA_CENTRE };
+      if (p->has_unknown_slots && p->least_busy.cost < BB_FULL_LOAD)
+        return choose (p->least_busy.server, BB_REASON_OWN_DATA_CENTRE);
       bb_priorities_add_refusal (&group->priorities, route->priority, now);
-      return (struct bb_placement){ NULL, BB_REASON_ALL_BUSY };
+      return choose (NULL, BB_REASON_ALL_BUSY);
     }
   if (local
       && !(remote_admitted
            && (!local_admitted || prefers_remote (local, remote))))
-    return (struct bb_placement){ local, BB_REASON_OWN_DATA_CENTRE };
+    return choose (local, BB_REASON_OWN_DATA_CENTRE);
   if (remote)
-    return (struct bb_placement){ remote, BB_REASON_OTHER_DATA_CENTRE };
+    return choose (remote, BB_REASON_OTHER_DATA_CENTRE);
   /* If all servers seem dead, one of them is used anyway.  The evidence may be
      wrong, and a failed flow costs the caller no more than a refusal.  */
-  return (struct bb_placement){ p.suspect.server, p.suspect.server
-                                                      ? BB_REASON_SERVER_SILENT
-                                                      : BB_REASON_NO_SERVER };
+  if (p->suspect.server)
+    return choose (p->suspect.server, BB_REASON_SERVER_SILENT);
+  return choose (NULL, p->passed_cold ? BB_REASON_COLD : BB_REASON_NO_SERVER);
+}
+
+static struct bb_placement
+choose_server (struct bb_server_group *group,
+               const struct bb_placement_policy *policy,
+               const struct bb_route_record *route, GRand *random, bb_usec now)
+{
+  bool is_low_priority
+      = bb_priorities_add_flow (&group->priorities, route->priority, now);
+  struct candidates p = find_candidates (&group->servers, policy, random, now);
+  add_starting_server (&p, &group->servers, random, now);
+  if (p.local_slots > 0)
+    bb_concurrency_add_load (&group->concurrency,
+                             p.local_pending / p.local_slots, now);
+  struct bb_placement choice
+      = choose_candidate (&p, group, route, is_low_priority, now);
+  choice.passed_cold = p.passed_cold;
+  return choice;
 }
 
 static uint32_t
@@ -218,7 +271,7 @@
                const struct bb_placement_policy *policy, GRand *random,
                bb_usec now)
 {
-  struct bb_placement none = { NULL, BB_REASON_NO_SERVER };
+  struct bb_placement none = { .reason = BB_REASON_NO_SERVER };
   if (!route)
     none.reason = BB_REASON_NO_ROUTE;
   else if (route->record.share_count == 0)
--- a/marked/placement/place.h
+++ b/marked/placement/place.h
@@ -22,6 +22,7 @@
 {
   struct bb_backend_server *server; /* NULL: refuse the flow */
   enum bb_reason reason;
+  bool passed_cold; /* a cold server had no room for the flow */
 };
 
 /* Chooses among the servers of the services of ROUTE.  */
--- a/marked/state/directory.c
+++ b/marked/state/directory.c
@@ -24,6 +24,7 @@
   d->routes = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   bb_list_init (&d->servers_by_revision);
   bb_list_init (&d->routes_by_revision);
+  bb_list_init (&d->cold_servers);
   return d;
 }
 
@@ -170,6 +171,20 @@
   return record->address.port == 0;
 }
 
+static void
+set_cold_time (struct bb_directory *d, struct bb_backend_server *s,
+               const struct bb_server_record *record, bb_usec now)
+{
+  bool was_cold = s->cold_until > now;
+  bb_usec left = MIN (record->cold_ms * BB_MSEC, BB_COLD_TIME_MAX);
+  s->cold_until = left ? now + left : 0;
+  if (left && !was_cold)
+    s->cold.since = now;
+  bb_list_remove (&s->by_cold);
+  if (left)
+    bb_list_append (&d->cold_servers, &s->by_cold);
+}
+
 /* Copies RECORD into S and updates what depends on it.  */
 static void
 apply_record (struct bb_directory *d, struct bb_backend_server *s,
@@ -184,7 +199,7 @@
   s->key = bb_server_key (record->service, record->name);
   s->service = bb_name_key (record->service);
   s->is_local = strcmp (record->data_centre, d->data_centre) == 0;
-  s->cold_until = record->cold_ms ? now + record->cold_ms * BB_MSEC : 0;
+  set_cold_time (d, s, record, now);
   if (record->state == BB_SERVER_DRAINING)
     s->has_announced_end = true;
   else if (record->state == BB_SERVER_READY)
@@ -254,6 +269,7 @@
   struct bb_backend_server *s = g_new0 (struct bb_backend_server, 1);
   bb_list_init (&s->by_revision);
   bb_list_init (&s->of_service);
+  bb_list_init (&s->by_cold);
   g_strlcpy (s->record.name, name, sizeof s->record.name);
   g_hash_table_insert (d->names, s->record.name, s);
   return s;
@@ -304,6 +320,12 @@
   return &d->servers_by_revision;
 }
 
+struct bb_link *
+bb_directory_cold_servers (struct bb_directory *d)
+{
+  return &d->cold_servers;
+}
+
 void
 bb_directory_start_history (struct bb_directory *d, uint64_t revision,
                             bb_usec history_start)
@@ -356,6 +378,7 @@
   d->removals_since = MAX (d->removals_since, s->record.revision);
   release_cookie (d, s);
   bb_list_remove (&s->by_revision);
+  bb_list_remove (&s->by_cold);
   return TRUE;
 }
 
--- a/marked/state/directory.h
+++ b/marked/state/directory.h
@@ -29,6 +29,10 @@
    within about 2 s of its return if their servers are alive.  */
 #define BB_EXPIRY_GRACE_TIME (2300 * BB_MSEC)
 
+/* A server that says that it is cold for longer is taken to be cold for this
+   time: they are for some seconds.  */
+#define BB_COLD_TIME_MAX (600 * BB_SEC)
+
 enum bb_server_state
 {
   BB_SERVER_READY,
@@ -71,6 +75,20 @@
   bb_usec answer_time; /* smoothed time to the start of an answer */
 };
 
+/* What limits the new flows of a server while it is cold; see
+   marked/placement/cold_start.h.  */
+struct bb_cold_state
+{
+  bool is_owned;       /* this balancer places its new flows */
+  uint32_t generation; /* of the owners, when is_owned was decided */
+  bb_usec since;       /* start of the cold time, as seen here */
+  bb_usec checked;     /* last tick that evaluated the server */
+  bb_usec filled;      /* time as of which tokens is right; not yet: later */
+  double tokens;       /* new flows that may be placed now */
+  double rate;         /* new tokens in a second */
+  double depth;        /* most tokens that are kept */
+};
+
 /* The servers of one service and their answer times as observed here.  */
 struct bb_server_group
 {
@@ -98,8 +116,10 @@
   bb_usec first_listed;   /* first time it was listed here */
   bb_usec gone_since;     /* 0: listed; else time of removal or expiry */
   bb_usec cold_until;
+  struct bb_cold_state cold;
   struct bb_server_load load;
   struct bb_link by_revision;
+  struct bb_link by_cold;
   struct bb_link of_service;
 };
 
@@ -251,6 +271,11 @@
 struct bb_link *bb_directory_servers (struct bb_directory *d);
 struct bb_link *bb_directory_routes (struct bb_directory *d);
 
+/* List head of the servers that were cold when their record was applied,
+   linked by by_cold.  Whoever finds one that is not cold any more removes it.
+ */
+struct bb_link *bb_directory_cold_servers (struct bb_directory *d);
+
 /* Sets expired servers whose grace period has ended to gone and calls GONE for
    each of them.  */
 void bb_directory_remove_expired (
--- a/marked/state/directory_private.h
+++ b/marked/state/directory_private.h
@@ -19,6 +19,7 @@
   GHashTable *routes;   /* address and port to struct bb_route, owned */
   struct bb_link servers_by_revision;
   struct bb_link routes_by_revision;
+  struct bb_link cold_servers;
   uint32_t expired_count; /* servers of state BB_SERVER_EXPIRED */
   bool servers_unsorted;
   bool routes_unsorted;
--- a/marked/sync/sync.c
+++ b/marked/sync/sync.c
@@ -25,6 +25,7 @@
   s->random = g_rand_new_with_seed (options->seed);
   s->next_heartbeat = now;
   s->is_reader = true;
+  s->owners.phase_since = s->owners.last_tick = now;
   return s;
 }
 
@@ -172,6 +173,7 @@
 {
   bb_sync_expire_peers (s, now);
   bb_sync_expire_batches (s, now);
+  bb_sync_update_owners (s, now);
   update_role (s, now);
   bb_sync_contact_seeds (s, now);
   if (now < s->next_heartbeat)
--- a/marked/sync/sync.h
+++ b/marked/sync/sync.h
@@ -109,6 +109,18 @@
    to leave, this one included; 0: never.  */
 bb_usec bb_sync_members_changed (const struct bb_sync *s);
 
+/* Whether this balancer takes part in the division of cold servers among the
+   balancers of its data centre.  Off at first.  */
+void bb_sync_enable_owner (struct bb_sync *s, bool is_enabled);
+
+/* Whether this balancer is the owner of SERVER, a bb_server_key in its own
+   data centre.  At most one balancer is.  */
+bool bb_sync_owns (const struct bb_sync *s, uint32_t server);
+
+/* Number and time of the last change of the owners known.  */
+uint32_t bb_sync_owners_generation (const struct bb_sync *s);
+bb_usec bb_sync_owners_changed (const struct bb_sync *s);
+
 /* Age of the state in the directory; BB_AGE_UNKNOWN if there is none.  */
 bb_usec bb_sync_state_age (const struct bb_sync *s, bb_usec now);
 uint32_t bb_sync_count_live_peers (const struct bb_sync *s, bb_usec now);
--- a/marked/sync/sync_heartbeats.c
+++ b/marked/sync/sync_heartbeats.c
@@ -62,6 +62,8 @@
     flags |= BB_SYNC_READER;
   if (s->is_leader)
     flags |= BB_SYNC_LEADER;
+  if (s->owners.phase >= BB_SYNC_OWNER_ANNOUNCED && !s->is_leaving)
+    flags |= BB_SYNC_OWNER;
   return flags;
 }
 
@@ -101,6 +103,7 @@
   b->revision = s->revision;
   b->version = bb_directory_version (s->directory);
   b->verified_ms = bb_sync_age_ms (s->last_verified, now);
+  b->owners = s->owners.digest;
   b->listed_peer_count = b->load_count = 0;
   bb_sync_list_peers (s, b, data_centre, listed_max, now);
   if (data_centre == s->options.self.data_centre)
@@ -355,6 +358,8 @@
   p->revision = b->revision;
   p->version = b->version;
   p->last_mentioned = now;
+  if (bb_sync_peer_is_local (s, p))
+    bb_sync_record_owner (s, p, b, now);
   keep_loads (s, p, b);
   bb_sync_apply_peer_loads (s, p, 1, now);
   for (uint32_t i = 0; i < b->listed_peer_count; i++)
--- a/marked/sync/sync_messages.h
+++ b/marked/sync/sync_messages.h
@@ -35,7 +35,8 @@
   BB_SYNC_LEAVING = 2,  /* stops soon */
   BB_SYNC_STORE_OK = 4, /* no recent call to the store failed */
   BB_SYNC_READER = 8,   /* watches the store itself */
-  BB_SYNC_LEADER = 16   /* first in the order of its data centre */
+  BB_SYNC_LEADER = 16,  /* first in the order of its data centre */
+  BB_SYNC_OWNER = 32    /* may own cold servers of its data centre */
 };
 
 /* A balancer in the peer list of another one.  */
@@ -62,6 +63,7 @@
   uint64_t revision;    /* of the directory of the sender */
   uint64_t version;     /* of the configuration in force */
   uint32_t verified_ms; /* age of the store call that confirmed revision */
+  uint32_t owners;      /* digest of the owners of the own data centre */
   struct bb_sync_vm listed_peers[BB_SYNC_LISTED_PEERS_MAX];
   uint32_t listed_peer_count;
   struct bb_sync_load loads[BB_SYNC_LOADS_MAX];
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -60,6 +60,34 @@
   GArray *records;    /* struct bb_route_record */
 };
 
+enum bb_sync_owner_phase
+{
+  BB_SYNC_OWNER_JOINING,
+  BB_SYNC_OWNER_ANNOUNCED, /* in its heartbeats; owns nothing yet */
+  BB_SYNC_OWNER_CONFIRMED  /* by all other owners */
+};
+
+/* Another balancer of the data centre that may own cold servers.  */
+struct bb_sync_owner
+{
+  uint32_t id;
+  uint32_t digest; /* of its list, with itself, as of its last heartbeat */
+  bb_usec last_received;
+};
+
+struct bb_sync_owners
+{
+  bool is_enabled; /* a service limits its cold servers */
+  enum bb_sync_owner_phase phase;
+  bb_usec phase_since;
+  bb_usec last_tick;
+  bb_usec changed;     /* last change of the list or the phase */
+  uint32_t generation; /* number of changes */
+  uint32_t digest;     /* of the list, with this balancer once announced */
+  uint32_t count;
+  struct bb_sync_owner list[BB_SYNC_PEERS_MAX];
+};
+
 struct bb_sync
 {
   struct bb_sync_options options;
@@ -84,6 +112,7 @@
   bool is_leader;
   bool is_leaving;
   struct bb_endpoint targets[BB_SYNC_PEERS_MAX]; /* recipients of a message */
+  struct bb_sync_owners owners;
   uint32_t batch_number;
   struct bb_sync_batch batches[BB_SYNC_BATCHES_MAX];
 };
@@ -125,6 +154,12 @@
                                int sign, bb_usec now);
 void bb_sync_expire_peers (struct bb_sync *s, bb_usec now);
 
+/* sync_owners.c: the balancers that may own cold servers.  */
+/* Evaluates heartbeat B of P, a balancer of the own data centre.  */
+void bb_sync_record_owner (struct bb_sync *s, const struct bb_sync_peer *p,
+                           const struct bb_sync_heartbeat *b, bb_usec now);
+void bb_sync_update_owners (struct bb_sync *s, bb_usec now);
+
 /* sync_peer_list.c: the peer list of a heartbeat.  Adds peers until the list
    has COUNT entries, first those that a recipient in DATA_CENTRE needs most.
  */
--- a/runtime/marked_metrics.c
+++ b/runtime/marked_metrics.c
@@ -28,6 +28,7 @@
   uint64_t peer_faults;
   uint64_t events_suppressed;
   uint64_t log_lost;
+  uint64_t cold_owned;
 };
 
 struct metric
@@ -66,6 +67,12 @@
     OFFSET (bb_marked_counters, placed) },
   { "flows_placed_far", "", "New flows in other data centres.", false,
     COUNTERS, OFFSET (bb_marked_counters, placed_remote) },
+  { "cold_servers_owned", "",
+    "Cold servers whose new flows this balancer places.", true, GAUGES,
+    OFFSET (gauges, cold_owned) },
+  { "flows_held_off_cold", "",
+    "New flows for which a cold server had no room left.", false, COUNTERS,
+    OFFSET (bb_marked_counters, cold_passed_over) },
   { "first_packet_copies", "", "Copies of first packets.", false, COUNTERS,
     OFFSET (bb_marked_counters, syn_copies) },
   { "resets", "", "Open flows that were reset.", false, COUNTERS,
@@ -122,6 +129,7 @@
     .peer_faults = p->peer_faults,
     .events_suppressed = bb_events_suppressed_count (p->events),
     .log_lost = bb_log_lost_lines (p->log),
+    .cold_owned = bb_marked_count_owned_cold_servers (p->marked),
   };
 }
 
--- a/runtime/marked_process.c
+++ b/runtime/marked_process.c
@@ -255,6 +255,8 @@
     .data_centre = s->self.data_centre,
     .flow_capacity = s->marked.flow_capacity,
     .idle_ms = s->marked.idle_ms,
+    .cold_limits = { .factor = s->marked.cold_factor,
+                     .slack = s->marked.cold_slack },
   };
   p->marked = bb_marked_new (&options, &marked_sink, p, p->started);
   bb_marked_set_seeds (p, &s->marked);
