marked: owners of cold servers survive cuts, freezes and restarts

Causes: a balancer that was alone announced itself as soon as it reached another one; one that starts had not heard of all others after 1.3 s when messages were lost; a balancer that stops or has withdrawn was the last to know of the other side of a cut. Now the wait counts from the last discovery, and the lists of all balancers that know an owner must be equal.

--- a/marked/sync/sync_heartbeats.c
+++ b/marked/sync/sync_heartbeats.c
@@ -296,6 +296,8 @@
   bool is_new = p && p->last_mentioned == 0;
   if (is_new)
     p->last_mentioned = now;
+  if (is_new && is_local)
+    s->owners.discovered = now;
   bool is_join_target
       = is_new && is_local && s->revision == 0 && index < JOIN_HELLOS;
   if (!is_join_target && !is_leader_candidate)
@@ -340,6 +342,8 @@
     return;
   /* Balancers of other data centres that are not leaders are added and
      removed often, so they cause no event.  */
+  if (p->last_received == 0 && bb_sync_peer_is_local (s, p))
+    s->owners.discovered = now;
   if (p->last_received == 0
       && (bb_sync_peer_is_local (s, p) || b->flags & BB_SYNC_LEADER))
     bb_sync_send_event (s, BB_EVENT_PEER_JOINED, vm.id, b->revision,
@@ -357,6 +361,7 @@
   p->capacity = b->capacity;
   p->revision = b->revision;
   p->version = b->version;
+  p->owners = b->owners;
   p->last_mentioned = now;
   if (bb_sync_peer_is_local (s, p))
     bb_sync_record_owner (s, p, b, now);
--- a/marked/sync/sync_owners.c
+++ b/marked/sync/sync_owners.c
@@ -25,8 +25,10 @@
    been removed by the others soon, and joins again.  */
 #define OWNER_SILENCE_MAX (OWNER_RETENTION / 2)
 
-/* Time in which a balancer that starts hears of all balancers.  */
-#define JOIN_TIME (BB_SYNC_PEER_TIMEOUT + BB_SYNC_HEARTBEAT_INTERVAL)
+/* Time after which a balancer that starts has heard of all others, if it has
+   heard of no new one meanwhile: those that it hears of list others, which
+   answer to its heartbeats, and some of these are lost.  */
+#define JOIN_TIME (2 * BB_SYNC_PEER_TIMEOUT)
 
 /* A balancer that was not confirmed by all others in this time withdraws, so
    that others own its servers meanwhile.  */
@@ -96,20 +98,34 @@
   o->list[i].digest = b->owners;
 }
 
-/* Whether the list of all owners is that of this balancer; of the live ones
-   only, if LIVE_ONLY.  */
+/* Whether all live balancers of the data centre that know owners, as an owner
+   or not, know those of this balancer.  One that stops, or has withdrawn, may
+   be the last to know of an owner on the other side of a cut.  */
 static bool
-lists_are_equal (const struct bb_sync_owners *o, bool live_only, bb_usec now)
+knows_all_owners (const struct bb_sync *s, bb_usec now)
 {
-  for (uint32_t i = 0; i < o->count; i++)
+  for (uint32_t i = 0; i < s->peer_count; i++)
     {
-      bool is_live = now - o->list[i].last_received < BB_SYNC_PEER_TIMEOUT;
-      if (is_live ? o->list[i].digest != o->digest : !live_only)
+      const struct bb_sync_peer *p = s->peers[i];
+      if (bb_sync_peer_is_local (s, p) && p->last_received != 0
+          && now - p->last_received < BB_SYNC_PEER_TIMEOUT && p->owners != 0
+          && p->owners != s->owners.digest)
         return false;
     }
   return true;
 }
 
+/* Whether all owners are live and have the list of this balancer.  */
+static bool
+is_confirmed (const struct bb_sync_owners *o, bb_usec now)
+{
+  for (uint32_t i = 0; i < o->count; i++)
+    if (now - o->list[i].last_received >= BB_SYNC_PEER_TIMEOUT
+        || o->list[i].digest != o->digest)
+      return false;
+  return true;
+}
+
 /* Whether other balancers were reached, if there should be any.  */
 static bool
 is_in_touch (const struct bb_sync *s, bb_usec now)
@@ -170,15 +186,18 @@
 {
   struct bb_sync_owners *o = &s->owners;
   bb_usec elapsed = now - o->phase_since;
+  bool has_joined = now - MAX (o->phase_since, o->discovered) >= JOIN_TIME;
   switch (o->phase)
     {
     case BB_SYNC_OWNER_JOINING:
-      if (elapsed >= JOIN_TIME && o->is_enabled && !s->is_leaving
-          && is_in_touch (s, now) && lists_are_equal (o, true, now))
+      if (!is_in_touch (s, now))
+        o->phase_since = now;
+      else if (has_joined && o->is_enabled && !s->is_leaving
+               && knows_all_owners (s, now))
         set_phase (s, BB_SYNC_OWNER_ANNOUNCED, now);
       break;
     case BB_SYNC_OWNER_ANNOUNCED:
-      if (lists_are_equal (o, false, now))
+      if (is_confirmed (o, now))
         set_phase (s, BB_SYNC_OWNER_CONFIRMED, now);
       else if (elapsed >= CONFIRM_TIME)
         set_phase (s, BB_SYNC_OWNER_JOINING, now);
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -31,6 +31,7 @@
   uint32_t capacity;
   uint64_t revision;
   uint64_t version;
+  uint32_t owners; /* digest of its list of owners */
   /* Last heartbeat; before the first one, first listing by another peer.  */
   bb_usec last_mentioned;
   struct bb_sync_load loads[BB_SYNC_LOADS_MAX];
@@ -81,6 +82,7 @@
   enum bb_sync_owner_phase phase;
   bb_usec phase_since;
   bb_usec last_tick;
+  bb_usec discovered;  /* last time that a balancer was heard of first */
   bb_usec changed;     /* last change of the list or the phase */
   uint32_t generation; /* number of changes */
   uint32_t digest;     /* of the list, with this balancer once announced */
