--- a/bbctl/explain.c
+++ b/bbctl/explain.c
@@ -48,6 +48,9 @@
     "refused: no server of the service accepted new flows" },
   { "flow_refused", "all_busy",
     "refused: all servers were full and their responses slow" },
+  { "flow_refused", "cold",
+    "refused: all servers of the service had just started and had no room "
+    "left" },
   { "flow_reset", "server_gone",
     "reset: the server had left, or its entry had expired" },
   { "flow_reset", "server_silent",
--- a/tests/documents_test.c
+++ b/tests/documents_test.c
@@ -27,6 +27,9 @@
   "\"name\": \"e1\", \"data_centre\": \"mde\", \"address\": \"10.1.0.1\""
 #define EGRESS "\"egress\": {\"address\": \"10.1.0.9\", \"port\": 6080}"
 #define FILES "\"platform\": {\"kind\": \"directory\", \"path\": \"/etc/bb\"}"
+#define MARKED(keys)                                                          \
+  "\"marked\": {\"packets\": \"10.1.0.1:1\", \"ready\": \"10.1.0.1:2\", "     \
+  "\"store\": \"10.1.0.2:3\", " keys "}"
 
 static const struct row rows[] = {
   { VMS, "{\"version\": 1}", BB_ERROR_MISSING_KEY, false, "/vms", "a list" },
@@ -58,6 +61,14 @@
     "{" SELF "," EGRESS "," FILES
     ", \"peers\": [" VM ("e2", "10.1.0.2") "," VM ("e2", "10.1.0.3") "]}",
     BB_ERROR_CONFLICT, false, "/peers/1", "expected it once" },
+  { SETTINGS, "{" SELF "," MARKED ("\"cold_factor\": -1.5") "}",
+    BB_ERROR_RANGE, false, "/marked/cold_factor", "0.001 to 1000" },
+  { SETTINGS, "{" SELF "," MARKED ("\"cold_factor\": \"1.5\"") "}",
+    BB_ERROR_TYPE, false, "/marked/cold_factor", "a number" },
+  { SETTINGS, "{" SELF "," MARKED ("\"cold_slack\": -1") "}", BB_ERROR_RANGE,
+    false, "/marked/cold_slack", "0 to 1000" },
+  { SETTINGS, "{" SELF "," MARKED ("\"cold_slack\": 1001") "}", BB_ERROR_RANGE,
+    false, "/marked/cold_slack", "0 to 1000" },
   { SETTINGS, "{" SELF "," FILES "}", BB_ERROR_RANGE, true, "/egress",
     "no reset" },
 };
