config, bbctl: an overlay evacuates its data centre

With "evacuated": true its own servers drain and its balancers use those of the other data centres. bbctl check refuses other values and warns of a service without a server elsewhere, of little room, of servers that name no data centre, of few buckets, and of two data centres evacuated at once; diff and render show the evacuation. Draining alone was ruled out for the reason above.

--- a/bbctl/changes.c
+++ b/bbctl/changes.c
@@ -248,6 +248,13 @@
              != 0)
     add_change (c, "entry_networks", false, NULL, NULL,
                 "entry_networks changed");
+  if (old->is_evacuated != new->is_evacuated)
+    add_change (c, "evacuated", false, NULL, NULL, "%s",
+                new->is_evacuated
+                    ? "data centre evacuated: its servers get no new flows, "
+                      "established ones stay"
+                    : "data centre taken back: its servers get new flows "
+                      "again");
   compare_services (c, old, new);
   return c;
 }
--- a/bbctl/check.c
+++ b/bbctl/check.c
@@ -94,8 +94,9 @@
 }
 
 /* Collects the problems of each data centre in its own list, so that an error
-   in one overlay does not prevent the others from being reported as valid.  */
-static void
+   in one overlay does not prevent the others from being reported as valid.
+   Returns whether the data centre is evacuated.  */
+static bool
 check_data_centre (const struct bb_ctl_documents *d, const char *name,
                    bool quiet, GPtrArray *problems)
 {
@@ -104,8 +105,55 @@
 
   if (f && !quiet)
     print_fleet (f);
+  bool is_evacuated = f && f->is_evacuated;
   bb_fleet_free (f);
   g_ptr_array_extend_and_steal (problems, own);
+  return is_evacuated;
+}
+
+/* Balancers hold the overlay of their own data centre only, so that each of
+   two evacuated ones sends new flows to the servers of the other.  Warns about
+   those after the FIRST one.  */
+static void
+warn_evacuated_together (const struct bb_ctl_documents *d, char **paths,
+                         const char *first, const char *name,
+                         GPtrArray *problems)
+{
+  for (guint i = 0; i < d->overlays->len; i++)
+    {
+      const struct bb_config_document *o = d->overlays->pdata[i];
+      const char *data_centre = bb_config_document_data_centre (o);
+      if (!data_centre || strcmp (data_centre, name) != 0)
+        continue;
+      struct bb_problem *p = g_new0 (struct bb_problem, 1);
+      *p = (struct bb_problem){
+        .kind = BB_ERROR_CONFLICT,
+        .is_warning = true,
+        .file = g_strdup (paths[i]),
+        .path = g_strdup ("/evacuated"),
+        .line = bb_config_document_line (o, "/evacuated"),
+        .text = g_strdup_printf ("%s is evacuated, too; the servers of each "
+                                 "still get new flows of the other",
+                                 first),
+      };
+      g_ptr_array_add (problems, p);
+    }
+}
+
+static void
+check_data_centres (const struct bb_ctl_documents *d, char **paths, bool quiet,
+                    GPtrArray *problems)
+{
+  const char *first = NULL;
+
+  for (char **name = d->data_centres; *name; name++)
+    if (check_data_centre (d, *name, quiet, problems))
+      {
+        if (first)
+          warn_evacuated_together (d, paths, first, *name, problems);
+        else
+          first = *name;
+      }
 }
 
 int
@@ -121,8 +169,7 @@
     {
       if (loaded)
         check_overlay_data_centres (&d, argv + 2, problems);
-      for (char **name = d.data_centres; *name; name++)
-        check_data_centre (&d, *name, json || !loaded, problems);
+      check_data_centres (&d, argv + 2, json || !loaded, problems);
       if (!d.data_centres[0])
         check_data_centre (&d, "none", true, problems);
       if (vms_path)
--- a/bbctl/render.c
+++ b/bbctl/render.c
@@ -88,6 +88,8 @@
   add_number (o, "overlay_version", f->overlay_version);
   add_number (o, "hash_seed", f->hash_seed);
   add_text (o, "data_centre", f->data_centre);
+  json_object_object_add (o, "evacuated",
+                          json_object_new_boolean (f->is_evacuated));
   for (size_t i = 0; i < f->network_count; i++)
     {
       uint32_t a = f->networks[i].address;
--- a/config/fleet_check.c
+++ b/config/fleet_check.c
@@ -8,6 +8,9 @@
      connections that threshold equals the limit, so the server would be full
      before any balancer reports it as impaired.  */
   CONNECTION_LIMIT_MIN_SAFE = 20,
+  /* Of all slots of a service, those that an evacuation may take without a
+     warning.  The servers elsewhere have callers of their own.  */
+  EVACUATED_SLOTS_MAX_PERCENT = 50,
 };
 
 void
@@ -67,7 +70,7 @@
 
 static void
 check_buckets (const struct bb_config_layers *layers, const char *path,
-               const struct bb_service *s)
+               bool is_evacuated, const struct bb_service *s)
 {
   g_autofree char *key = g_strconcat (path, "/buckets", NULL);
   uint32_t minimum = (uint32_t)s->server_count * BUCKETS_PER_SERVER_MIN;
@@ -77,6 +80,13 @@
                          "%u is not a prime; expected a prime, such as %u",
                          s->buckets,
                          bb_prime_at_least (MAX (s->buckets, minimum)));
+  else if (s->buckets < minimum && is_evacuated)
+    /* The number cannot be changed while balancers run.  */
+    bb_layers_add_warning (
+        layers, key,
+        "%u is small for %zu servers while the data centre is evacuated; "
+        "their shares are uneven below %u",
+        s->buckets, s->server_count, minimum);
   else if (s->buckets < minimum)
     bb_layers_add_error (
         layers, BB_ERROR_RANGE, key,
@@ -85,6 +95,38 @@
         s->buckets, s->server_count, minimum, bb_prime_at_least (minimum));
 }
 
+/* Warns if an evacuation leaves no server of S, or few slots, or has no server
+   to drain.  */
+static void
+check_evacuation (const struct bb_config_layers *layers, const char *path,
+                  const char *data_centre, const struct bb_service *s)
+{
+  g_autofree char *key = g_strconcat (path, "/servers", NULL);
+  uint64_t left = 0;
+  uint64_t drained = 0;
+
+  for (size_t i = 0; i < s->server_count; i++)
+    *(s->servers[i].drain ? &drained : &left) += s->servers[i].slots;
+  if (left == 0)
+    bb_layers_add_warning (
+        layers, key,
+        "data centre %s is evacuated and no other has a usable server, so the "
+        "evacuated ones still get new flows",
+        data_centre);
+  else if (drained == 0)
+    bb_layers_add_warning (
+        layers, key,
+        "data centre %s is evacuated, but no server names it as its "
+        "data_centre: none is drained",
+        data_centre);
+  else if (drained * 100 > (left + drained) * EVACUATED_SLOTS_MAX_PERCENT)
+    bb_layers_add_warning (
+        layers, key,
+        "data centre %s is evacuated, which leaves %" G_GUINT64_FORMAT
+        " of %" G_GUINT64_FORMAT " slots",
+        data_centre, left, left + drained);
+}
+
 /* Warns if all servers of S are draining, or all but one.  */
 static void
 check_usable_servers (const struct bb_config_layers *layers, const char *path,
@@ -162,9 +204,10 @@
 
 void
 bb_service_check (const struct bb_config_layers *layers, const char *path,
-                  const char *data_centre, const struct bb_service *s)
+                  const char *data_centre, bool is_evacuated,
+                  const struct bb_service *s)
 {
-  check_buckets (layers, path, s);
+  check_buckets (layers, path, is_evacuated, s);
   if (s->server_count == 0)
     {
       g_autofree char *key = g_strconcat (path, "/servers", NULL);
@@ -175,7 +218,10 @@
           data_centre);
       return;
     }
-  check_usable_servers (layers, path, data_centre, s);
+  if (is_evacuated)
+    check_evacuation (layers, path, data_centre, s);
+  else
+    check_usable_servers (layers, path, data_centre, s);
   check_connection_limits (layers, path, s);
   if (s->silent_ms && s->silent_ms < SILENT_MS_MIN_SAFE)
     {
--- a/config/fleet_check.h
+++ b/config/fleet_check.h
@@ -43,9 +43,11 @@
 /* Returns the smallest prime that is at least N.  */
 uint32_t bb_prime_at_least (uint32_t n);
 
-/* Checks S with the servers of one data centre.  PATH is the path of S.  */
+/* Checks S with the servers that DATA_CENTRE uses.  PATH is the path of S.  If
+   the data centre IS_EVACUATED, its own servers drain.  */
 void bb_service_check (const struct bb_config_layers *layers, const char *path,
-                       const char *data_centre, const struct bb_service *s);
+                       const char *data_centre, bool is_evacuated,
+                       const struct bb_service *s);
 
 /* Returns A as "a.b.c.d:port"; freed by the caller.  */
 char *bb_endpoint_format (struct bb_endpoint a);
--- a/config/keys_base_overlay.c
+++ b/config/keys_base_overlay.c
@@ -106,5 +106,9 @@
     "merged into the services of the base as specified by RFC 7396; null "
     "deletes",
     0, 0 },
+  { "overlay", "evacuated", BB_KEY_BOOLEAN, "", 0, 0, NULL, "false",
+    "true: no new flows to the servers of the data centre, established ones "
+    "stay; its balancers use the servers of the other data centres",
+    BB_KEY_FIELD (bb_fleet, is_evacuated) },
 };
 const size_t bb_keys_base_overlay_count = G_N_ELEMENTS (bb_keys_base_overlay);
--- a/config/merge.c
+++ b/config/merge.c
@@ -11,6 +11,7 @@
   struct bb_config_layers layers;
   const char *data_centre;
   json_object *root; /* merged document */
+  bool is_evacuated;
   struct bb_unique_values endpoints;
   struct bb_unique_values keys;
 };
@@ -128,6 +129,20 @@
     report_duplicate (m, path, "", "the 32-bit key of the name", earlier);
 }
 
+/* Whether the base declares server NAME of SERVICE.  One that only the overlay
+   declares is in the data centre of the overlay.  */
+static bool
+is_in_base (const struct merge *m, const char *service, const char *name)
+{
+  json_object *o = m->layers.lower->root;
+  const char *const names[] = { "services", service, "servers", name };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    if (!(o = bb_json_member (o, names[i], json_type_object)))
+      return false;
+  return true;
+}
+
 /* Reads one server.  Returns whether DATA_CENTRE of M uses the server.  */
 static bool
 read_server (struct merge *m, const char *path, const char *name,
@@ -146,10 +161,16 @@
   server->health.address = server->health.port ? server->gue.address : 0;
   check_server_unique (m, path, server, endpoints);
   if (!*keys.data_centre)
-    return true;
+    {
+      server->drain
+          |= m->is_evacuated && !is_in_base (m, s->service.name, name);
+      return true;
+    }
   g_autofree char *key = g_strconcat (path, "/data_centre", NULL);
   check_data_centre (m, key, keys.data_centre);
-  return !strcmp (keys.data_centre, m->data_centre);
+  bool is_own = strcmp (keys.data_centre, m->data_centre) == 0;
+  server->drain |= m->is_evacuated && is_own;
+  return is_own || m->is_evacuated;
 }
 
 static int
@@ -254,7 +275,8 @@
   json_object *servers = bb_json_member (object, "servers", json_type_object);
   read_servers (m, path->str, servers, &keys);
   if (servers)
-    bb_service_check (&m->layers, path->str, m->data_centre, s);
+    bb_service_check (&m->layers, path->str, m->data_centre, m->is_evacuated,
+                      s);
   *service = *s;
   g_string_free (path, TRUE);
 }
@@ -308,7 +330,7 @@
 }
 
 static void
-read_overlay (const struct merge *m, struct bb_fleet *fleet)
+read_overlay (struct merge *m, struct bb_fleet *fleet)
 {
   const struct bb_config_document *overlay = m->layers.upper;
   struct bb_config_layers layers = { NULL, overlay, m->layers.problems };
@@ -320,6 +342,7 @@
                          "the overlay is for %s; expected %s",
                          fleet->data_centre, m->data_centre);
   g_strlcpy (fleet->data_centre, m->data_centre, BB_NAME_MAX);
+  m->is_evacuated = fleet->is_evacuated;
 }
 
 struct bb_fleet *
--- a/core/core.h
+++ b/core/core.h
@@ -147,6 +147,7 @@
   uint64_t overlay_version;
   uint64_t hash_seed;
   char data_centre[BB_NAME_MAX];
+  bool is_evacuated; /* its own servers drain; those elsewhere are used */
   struct bb_network *networks; /* where entry VMs may have addresses */
   size_t network_count;
   struct bb_service *services;
--- a/tests/bbctl_test.c
+++ b/tests/bbctl_test.c
@@ -6,6 +6,8 @@
 #include <string.h>
 
 #define BASE "examples/umunyu/base.json"
+#define RESTREPO "examples/restrepo/base.json"
+#define MEDELLIN "examples/restrepo/overlay-medellin.json"
 #define KIGALI "examples/umunyu/overlay-kigali.json"
 #define VMS "examples/umunyu/vms.json"
 
@@ -75,6 +77,17 @@
   ck_assert (g_file_set_contents (path, text, -1, NULL));
 }
 
+static void
+write_evacuation (const char *name, const char *data_centre,
+                  const char *evacuated)
+{
+  g_autofree char *path = g_build_filename (directory, name, NULL);
+  g_autofree char *text = g_strdup_printf (
+      "{\"version\": 2, \"data_centre\": \"%s\", \"evacuated\": %s}",
+      data_centre, evacuated);
+  ck_assert (g_file_set_contents (path, text, -1, NULL));
+}
+
 static void
 make_directory (void)
 {
@@ -104,6 +117,9 @@
       "\"ledger-04\": {\"weight\": 50}, \"ledger-05\": null, \"ledger-15\": "
       "{\"address\": \"10.30.200.80\", \"gue_port\": 6080}}}}}",
       -1, NULL));
+  write_evacuation ("evacuated.json", "medellin", "true");
+  write_evacuation ("both.json", "rionegro", "true");
+  write_evacuation ("wrong.json", "medellin", "\"yes\"");
 }
 
 static void
@@ -165,6 +181,21 @@
     "ledger/ledger-15: added at 10.30.200.80:6080" },
   { "diff " BASE " " BASE " --overlay " KIGALI " --old-overlay @/o.json", 3,
     "overlay-kigali.json:4: error: /version: 1; expected at least 3" },
+  { "check " RESTREPO " @/evacuated.json", 0, "medellin: base 1, overlay 2" },
+  { "check " RESTREPO " @/evacuated.json @/both.json", 0,
+    "both.json:1: warning: /evacuated: medellin is evacuated, too" },
+  { "check " RESTREPO " @/wrong.json", 2,
+    "wrong.json:1: error: /evacuated: \"yes\"; expected true or false" },
+  { "render " RESTREPO " @/evacuated.json", 0, "\"evacuated\": true" },
+  { "diff " RESTREPO " " RESTREPO
+    " --overlay @/evacuated.json --old-overlay " MEDELLIN,
+    0, "data centre evacuated: its servers get no new flows" },
+  { "diff " RESTREPO " " RESTREPO
+    " --overlay @/evacuated.json --old-overlay " MEDELLIN,
+    0, "order-desk/order-desk-01: drained" },
+  { "diff " RESTREPO " " RESTREPO
+    " --overlay @/evacuated.json --old-overlay " MEDELLIN,
+    0, "order-desk/order-desk-05: added at" },
   { "place 10.0.0.1:1 10.30.255.1:7101 " BASE " -d kigali", 0, "bucket" },
   { "place 10.0.0.1:1 10.30.255.1:7109 " BASE " -d kigali", 7, "no service" },
   { "place 10.0.0.1:1 10.30.255.1:7101 " BASE " -d kigali -p udp", 7, "udp" },
--- a/tests/config_test.c
+++ b/tests/config_test.c
@@ -212,6 +212,14 @@
     O_WARN ("/services/orders/servers/o9", 4, "deletes nothing") },
   { "{\"drain\": false}", "{\"drain\": true}, \"o1\": {\"drain\": true}",
     O_WARN ("/services/orders/servers", 3, "all 2 servers") },
+  { "\"version\"", "\"evacuated\": 1, \"version\"",
+    O_FAULT (TYPE, "/evacuated", 1, "true or false") },
+  { "\"version\"", "\"evacuated\": null, \"version\"",
+    O_FAULT (TYPE, "/evacuated", 1, "true or false") },
+  { "\"version\"", "\"evacuate\": true, \"version\"",
+    O_FAULT (UNKNOWN_KEY, "/evacuate", 1, "evacuated") },
+  { "\"version\"", "\"evacuated\": true, \"version\"",
+    O_WARN ("/services/orders/servers", 3, "none is drained") },
 };
 
 static void
