--- a/marked/sync/sync_owners.c
+++ b/marked/sync/sync_owners.c
@@ -10,9 +10,11 @@
      it stops, or has started again.
    - A balancer that starts waits until it can have heard of all others and
      their lists equal its own.  Then it announces itself, and owns servers
-     once the lists of all of them equal its own again, with itself in it.  A
+     once the lists of all owners equal its own again, with itself in it.  A
      list that has an owner that it cannot hear differs, so that a balancer
-     that starts on one side of a cut does not own what the other side does. */
+     that starts on one side of a cut does not own what the other side does.
+
+   Lists are compared by a digest, 0 for an empty one.  */
 
 #include "core/hash.h"
 #include "marked/sync/sync_private.h"
--- a/tests/sync_message_test.c
+++ b/tests/sync_message_test.c
@@ -20,6 +20,7 @@
         .revision = UINT64_MAX,
         .version = 36,
         .verified_ms = UINT32_MAX,
+        .owners = 0xfedcba98,
         .listed_peers = { { 1, 2, { 0x0a010001, 7720 } } },
         .listed_peer_count = 1,
         .loads = { { 0xffffffff, 65535, 3, false }, { 1, 0, 1, true } },
@@ -87,6 +88,7 @@
       ck_assert_uint_eq (decoded.heartbeat.revision, m.heartbeat.revision);
       ck_assert_uint_eq (decoded.heartbeat.verified_ms,
                          m.heartbeat.verified_ms);
+      ck_assert_uint_eq (decoded.heartbeat.owners, m.heartbeat.owners);
       ck_assert_uint_eq (decoded.heartbeat.listed_peers[0].endpoint.port,
                          7720);
       ck_assert_uint_eq (decoded.heartbeat.loads[0].open,
