--- a/bbctl/explain.c
+++ b/bbctl/explain.c
@@ -50,6 +50,9 @@
     "refused: all servers were full and their responses slow" },
   { "flow_refused", "evacuated",
     "refused: all servers of the service were in evacuated data centres" },
+  { "flow_refused", "cold",
+    "refused: all servers of the service had just started and had no room "
+    "left" },
   { "flow_reset", "server_gone",
     "reset: the server had left, or its entry had expired" },
   { "flow_reset", "server_silent",
--- a/core/core.h
+++ b/core/core.h
@@ -147,6 +147,7 @@
   uint64_t overlay_version;
   uint64_t hash_seed;
   char data_centre[BB_NAME_MAX];
+  bool is_evacuated; /* its own servers drain; those elsewhere are used */
   struct bb_network *networks; /* where entry VMs may have addresses */
   size_t network_count;
   struct bb_service *services;
@@ -340,6 +341,8 @@
   BB_EVENT_STORE_ERA,        /* value: the new era; revision: of the old one */
   BB_EVENT_SERVER_FAILING,   /* its answers are short; value: how many */
   BB_EVENT_SERVER_RECOVERED, /* value: answers as usual since then */
+  BB_EVENT_COLD_OWNER, /* places the new flows of a cold server, or not */
+  BB_EVENT_COLD_END,   /* a server that was owned is not cold any more */
   BB_EVENT_KINDS
 };
 
@@ -368,12 +371,13 @@
   BB_REASON_HISTORY_LOST,
   BB_REASON_UNREADABLE,
   BB_REASON_CONTRADICTORY,
-  BB_REASON_EVACUATED, /* the servers' data centre is evacuated */
+  BB_REASON_EVACUATED,             /* the servers' data centre is evacuated */
   BB_REASON_ERA_CHANGED,           /* the store came back from an older copy */
   BB_REASON_ERA_FELL,              /* an era below the one held */
   BB_REASON_ERA_MISSING,           /* no era although one is held */
   BB_REASON_ERA_UNREADABLE,        /* an era that is no number, or too high */
   BB_REASON_UNKNOWN_CONFIGURATION, /* changes to another configuration */
+  BB_REASON_COLD, /* all servers are cold and have no room left */
   BB_REASONS
 };
 
--- a/core/strings.c
+++ b/core/strings.c
@@ -73,6 +73,8 @@
   [BB_EVENT_STORE_ERA] = "store_era",
   [BB_EVENT_SERVER_FAILING] = "server_failing",
   [BB_EVENT_SERVER_RECOVERED] = "server_recovered",
+  [BB_EVENT_COLD_OWNER] = "cold_owner",
+  [BB_EVENT_COLD_END] = "cold_end",
 };
 
 static const char *const reasons[BB_REASONS] = {
@@ -104,6 +106,7 @@
   [BB_REASON_ERA_MISSING] = "era_missing",
   [BB_REASON_ERA_UNREADABLE] = "era_unreadable",
   [BB_REASON_UNKNOWN_CONFIGURATION] = "unknown_configuration",
+  [BB_REASON_COLD] = "cold",
 };
 
 const char *
--- a/marked/balancer_state.c
+++ b/marked/balancer_state.c
@@ -247,6 +247,7 @@
   bb_directory_end_held_evacuations (m->directory, now,
                                      handle_ended_evacuation, m);
   bb_marked_count_short_answers (m, now);
+  bb_marked_check_cold_servers (m, now);
   bb_marked_check_link (m, now);
   bb_marked_check_peer_silences (m, now);
   bb_marked_reset_ended_flows (m, now);
@@ -254,6 +255,7 @@
     return;
   m->last_sweep = now;
   bb_marked_review_failing_servers (m, now);
+  bb_marked_enable_cold_owner (m);
   bb_marked_flows_expire (m->flows, bb_marked_time_ms (now),
                           m->options.idle_ms);
   bb_directory_sweep (m->directory, now);
--- a/marked/placement/place.c
+++ b/marked/placement/place.c
@@ -1,4 +1,5 @@
 #include "marked/placement/place.h"
+#include "marked/placement/candidates.h"
 #include "marked/placement/spill.h"
 #include <math.h>
 
@@ -13,33 +14,21 @@
 #define REMOTE_LOAD_MIN 2.0
 #define REMOTE_LOAD_RATIO 0.5
 
-static double
-slots_of (const struct bb_backend_server *s)
-{
-  return s->record.slots ? s->record.slots : 1;
-}
-
-/* Pending requests per slot, as observed here and by the peers.  */
-static double
-load_per_slot (const struct bb_backend_server *s)
-{
-  return (s->load.busy + s->load.peer_busy) / slots_of (s);
-}
-
 static double
 load_cost (const struct bb_backend_server *s, bb_usec now)
 {
   const struct bb_server_load *l = &s->load;
   double flows = l->open + l->peer_open;
   double busy = l->busy + l->peer_busy;
-  return (flows + BUSY_WEIGHT * busy + 1) / slots_of (s)
+  return (flows + BUSY_WEIGHT * busy + 1) / bb_candidate_slots (s)
          * bb_answer_quality_factor (&s->load.quality, now);
 }
 
 static double
 load_weight (const struct bb_backend_server *s, bb_usec now)
 {
-  return slots_of (s) / bb_answer_quality_factor (&s->load.quality, now);
+  return bb_candidate_slots (s)
+         / bb_answer_quality_factor (&s->load.quality, now);
 }
 
 const struct bb_placement_policy bb_placement_by_load = {
@@ -48,124 +37,19 @@
   .weight = load_weight,
 };
 
-/* The server of lowest cost so far.  Servers of equal cost are equally likely
-   to be chosen.  */
-struct candidate
-{
-  struct bb_backend_server *server;
-  double cost;
-  int tie_count;
-};
-
-static void
-update_candidate (struct candidate *p, struct bb_backend_server *s,
-                  double cost, GRand *random)
-{
-  if (p->server && cost > p->cost)
-    return;
-  if (p->server && cost >= p->cost)
-    {
-      p->tie_count++;
-      if (g_rand_int_range (random, 0, p->tie_count) != 0)
-        return;
-    }
-  else
-    p->tie_count = 1;
-  p->server = s;
-  p->cost = cost;
-}
-
-/* The best server of each kind, and those to choose from.  */
-struct candidates
-{
-  struct candidate local_dc;
-  struct candidate least_busy; /* local, with the lowest load per slot */
-  struct candidate remote_dc;
-  struct candidate suspect;
-  struct bb_pool local; /* those that are not suspect */
-  struct bb_pool remote;
-  double local_pending;
-  bool has_unknown_slots;  /* a local server does not tell its slots */
-  bool has_evacuated;      /* servers of an evacuated data centre */
-  bool is_local_evacuated; /* the own data centre is among them */
-};
-
-static void
-add_local_load (struct candidates *p, const struct bb_backend_server *s)
-{
-  p->local_pending += s->load.busy + s->load.peer_busy;
-  p->has_unknown_slots |= s->record.slots == 0;
-}
-
-static bool
-skip_evacuated (struct candidates *p, const struct bb_backend_server *s)
-{
-  p->has_evacuated |= s->is_evacuated;
-  p->is_local_evacuated |= s->is_evacuated && s->is_local;
-  return s->is_evacuated;
-}
-
-/* The pool of the group has the local servers at its start and the others at
-   its end.  */
-static void
-add_to_pool (struct candidates *p, struct bb_server_group *group,
-             const struct bb_placement_policy *policy,
-             struct bb_backend_server *s, bb_usec now)
-{
-  struct bb_pool *pool = s->is_local ? &p->local : &p->remote;
-  if (s->is_local)
-    pool->servers = group->pool;
-  else
-    pool->servers = group->pool + group->pool_capacity - pool->count - 1;
-  pool->servers[s->is_local ? pool->count : 0] = s;
-  pool->count++;
-  pool->slots += slots_of (s);
-  pool->weight_max = MAX (pool->weight_max, policy->weight (s, now));
-}
-
-static struct candidates
-find_candidates (struct bb_server_group *group,
-                 const struct bb_placement_policy *policy, GRand *random,
-                 bb_usec now)
-{
-  struct candidates candidates = { 0 };
-  const struct bb_link *servers = &group->servers;
-  for (const struct bb_link *at = servers->next; at != servers; at = at->next)
-    {
-      struct bb_backend_server *s
-          = BB_LINKED (at, struct bb_backend_server, of_service);
-      struct candidate *candidate
-          = s->is_local ? &candidates.local_dc : &candidates.remote_dc;
-      if (!bb_server_accepts_flows (s) || skip_evacuated (&candidates, s))
-        continue;
-      if (bb_suspicion_is_suspect (&s->load.evidence, now))
-        candidate = &candidates.suspect;
-      else
-        add_to_pool (&candidates, group, policy, s, now);
-      if (s->is_local && candidate != &candidates.suspect)
-        {
-          add_local_load (&candidates, s);
-          update_candidate (&candidates.least_busy, s, load_per_slot (s),
-                            random);
-        }
-      update_candidate (candidate, s, policy->cost (s, now), random);
-    }
-  return candidates;
-}
-
 static bool
 prefers_remote (const struct bb_backend_server *local,
                 const struct bb_backend_server *remote)
 {
-  double here = load_per_slot (local);
+  double here = bb_candidate_load (local);
   return here >= REMOTE_LOAD_MIN
-         && load_per_slot (remote) < here * REMOTE_LOAD_RATIO;
+         && bb_candidate_load (remote) < here * REMOTE_LOAD_RATIO;
 }
 
 /* Whether a new flow may go to the own data centre, because answers arrive in
    time there.  */
 static bool
-local_is_admitted (const struct candidates *p,
+local_is_admitted (const struct bb_candidates *p,
                    const struct bb_server_group *group, bb_usec objective,
                    bool is_low_priority, bb_usec now)
 {
@@ -183,7 +67,7 @@
    answer time, since the data centre may be unreachable, unless the own data
    centre is evacuated.  */
 static bool
-remote_is_admitted (const struct candidates *p,
+remote_is_admitted (const struct bb_candidates *p,
                     const struct bb_server_group *group, bb_usec objective,
                     bool is_low_priority, bb_usec now)
 {
@@ -201,7 +85,7 @@
   const struct bb_placement_policy *policy;
   GRand *random;
   bb_usec now;
-  struct candidates found;
+  struct bb_candidates found;
 };
 
 /* Chooses from POOL, whose server of the least cost is LEAST.  */
@@ -225,7 +109,7 @@
                     uint32_t data_centre, struct bb_backend_server **least)
 {
   struct bb_pool selected = { .servers = pool->servers };
-  struct candidate best = { 0 };
+  struct bb_candidate best = { 0 };
   for (uint32_t i = 0; i < pool->count; i++)
     {
       struct bb_backend_server *s = pool->servers[i];
@@ -233,10 +117,10 @@
         continue;
       pool->servers[i] = pool->servers[selected.count];
       pool->servers[selected.count++] = s;
-      selected.slots += slots_of (s);
+      selected.slots += bb_candidate_slots (s);
       selected.weight_max
           = MAX (selected.weight_max, p->policy->weight (s, p->now));
-      update_candidate (&best, s, p->policy->cost (s, p->now), p->random);
+      bb_candidate_update (&best, s, p->policy->cost (s, p->now), p->random);
     }
   *least = best.server;
   return selected;
@@ -285,7 +169,7 @@
 static struct bb_placement
 choose_server (struct placing *p, const struct bb_route_record *route)
 {
-  struct candidates *found = &p->found;
+  struct bb_candidates *found = &p->found;
   bb_usec objective = route->objective_ms * BB_MSEC;
   bool is_low_priority = bb_priorities_add_flow (&p->group->priorities,
                                                  route->priority, p->now);
@@ -307,19 +191,24 @@
   if (local
       && !(remote_admitted
            && (!local_admitted || prefers_remote (local, remote))))
-    return choose_from (p, &found->local, local, BB_REASON_OWN_DATA_CENTRE);
+    return found->drawn
+               ? (struct bb_placement){ .server = found->drawn,
+                                        .reason = BB_REASON_OWN_DATA_CENTRE }
+               : choose_from (p, &found->local, local,
+                              BB_REASON_OWN_DATA_CENTRE);
   if (remote)
     return choose_from (p, &found->remote, remote,
                         found->is_local_evacuated
                             ? BB_REASON_EVACUATED
                             : BB_REASON_OTHER_DATA_CENTRE);
-  if (!found->suspect.server && found->has_evacuated)
-    return (struct bb_placement){ .reason = BB_REASON_EVACUATED };
   /* If all servers seem dead, one of them is used anyway.  The evidence may be
      wrong, and a failed flow costs the caller no more than a refusal.  */
-  return (struct bb_placement){ .server = found->suspect.server,
-                                .reason = found->suspect.server
-                                              ? BB_REASON_SERVER_SILENT
+  if (found->suspect.server)
+    return (struct bb_placement){ .server = found->suspect.server,
+                                  .reason = BB_REASON_SERVER_SILENT };
+  return (struct bb_placement){ .reason = found->passed_cold ? BB_REASON_COLD
+                                          : found->has_evacuated
+                                              ? BB_REASON_EVACUATED
                                               : BB_REASON_NO_SERVER };
 }
 
@@ -364,8 +253,10 @@
               .policy = policy,
               .random = random,
               .now = now,
-              .found = find_candidates (group, policy, random, now) };
-      return choose_server (&placing, &route->record);
+              .found = bb_candidates_find (group, policy, random, now) };
+      struct bb_placement choice = choose_server (&placing, &route->record);
+      choice.passed_cold = placing.found.passed_cold;
+      return choice;
     }
   return none;
 }
--- a/marked/placement/place.h
+++ b/marked/placement/place.h
@@ -22,7 +22,8 @@
   struct bb_backend_server *server; /* NULL: refuse the flow */
   enum bb_reason reason;
   enum bb_choice_kind choice;
-  bool is_spilled; /* to another data centre, by its report of room */
+  bool is_spilled;  /* to another data centre, by its report of room */
+  bool passed_cold; /* a cold server had no room for the flow */
 };
 
 /* Chooses among the servers of the services of ROUTE.  */
--- a/marked/state/directory_private.h
+++ b/marked/state/directory_private.h
@@ -24,6 +24,7 @@
   struct bb_link routes_by_revision;
   struct bb_link evacuations_by_revision;
   struct bb_link limits_by_revision;
+  struct bb_link cold_servers;
   uint32_t expired_count;  /* servers of state BB_SERVER_EXPIRED */
   uint32_t withheld_count; /* servers of state BB_SERVER_WITHHELD */
   bool servers_unsorted;
--- a/marked/sync/sync_heartbeats.c
+++ b/marked/sync/sync_heartbeats.c
@@ -62,6 +62,8 @@
     flags |= BB_SYNC_READER;
   if (s->is_leader)
     flags |= BB_SYNC_LEADER;
+  if (s->owners.phase >= BB_SYNC_OWNER_ANNOUNCED && !s->is_leaving)
+    flags |= BB_SYNC_OWNER;
   return flags;
 }
 
@@ -102,6 +104,7 @@
   b->revision = s->revision;
   b->version = bb_directory_version (s->directory);
   b->verified_ms = bb_sync_age_ms (s->last_verified, now);
+  b->owners = s->owners.digest;
   b->listed_peer_count = b->load_count = b->demand_count = b->room_count = 0;
   b->answer_count = b->silence_count = 0;
   bb_sync_list_peers (s, b, data_centre, listed_max, now);
@@ -309,6 +312,8 @@
   bool is_new = p && p->last_mentioned == 0;
   if (is_new)
     p->last_mentioned = now;
+  if (is_new && is_local)
+    s->owners.discovered = now;
   bool is_join_target
       = is_new && is_local && s->revision == 0 && index < JOIN_HELLOS;
   if (!is_join_target && !is_leader_candidate)
@@ -368,6 +373,8 @@
     return;
   /* Balancers of other data centres that are not leaders are added and
      removed often, so they cause no event.  */
+  if (p->last_received == 0 && bb_sync_peer_is_local (s, p))
+    s->owners.discovered = now;
   if (p->last_received == 0
       && (bb_sync_peer_is_local (s, p) || b->flags & BB_SYNC_LEADER))
     bb_sync_send_event (s, BB_EVENT_PEER_JOINED, vm.id,
@@ -385,7 +392,10 @@
   p->capacity = b->capacity;
   p->revision = b->revision;
   p->version = b->version;
+  p->owners = b->owners;
   p->last_mentioned = now;
+  if (bb_sync_peer_is_local (s, p))
+    bb_sync_record_owner (s, p, b, now);
   keep_reports (s, p, b, now);
   for (uint32_t i = 0; i < b->listed_peer_count; i++)
     add_listed_peer (s, &b->listed_peers[i], i, now);
--- a/tests/sync_message_test.c
+++ b/tests/sync_message_test.c
@@ -20,6 +20,7 @@
         .revision = UINT64_MAX,
         .version = 36,
         .verified_ms = UINT32_MAX,
+        .owners = 0xfedcba98,
         .listed_peers = { { 1, 2, { 0x0a010001, 7720 } } },
         .listed_peer_count = 1,
         .loads = { { 0xffffffff, 65535, 3, false }, { 1, 0, 1, true } },
@@ -96,6 +97,7 @@
       ck_assert_uint_eq (decoded.heartbeat.revision, m.heartbeat.revision);
       ck_assert_uint_eq (decoded.heartbeat.verified_ms,
                          m.heartbeat.verified_ms);
+      ck_assert_uint_eq (decoded.heartbeat.owners, m.heartbeat.owners);
       ck_assert_uint_eq (decoded.heartbeat.listed_peers[0].endpoint.port,
                          7720);
       ck_assert_uint_eq (decoded.heartbeat.loads[0].open,
@@ -183,10 +185,11 @@
 }
 END_TEST
 
-/* The same of heartbeats: no silences, answers, rooms, demands, era.  */
+/* The same of heartbeats: no silences, answers, rooms, demands, digest of
+   owners, era.  */
 enum
 {
-  APPENDED_TO_HEARTBEATS = 5,
+  APPENDED_TO_HEARTBEATS = 6,
 };
 
 START_TEST (heartbeats_of_older_versions_decode)
@@ -194,6 +197,7 @@
   struct bb_sync_message m = make_message (BB_SYNC_HEARTBEAT), decoded;
   m.heartbeat.demand_count = m.heartbeat.room_count = 0;
   m.heartbeat.answer_count = m.heartbeat.silence_count = 0;
+  m.heartbeat.owners = 0;
   m.heartbeat.revision = 17;
   GByteArray *bytes = bb_sync_encode (&m);
   size_t length = bytes->len - (size_t)_i - 1;
