marked: routes that are kept are not newer than the state held

With sanitizers sync_test aborted (older_configuration_adds_no_route): a balancer that kept its newer configuration took the revision of an older state and reported it with routes above that revision. They are restamped now, as those that are kept across eras.

--- a/marked/state/directory_era.c
+++ b/marked/state/directory_era.c
@@ -100,7 +100,8 @@
   for (struct bb_link *at = head->next; at != head; at = at->next)
     {
       struct bb_route *route = BB_LINKED (at, struct bb_route, by_revision);
-      route->record.revision = restamp (route->record.revision, adopted);
+      route->record.revision
+          = MIN (restamp (route->record.revision, adopted), adopted);
     }
   d->routes_unsorted = true;
 }
@@ -135,6 +136,13 @@
   d->is_divergent = is_divergent;
 }
 
+void
+bb_directory_keep_configuration (struct bb_directory *d, uint64_t revision)
+{
+  restamp_routes (d, revision);
+  d->is_divergent = true;
+}
+
 void
 bb_directory_replace_configuration (struct bb_directory *d, uint64_t version,
                                     uint64_t revision,
--- a/marked/state/directory_era.h
+++ b/marked/state/directory_era.h
@@ -40,6 +40,11 @@
 bool bb_directory_is_divergent (const struct bb_directory *d);
 void bb_directory_set_divergent (struct bb_directory *d, bool is_divergent);
 
+/* Keeps the configuration held beside the state of REVISION, which has an
+   older one: no route is newer than the state.  */
+void bb_directory_keep_configuration (struct bb_directory *d,
+                                      uint64_t revision);
+
 /* Puts the COUNT routes of a newer VERSION in force although the directory may
    hold the same routes at higher revisions; all its routes get REVISION.  */
 void bb_directory_replace_configuration (struct bb_directory *d,
--- a/marked/sync/sync_eras.c
+++ b/marked/sync/sync_eras.c
@@ -82,7 +82,7 @@
   bool was_divergent = bb_directory_is_divergent (d);
   if (m->version < version)
     {
-      bb_directory_set_divergent (d, true);
+      bb_directory_keep_configuration (d, m->to);
       return false;
     }
   /* The routes may be older than the revision held if either side kept them
--- a/tests/era_test.c
+++ b/tests/era_test.c
@@ -203,6 +203,25 @@
 }
 END_TEST
 
+/* Guards against whole states instead of changes after a whole read, because
+   of a gap in the old era.  */
+START_TEST (gaps_of_the_old_era_are_forgotten)
+{
+  static const uint64_t reads[][2]
+      = { { 1, 20 }, { 1, 40 }, { 2, COPY }, { 2, COPY + 3 } };
+  uint64_t revision = bb_revision_make (2, COPY);
+  start_node (0);
+  for (size_t i = 0; i < G_N_ELEMENTS (reads); i++)
+    read_store (0, reads[i][0], reads[i][1], 5, NULL);
+  struct bb_endpoint requester = endpoint_of (2);
+  struct bb_sync_message m = { .kind = BB_SYNC_REQUEST,
+                               .from = 102,
+                               .request = { .revision = revision } };
+  bb_sync_receive (sync_of (0), &requester, &m, w.now);
+  ck_assert_uint_eq (w.sent.from, revision);
+}
+END_TEST
+
 /* Heartbeats to a balancer at (2, COPY) with version 5.  */
 static const struct
 {
@@ -301,6 +320,7 @@
                        G_N_ELEMENTS (batches));
   tcase_add_test (tc, late_answers_of_the_old_era_are_ignored);
   tcase_add_test (tc, age_is_that_of_the_new_state);
+  tcase_add_test (tc, gaps_of_the_old_era_are_forgotten);
   tcase_add_loop_test (tc, heartbeat_leads_to_a_request, 0,
                        G_N_ELEMENTS (heartbeats));
   tcase_add_test (tc, hellos_to_candidates_are_bounded);
