--- a/tests/sync_random_test.c
+++ b/tests/sync_random_test.c
@@ -636,13 +636,17 @@
         && had_entry (server, (enum entry)entry, revision, c->born + 1,
                       INT64_MAX))
       return true;
+  bool was_removed = was_absent (server, revision);
   bool was_restarted
       = had_entry (server, READY, revision, c->born + 1, INT64_MAX);
+  /* A removal of the earlier incarnation lets the later one expire.  */
+  if (was_restarted && was_removed
+      && (state == BB_SERVER_EXPIRED || state == BB_SERVER_GONE))
+    return true;
   if (c->entry != READY && !(was_restarted && state == BB_SERVER_WITHHELD))
     return false;
   bool has_announced_end
       = had_entry (server, DRAINING, revision, c->born, c->born);
-  bool was_removed = was_absent (server, revision);
   if (state == BB_SERVER_WITHHELD)
     return (was_removed || (has_announced_end && c->born == 0))
            && w.now - n->era_entered <= BB_LISTING_HOLD_TIME + TICK;
