--- a/marked/sync/sync_eras.c
+++ b/marked/sync/sync_eras.c
@@ -85,9 +85,10 @@
       bb_directory_keep_configuration (d, m->to);
       return false;
     }
-  /* The routes may be older than the revision held if either side kept them
-     from an older era.  */
-  if (m->from == 0 && (was_divergent || m->is_divergent))
+  /* Routes that are missing here may be older than the revision held if either
+     side kept them from an older era, or did so before.  */
+  if (m->from == 0 && s->revision > 0
+      && (m->version > version || was_divergent))
     bb_directory_replace_configuration (
         d, m->version, m->to, (const struct bb_route_record *)b->records->data,
         b->records->len, now);
--- a/tests/era_test.c
+++ b/tests/era_test.c
@@ -203,6 +203,26 @@
 }
 END_TEST
 
+/* Guards against a version without the routes that its sender had kept since
+   an older era, until the store showed a newer configuration.  */
+START_TEST (whole_state_replaces_the_configuration)
+{
+  struct bb_route_record routes[64];
+  uint64_t revision = bb_revision_make (2, COPY + 2);
+  start_node (0);
+  start_node (2);
+  read_store (0, 1, 40, 7, NULL);
+  read_store (0, 2, COPY, 5, NULL);
+  read_store (2, 2, COPY, 5, NULL);
+  change_server (2, server (BB_SERVER_READY, 100, 2, COPY + 1));
+  bb_marked_configure (w.nodes[0].m, 8, revision, routes,
+                       list_routes (8, revision, routes), w.now);
+  bb_marked_confirm_revision (w.nodes[0].m, revision, w.now, w.now);
+  pass_state (0, 2);
+  ck_assert (has_routes_of (2, 8));
+}
+END_TEST
+
 /* Guards against whole states instead of changes after a whole read, because
    of a gap in the old era.  */
 START_TEST (gaps_of_the_old_era_are_forgotten)
@@ -321,6 +341,7 @@
   tcase_add_test (tc, late_answers_of_the_old_era_are_ignored);
   tcase_add_test (tc, age_is_that_of_the_new_state);
   tcase_add_test (tc, gaps_of_the_old_era_are_forgotten);
+  tcase_add_test (tc, whole_state_replaces_the_configuration);
   tcase_add_loop_test (tc, heartbeat_leads_to_a_request, 0,
                        G_N_ELEMENTS (heartbeats));
   tcase_add_test (tc, hellos_to_candidates_are_bounded);
