--- a/marked/state/directory_era.c
+++ b/marked/state/directory_era.c
@@ -100,7 +100,8 @@
   for (struct bb_link *at = head->next; at != head; at = at->next)
     {
       struct bb_route *route = BB_LINKED (at, struct bb_route, by_revision);
-      route->record.revision = restamp (route->record.revision, adopted);
+      route->record.revision
+          = MIN (restamp (route->record.revision, adopted), adopted);
     }
   d->routes_unsorted = true;
 }
@@ -163,9 +164,17 @@
   d->is_divergent = is_divergent;
 }
 
-static void
-replace_routes (struct bb_directory *d, const struct bb_configuration *c,
-                bb_usec now)
+void
+bb_directory_keep_configuration (struct bb_directory *d, uint64_t revision)
+{
+  restamp_routes (d, revision);
+  restamp_limits (d, revision);
+  d->is_divergent = true;
+}
+
+void
+bb_directory_replace_routes (struct bb_directory *d,
+                             const struct bb_configuration *c, bb_usec now)
 {
   struct bb_link *head = &d->routes_by_revision;
   for (struct bb_link *at = head->next; at != head; at = at->next)
@@ -183,11 +192,12 @@
   bb_directory_drop_unlisted_routes (d, listed, c->revision, now);
   g_hash_table_unref (listed);
   d->routes_unsorted = true;
+  bb_directory_set_version (d, c->version);
 }
 
-static void
-replace_limits (struct bb_directory *d, const struct bb_configuration *c,
-                bb_usec now)
+void
+bb_directory_replace_limits (struct bb_directory *d,
+                             const struct bb_configuration *c, bb_usec now)
 {
   struct bb_link *head = &d->limits_by_revision;
   for (struct bb_link *at = head->next; at != head; at = at->next)
@@ -207,16 +217,6 @@
   d->limits_unsorted = true;
 }
 
-void
-bb_directory_replace_configuration (struct bb_directory *d,
-                                    const struct bb_configuration *c,
-                                    bb_usec now)
-{
-  replace_routes (d, c, now);
-  replace_limits (d, c, now);
-  bb_directory_set_version (d, c->version);
-}
-
 void
 bb_directory_release_withheld (struct bb_directory *d, bb_usec now,
                                void (*ready) (void *context,
--- a/marked/state/directory_era.h
+++ b/marked/state/directory_era.h
@@ -40,11 +40,20 @@
 bool bb_directory_is_divergent (const struct bb_directory *d);
 void bb_directory_set_divergent (struct bb_directory *d, bool is_divergent);
 
-/* Puts the newer configuration C in force although the directory may hold the
-   same routes and limits at higher revisions; all get the revision of C.  */
-void bb_directory_replace_configuration (struct bb_directory *d,
-                                         const struct bb_configuration *c,
-                                         bb_usec now);
+/* Keeps the configuration held beside the state of REVISION, which has an
+   older one: no route or limit is newer than the state.  */
+void bb_directory_keep_configuration (struct bb_directory *d,
+                                      uint64_t revision);
+
+/* Put the routes, and the limits of services, of the newer configuration C in
+   force although the directory may hold the same ones at higher revisions; all
+   get the revision of C.  */
+void bb_directory_replace_routes (struct bb_directory *d,
+                                  const struct bb_configuration *c,
+                                  bb_usec now);
+void bb_directory_replace_limits (struct bb_directory *d,
+                                  const struct bb_configuration *c,
+                                  bb_usec now);
 
 /* Sets withheld servers whose time has passed to ready, and calls READY for
    each of them.  */
--- a/marked/sync/sync_eras.c
+++ b/marked/sync/sync_eras.c
@@ -33,15 +33,25 @@
              || bb_directory_is_divergent (s->directory));
 }
 
+/* Puts the configuration VERSION in B in force, at REVISION.  A batch of an
+   older build has no limits of services.  */
+static void
+replace_configuration (struct bb_sync *s, const struct bb_sync_batch *b,
+                       uint64_t version, uint64_t revision, bb_usec now)
+{
+  struct bb_configuration c = bb_sync_get_configuration (b, version, revision);
+  bb_directory_replace_routes (s->directory, &c, now);
+  if (!b->lacks_evacuations)
+    bb_directory_replace_limits (s->directory, &c, now);
+}
+
 void
 bb_sync_adopt_configuration (struct bb_sync *s, const struct bb_sync_batch *b,
                              const struct bb_sync_records *m, bb_usec now)
 {
   if (!has_newer_configuration (s, m))
     return;
-  struct bb_configuration c
-      = bb_sync_get_configuration (b, m->version, s->revision);
-  bb_directory_replace_configuration (s->directory, &c, now);
+  replace_configuration (s, b, m->version, s->revision, now);
   bb_directory_restart_history (s->directory, s->revision, now);
   bb_directory_set_divergent (s->directory, true);
   s->needs_whole_state = false;
@@ -82,14 +92,14 @@
   bool was_divergent = bb_directory_is_divergent (d);
   if (m->version < version)
     {
-      bb_directory_set_divergent (d, true);
+      bb_directory_keep_configuration (d, m->to);
       return false;
     }
-  /* The routes may be older than the revision held if either side kept them
-     from an older era.  */
-  struct bb_configuration c = bb_sync_get_configuration (b, m->version, m->to);
-  if (m->from == 0 && (was_divergent || m->is_divergent))
-    bb_directory_replace_configuration (d, &c, now);
+  /* Routes that are missing here may be older than the revision held if either
+     side kept them from an older era, or did so before.  */
+  if (m->from == 0 && s->revision > 0
+      && (m->version > version || was_divergent))
+    replace_configuration (s, b, m->version, m->to, now);
   else
     {
       bb_sync_apply_limits (s, b, m, now);
