--- a/marked/sync/sync_heartbeats.c
+++ b/marked/sync/sync_heartbeats.c
@@ -104,6 +104,7 @@
   b->version = bb_directory_version (s->directory);
   b->verified_ms = bb_sync_age_ms (s->last_verified, now);
   b->owners = s->owners.digest;
+  b->owner_count = bb_sync_owner_count (s);
   b->listed_peer_count = b->load_count = 0;
   bb_sync_list_peers (s, b, data_centre, listed_max, now);
   if (data_centre == s->options.self.data_centre)
@@ -362,6 +363,7 @@
   p->revision = b->revision;
   p->version = b->version;
   p->owners = b->owners;
+  p->owner_count = b->owner_count;
   p->last_mentioned = now;
   if (bb_sync_peer_is_local (s, p))
     bb_sync_record_owner (s, p, b, now);
--- a/marked/sync/sync_messages.h
+++ b/marked/sync/sync_messages.h
@@ -64,6 +64,7 @@
   uint64_t version;     /* of the configuration in force */
   uint32_t verified_ms; /* age of the store call that confirmed revision */
   uint32_t owners;      /* digest of the owners of the own data centre */
+  uint32_t owner_count;
   struct bb_sync_vm listed_peers[BB_SYNC_LISTED_PEERS_MAX];
   uint32_t listed_peer_count;
   struct bb_sync_load loads[BB_SYNC_LOADS_MAX];
--- a/marked/sync/sync_owners.c
+++ b/marked/sync/sync_owners.c
@@ -9,10 +9,10 @@
      and is removed before only if its own heartbeat says that it is no owner:
      it stops, or has started again.
    - A balancer that starts waits until it can have heard of all others and
-     their lists equal its own.  Then it announces itself, and owns servers
-     once the lists of all owners equal its own again, with itself in it.  A
-     list that has an owner that it cannot hear differs, so that a balancer
-     that starts on one side of a cut does not own what the other side does.
+     none has a longer list.  Then it announces itself, and owns servers once
+     the lists of all others equal its own, with itself in it.  A list that has
+     an owner that it cannot hear differs, so that a balancer that starts on
+     one side of a cut does not own what the other side does.
 
    Lists are compared by a digest, 0 for an empty one.  */
 
@@ -32,6 +32,10 @@
    answer to its heartbeats, and some of these are lost.  */
 #define JOIN_TIME (2 * BB_SYNC_PEER_TIMEOUT)
 
+/* A balancer that others list, but that was not heard, is waited for this
+   long. Silent balancers are contacted each 2 s.  */
+#define UNHEARD_TIME (6 * BB_SEC)
+
 /* A balancer that was not confirmed by all others in this time withdraws, so
    that others own its servers meanwhile.  */
 #define CONFIRM_TIME (5 * BB_SEC)
@@ -100,31 +104,58 @@
   o->list[i].digest = b->owners;
 }
 
-/* Whether all live balancers of the data centre that know owners, as an owner
-   or not, know those of this balancer.  One that stops, or has withdrawn, may
-   be the last to know of an owner on the other side of a cut.  */
+static uint32_t
+owner_count (const struct bb_sync_owners *o)
+{
+  return o->count + (o->phase >= BB_SYNC_OWNER_ANNOUNCED);
+}
+
+/* Whether P is a balancer of the data centre that knows owners, as of its last
+   heartbeat.  Those that are none themselves count, too, and those that are
+   silent: one that stops, or has withdrawn, may be the last to know of an
+   owner on the other side of a cut.  */
+static bool
+knows_owners (const struct bb_sync *s, const struct bb_sync_peer *p)
+{
+  return bb_sync_peer_is_local (s, p) && p->owner_count > 0;
+}
+
+/* Whether P is only known from the lists of others so far.  */
+static bool
+is_awaited (const struct bb_sync *s, const struct bb_sync_peer *p, bb_usec now)
+{
+  return bb_sync_peer_is_local (s, p) && p->incarnation == 0
+         && now - p->last_mentioned < UNHEARD_TIME;
+}
+
+/* Whether no other balancer is known to know more owners than this one.  */
 static bool
-knows_all_owners (const struct bb_sync *s, bb_usec now)
+has_heard_all (const struct bb_sync *s, bb_usec now)
 {
   for (uint32_t i = 0; i < s->peer_count; i++)
     {
       const struct bb_sync_peer *p = s->peers[i];
-      if (bb_sync_peer_is_local (s, p) && p->last_received != 0
-          && now - p->last_received < BB_SYNC_PEER_TIMEOUT && p->owners != 0
-          && p->owners != s->owners.digest)
+      if (is_awaited (s, p, now)
+          || (knows_owners (s, p)
+              && p->owner_count > owner_count (&s->owners)))
         return false;
     }
   return true;
 }
 
-/* Whether all owners are live and have the list of this balancer.  */
+/* Whether all owners are live, and they and all others that know owners have
+   the list of this balancer.  */
 static bool
-is_confirmed (const struct bb_sync_owners *o, bb_usec now)
+is_confirmed (const struct bb_sync *s, bb_usec now)
 {
+  const struct bb_sync_owners *o = &s->owners;
   for (uint32_t i = 0; i < o->count; i++)
     if (now - o->list[i].last_received >= BB_SYNC_PEER_TIMEOUT
         || o->list[i].digest != o->digest)
       return false;
+  for (uint32_t i = 0; i < s->peer_count; i++)
+    if (knows_owners (s, s->peers[i]) && s->peers[i]->owners != o->digest)
+      return false;
   return true;
 }
 
@@ -195,11 +226,11 @@
       if (!is_in_touch (s, now))
         o->phase_since = now;
       else if (has_joined && o->is_enabled && !s->is_leaving
-               && knows_all_owners (s, now))
+               && has_heard_all (s, now))
         set_phase (s, BB_SYNC_OWNER_ANNOUNCED, now);
       break;
     case BB_SYNC_OWNER_ANNOUNCED:
-      if (is_confirmed (o, now))
+      if (is_confirmed (s, now))
         set_phase (s, BB_SYNC_OWNER_CONFIRMED, now);
       else if (elapsed >= CONFIRM_TIME)
         set_phase (s, BB_SYNC_OWNER_JOINING, now);
@@ -225,6 +256,12 @@
   update_phase (s, now);
 }
 
+uint32_t
+bb_sync_owner_count (const struct bb_sync *s)
+{
+  return owner_count (&s->owners);
+}
+
 void
 bb_sync_enable_owner (struct bb_sync *s, bool is_enabled)
 {
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -32,6 +32,7 @@
   uint64_t revision;
   uint64_t version;
   uint32_t owners; /* digest of its list of owners */
+  uint32_t owner_count;
   /* Last heartbeat; before the first one, first listing by another peer.  */
   bb_usec last_mentioned;
   struct bb_sync_load loads[BB_SYNC_LOADS_MAX];
@@ -161,6 +162,8 @@
 void bb_sync_record_owner (struct bb_sync *s, const struct bb_sync_peer *p,
                            const struct bb_sync_heartbeat *b, bb_usec now);
 void bb_sync_update_owners (struct bb_sync *s, bb_usec now);
+/* Number of owners known, with this balancer once it is announced.  */
+uint32_t bb_sync_owner_count (const struct bb_sync *s);
 
 /* sync_peer_list.c: the peer list of a heartbeat.  Adds peers until the list
    has COUNT entries, first those that a recipient in DATA_CENTRE needs most.
--- a/tests/sync_message_test.c
+++ b/tests/sync_message_test.c
@@ -21,6 +21,7 @@
         .version = 36,
         .verified_ms = UINT32_MAX,
         .owners = 0xfedcba98,
+        .owner_count = 1024,
         .listed_peers = { { 1, 2, { 0x0a010001, 7720 } } },
         .listed_peer_count = 1,
         .loads = { { 0xffffffff, 65535, 3, false }, { 1, 0, 1, true } },
@@ -89,6 +90,8 @@
       ck_assert_uint_eq (decoded.heartbeat.verified_ms,
                          m.heartbeat.verified_ms);
       ck_assert_uint_eq (decoded.heartbeat.owners, m.heartbeat.owners);
+      ck_assert_uint_eq (decoded.heartbeat.owner_count,
+                         m.heartbeat.owner_count);
       ck_assert_uint_eq (decoded.heartbeat.listed_peers[0].endpoint.port,
                          7720);
       ck_assert_uint_eq (decoded.heartbeat.loads[0].open,
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -29,7 +29,7 @@
 #define NO_NAME "-"
 
 static const size_t body_fields[BB_SYNC_KINDS] = {
-  [BB_SYNC_HEARTBEAT] = 10,
+  [BB_SYNC_HEARTBEAT] = 11,
   [BB_SYNC_REQUEST] = 2,
   [BB_SYNC_RECORDS] = 16,
 };
@@ -69,6 +69,7 @@
     }
   bb_writer_put_uint (pk, bb_revision_era (h->revision));
   bb_writer_put_uint (pk, h->owners);
+  bb_writer_put_uint (pk, h->owner_count);
 }
 
 static void
@@ -272,6 +273,7 @@
   r->is_invalid |= inner.is_invalid;
   h->revision = bb_revision_make (read_era (r), h->revision);
   h->owners = r->remaining ? bb_reader_get_u32 (r) : 0;
+  h->owner_count = r->remaining ? bb_reader_get_u32 (r) : 0;
 }
 
 static void
