--- a/tests/cold_fixture.h
+++ b/tests/cold_fixture.h
@@ -214,10 +214,9 @@
     .revision = 1,
   };
   bb_marked_put_server (n->m, &r, sim.now);
-  struct bb_service_record limit
-      = { .service = bb_name_key ("desk"),
-          .cold_rate = kinds[sim.kind].rate * 1000,
-          .revision = 2 };
+  struct bb_service_record limit = { .service = bb_name_key ("desk"),
+                                     .cold_rate = kinds[sim.kind].rate * 1000,
+                                     .revision = 2 };
   struct bb_configuration c = { .version = 1,
                                 .revision = 2,
                                 .routes = &route,
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -35,7 +35,7 @@
 #define NO_NAME "-"
 
 static const size_t body_fields[BB_SYNC_KINDS] = {
-  [BB_SYNC_HEARTBEAT] = 14,
+  [BB_SYNC_HEARTBEAT] = 15,
   [BB_SYNC_REQUEST] = 2,
   [BB_SYNC_RECORDS] = 18,
 };
@@ -119,6 +119,7 @@
     }
   bb_writer_put_uint (pk, bb_revision_era (h->revision));
   bb_writer_put_uint (pk, h->owners);
+  bb_writer_put_uint (pk, h->owner_count);
   put_demands_and_rooms (pk, h);
   put_answers (pk, h);
   put_silences (pk, h);
@@ -419,6 +420,7 @@
   r->is_invalid |= inner.is_invalid;
   h->revision = bb_revision_make (read_era (r), h->revision);
   h->owners = r->remaining ? bb_reader_get_u32 (r) : 0;
+  h->owner_count = r->remaining ? bb_reader_get_u32 (r) : 0;
   if (r->remaining > 0)
     read_demands (r, h);
   if (r->remaining > 0)
