--- a/marked/state/directory_private.h
+++ b/marked/state/directory_private.h
@@ -33,6 +33,12 @@
   bool limits_unsorted;
 };
 
+/* directory_cookies.c: cookies of servers, unique in a directory.  */
+void bb_directory_assign_cookie (struct bb_directory *d,
+                                 struct bb_backend_server *s);
+void bb_directory_release_cookie (struct bb_directory *d,
+                                  struct bb_backend_server *s);
+
 /* server_group.c  */
 /* Returns the group of SERVICE, which is called NAME.  Adds it if needed.  */
 struct bb_server_group *bb_server_group_get (struct bb_directory *d,
