soak: the operator evacuates data centres

Seeds from 4000 on evacuate one data centre at a time and take it back; a server of it that gets a new flow from a calm balancer later than the bound is a violation.

--- a/soak/faults.c
+++ b/soak/faults.c
@@ -187,6 +187,16 @@
   soak_store_publish_routes ();
 }
 
+static void
+change_evacuation (void)
+{
+  bool is_over = cluster.evacuated_at != 0;
+  if (!is_over)
+    cluster.evacuated = (unsigned)draw (0, SOAK_DATA_CENTRES);
+  cluster.evacuated_at = is_over ? 0 : cluster.now;
+  soak_store_put_evacuation ();
+}
+
 static const struct
 {
   const char *name;
@@ -207,14 +217,17 @@
   { "add", 2, add_server },
   { "pause_server", 2, pause_server },
   { "configure", 5, change_configuration },
-  /* Not below SOAK_ERA_SEEDS, whose schedules it would change.  */
+  /* Not below SOAK_ERA_SEEDS and SOAK_EVACUATION_SEEDS, whose schedules they
+     would change.  */
   { "return", 4, return_store },
+  { "evacuate", 4, change_evacuation },
 };
 
 static size_t
 count_kinds (void)
 {
-  return G_N_ELEMENTS (faults) - (cluster.seed < SOAK_ERA_SEEDS);
+  return G_N_ELEMENTS (faults) - (cluster.seed < SOAK_ERA_SEEDS)
+         - (cluster.seed < SOAK_EVACUATION_SEEDS);
 }
 
 void
--- a/soak/servers.c
+++ b/soak/servers.c
@@ -118,6 +118,13 @@
       && cluster.now - s->drained_at > SOAK_DRAIN_BOUND)
     soak_violation ("drain", "%s received a new flow %.1f s after it drained",
                     s->id, (double)(cluster.now - s->drained_at) / BB_SEC);
+  if (cluster.evacuated_at != 0 && cluster.evacuated == s->data_centre && b
+      && soak_balancer_is_stable (b)
+      && cluster.now - cluster.last_store_fault_end > SOAK_SETTLE_TIME
+      && cluster.now - cluster.evacuated_at > SOAK_EVACUATION_BOUND)
+    soak_violation (
+        "evacuation", "%s received a new flow %.1f s after its evacuation",
+        s->id, (double)(cluster.now - cluster.evacuated_at) / BB_SEC);
   if (!f)
     {
       f = g_new0 (struct soak_flow, 1);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -23,11 +23,12 @@
   SOAK_SERVERS_MAX = 512,
   SOAK_CALLERS_MAX = 512,
   SOAK_HEADER_SIZE = BB_PLATFORM_HEADER_SIZE,
-  SOAK_PACKET_MAX = 256,  /* bytes */
-  SOAK_FIRST_PORT = 443,  /* of the first service; next ones follow */
-  SOAK_LINK_SEEDS = 1000, /* lowest seed with link faults */
-  SOAK_ERA_SEEDS = 2000,  /* lowest seed with returns of the store */
-  SOAK_PROBE_PORT = 900,  /* of the route that is added and removed */
+  SOAK_PACKET_MAX = 256,        /* bytes */
+  SOAK_FIRST_PORT = 443,        /* of the first service; next ones follow */
+  SOAK_LINK_SEEDS = 1000,       /* lowest seed with link faults */
+  SOAK_ERA_SEEDS = 2000,        /* lowest seed with returns of the store */
+  SOAK_EVACUATION_SEEDS = 4000, /* lowest seed with evacuations */
+  SOAK_PROBE_PORT = 900,        /* of the route that is added and removed */
 };
 
 /* Time until a new configuration must be in force, until a draining server
@@ -36,6 +37,7 @@
 #define SOAK_MARGIN (700 * BB_MSEC)
 #define SOAK_CONFIG_BOUND (3000 * BB_MSEC + SOAK_MARGIN)
 #define SOAK_DRAIN_BOUND (3000 * BB_MSEC + SOAK_MARGIN)
+#define SOAK_EVACUATION_BOUND (5000 * BB_MSEC + SOAK_MARGIN)
 #define SOAK_SETTLE_TIME (4000 * BB_MSEC + SOAK_MARGIN)
 
 /* Time after which the entry of a server that stopped expires.  */
@@ -103,6 +105,9 @@
   const char *plant; /* fault to plant, or NULL */
   /* The route that is added and removed.  */
   bool probe_listed;
+  /* The data centre that is evacuated, at most one at a time.  */
+  unsigned evacuated;
+  bb_usec evacuated_at;         /* 0: none is */
   bb_usec probe_changed;        /* when it was last added or removed */
   bb_usec last_store_fault_end; /* of the last one for all balancers */
   /* Late: more than SOAK_SETTLE_TIME after the end of the faults.  */
@@ -133,6 +138,9 @@
 void soak_store_put_server (struct soak_server *s);
 void soak_store_remove_server (struct soak_server *s);
 void soak_store_publish_routes (void);
+
+/* Writes or removes the operator's request of cluster.evacuated.  */
+void soak_store_put_evacuation (void);
 void soak_store_drop_history (void);
 
 /* Goes back to a copy some seconds old, in a new era.  The servers and the
