marked: an evacuation is held from the last return of the store

An evacuation that an older copy lacks stays in force for 2.3 s, in which the operator writes it again. A second return within that time did not start it anew, since an evacuation that was held already was skipped: with returns 1.5 s apart it ended 0.8 s after the second one, and the data centre got new flows until the operator's write. era_operator_test failed before (evacuation_is_held_from_the_last_return) and passes now.

--- a/marked/sync/sync_evacuations.c
+++ b/marked/sync/sync_evacuations.c
@@ -35,15 +35,15 @@
           = BB_LINKED (at, struct bb_evacuation, by_revision);
       struct bb_evacuation_record end = e->record;
       next = at->next;
-      if (!end.is_active || end.revision >= revision || e->held_until > now
+      if (!end.is_active || end.revision >= revision
           || g_hash_table_contains (listed, end.data_centre))
         continue;
-      /* What the store lost is written again.  */
+      /* What the store lost is written again.  If it returns once more before
+         that, the time for it starts anew.  */
       if (bb_sync_is_newer_era (revision, end.revision))
-        {
-          e->held_until = now + BB_EXPIRY_GRACE_TIME;
-          continue;
-        }
+        e->held_until = now + BB_EXPIRY_GRACE_TIME;
+      if (e->held_until > now)
+        continue;
       end.is_active = false;
       end.revision = revision;
       bb_sync_apply_evacuation (directory, &end, from, revision, age, sink,
