marked: a lapsed server gets the grace time again with each return of the store

A server that an older copy lacks lapses for 2.3 s, in which it writes its entry again. If the store returned once more before that, its time went on from the first return: with returns 1.5 s apart a server that is alive was gone 0.8 s after the second one, and its flows were ended. Its removal is recorded again now if the state is of a newer era. One that is dead lapses longer only if the store returns again, and silence detection finds it.

era_server_test failed before (grace_time_starts_anew_with_each_return) and passes now.

--- a/marked/sync/sync_records.c
+++ b/marked/sync/sync_records.c
@@ -204,7 +204,8 @@
 {
   if (bb_sync_is_newer_era (revision, record->revision)
       && (record->state == BB_SERVER_READY
-          || record->state == BB_SERVER_DRAINING))
+          || record->state == BB_SERVER_DRAINING
+          || record->state == BB_SERVER_EXPIRED))
     return BB_SERVER_EXPIRED;
   return record->state == BB_SERVER_READY ? state : BB_SERVER_GONE;
 }
@@ -212,10 +213,13 @@
 /* Whether the removal of S, which the state of REVISION does not list, is to
    be recorded again.  In a store with eras another balancer of the same
    revision may hold S, if it did not know of a removal that an older copy
-   lacked.  */
+   lacked.  A server that lapsed when the store came back gets the whole grace
+   time again if it comes back once more.  */
 static bool
 must_renew_removal (const struct bb_backend_server *s, uint64_t revision)
 {
+  if (s->record.state == BB_SERVER_EXPIRED)
+    return bb_sync_is_newer_era (revision, s->record.revision);
   return s->record.state == BB_SERVER_GONE && s->record.revision < revision
          && bb_revision_era (revision) > 0;
 }
--- a/tests/era_server_test.c
+++ b/tests/era_server_test.c
@@ -312,6 +312,26 @@
 }
 END_TEST
 
+/* Guards against the end of a server that the first return lost and whose
+   entry is written again only after a second one.  */
+START_TEST (grace_time_starts_anew_with_each_return)
+{
+  start_node (0);
+  learn (0, 0);
+  read_store (0, 2, COPY, 3, NULL);
+  ck_assert_int_eq (state_at (0), BB_SERVER_EXPIRED);
+  w.now += 1500 * BB_MSEC;
+  bb_marked_tick (w.nodes[0].m, w.now);
+  read_store (0, 3, COPY, 3, NULL);
+  w.now += 1500 * BB_MSEC;
+  bb_marked_tick (w.nodes[0].m, w.now);
+  ck_assert_int_eq (state_at (0), BB_SERVER_EXPIRED);
+  w.now += BB_EXPIRY_GRACE_TIME;
+  bb_marked_tick (w.nodes[0].m, w.now);
+  ck_assert_int_eq (state_at (0), BB_SERVER_GONE);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -331,6 +351,7 @@
   tcase_add_test (tc, removal_of_an_earlier_incarnation_lapses);
   tcase_add_test (tc, records_are_of_one_era);
   tcase_add_test (tc, whole_reads_record_removals_again);
+  tcase_add_test (tc, grace_time_starts_anew_with_each_return);
   suite_add_tcase (suite, tc);
   return run_suite (suite);
 }
