marked: limits that are kept are not newer than the state held

A balancer that keeps its newer configuration beside an older state restamps its routes to the revision of that state; the merge of evacuations did not do the same for the limits of services, although the comment says so. A limit above the revision that is reported hides later changes of it. Nothing in the oracle of sync_random_test looks at that; era_operator_test (limits_that_are_kept_are_not_newer_than_the_state) failed before.

--- a/marked/state/directory_era.c
+++ b/marked/state/directory_era.c
@@ -127,7 +127,7 @@
     {
       struct bb_service_record *r
           = &BB_LINKED (at, struct bb_service_limit, by_revision)->record;
-      r->revision = restamp (r->revision, adopted);
+      r->revision = MIN (restamp (r->revision, adopted), adopted);
     }
   d->limits_unsorted = true;
 }
--- a/tests/era_operator_test.c
+++ b/tests/era_operator_test.c
@@ -38,6 +38,39 @@
 }
 END_TEST
 
+/* Guards against a limit above the revision that is reported: a later change
+   of it would be ignored.  */
+START_TEST (limits_that_are_kept_are_not_newer_than_the_state)
+{
+  struct bb_service_record limit
+      = { .service = bb_name_key ("desk"), .cold_rate = 1000, .revision = 70 };
+  struct bb_endpoint from = endpoint_of (2);
+  struct bb_sync_message m = { .kind = BB_SYNC_RECORDS,
+                               .from = 102,
+                               .incarnation = 1,
+                               .record_chunk = { .batch = 1,
+                                                 .chunk_count = 1,
+                                                 .to = 60,
+                                                 .version = 5,
+                                                 .has_evacuations = true } };
+  start_node (0);
+  bb_directory_configure (directory_of (0),
+                          &(struct bb_configuration){ .version = 7,
+                                                      .revision = 70,
+                                                      .services = &limit,
+                                                      .service_count = 1 },
+                          w.now);
+  bb_sync_receive (sync_of (0), &from, &m, w.now);
+  ck_assert_uint_eq (bb_sync_revision (sync_of (0)), 60);
+  const struct bb_link *head = bb_directory_service_limits (directory_of (0));
+  ck_assert (head->next != head);
+  ck_assert_uint_le (
+      BB_LINKED (head->next, struct bb_service_limit, by_revision)
+          ->record.revision,
+      60);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -46,6 +79,7 @@
   tcase_set_timeout (tc, 60);
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, evacuation_is_held_from_the_last_return);
+  tcase_add_test (tc, limits_that_are_kept_are_not_newer_than_the_state);
   suite_add_tcase (suite, tc);
   return run_suite (suite);
 }
