marked: changes that lack removals lead to a request of the whole state

A balancer that lacks evacuations, since an older build sent it changes without them, requests changes from the revision before these. A peer with a gap of removals above that revision answers with changes that are refused, each time: until the balancer can read the store, or its leader sends it a whole state, its state stays old. It requests the whole state now after such a refusal. Only balancers beside older builds are concerned. era_operator_test (changes_that_lack_removals_lead_to_a_whole_state) failed before: the second request asked for revision 10 again. Ruled out: a request from the revision held, which would lose the evacuations in between.

--- a/marked/sync/sync_records.c
+++ b/marked/sync/sync_records.c
@@ -322,7 +322,11 @@
       return false;
     }
   if (may_lack_removals (s, m))
-    return false;
+    {
+      /* The same changes would be requested, and refused, again.  */
+      s->needs_whole_state |= !bb_sync_is_complete (s);
+      return false;
+    }
   if (!bb_sync_knows_changes (s, m))
     {
       s->needs_whole_state = true;
--- a/tests/era_operator_test.c
+++ b/tests/era_operator_test.c
@@ -71,6 +71,48 @@
 }
 END_TEST
 
+/* Guards against a balancer that requests the same changes again and again
+   while the store is away.  It got changes without evacuations, so it requests
+   those from before them; the sender's lack removals since.  */
+START_TEST (changes_that_lack_removals_lead_to_a_whole_state)
+{
+  enum
+  {
+    COMPLETE = 10,
+    HELD = 20,
+    NEWEST = 40
+  };
+  struct bb_endpoint from = endpoint_of (2);
+  struct bb_sync_message m = { .kind = BB_SYNC_RECORDS,
+                               .from = 102,
+                               .incarnation = 1,
+                               .record_chunk = { .batch = 1,
+                                                 .chunk_count = 1,
+                                                 .from = COMPLETE,
+                                                 .to = HELD,
+                                                 .version = 3 } };
+  struct bb_sync_message heartbeat
+      = { .kind = BB_SYNC_HEARTBEAT,
+          .from = 102,
+          .incarnation = 1,
+          .heartbeat
+          = { .data_centre = 1, .revision = NEWEST, .version = 3 } };
+  start_node (0);
+  read_store (0, 0, COMPLETE, 3, NULL);
+  bb_sync_receive (sync_of (0), &from, &m, w.now);
+  ck_assert_uint_eq (bb_sync_complete_revision (sync_of (0)), COMPLETE);
+  m.record_chunk.batch++;
+  m.record_chunk.to = NEWEST;
+  m.record_chunk.removals_since = NEWEST - 5;
+  m.record_chunk.has_evacuations = true;
+  bb_sync_receive (sync_of (0), &from, &m, w.now);
+  ck_assert_uint_eq (bb_sync_revision (sync_of (0)), HELD);
+  bb_sync_receive (sync_of (0), &from, &heartbeat, w.now);
+  ck_assert_uint_eq (w.requests, 1);
+  ck_assert_uint_eq (w.requested, 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -80,6 +122,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, evacuation_is_held_from_the_last_return);
   tcase_add_test (tc, limits_that_are_kept_are_not_newer_than_the_state);
+  tcase_add_test (tc, changes_that_lack_removals_lead_to_a_whole_state);
   suite_add_tcase (suite, tc);
   return run_suite (suite);
 }
