wire: a server state of a later build does not invalidate a batch

Full states were added so that older builds, which reject states that they do not know, read the records beside them. They rejected unknown states as well: the next state that a build adds would keep balancers of this build from adopting any batch with such a server while the fleet is upgraded. An unknown full state now leaves the one in the record. sync_message_test failed before (states_of_later_builds_decode).

--- a/tests/sync_message_test.c
+++ b/tests/sync_message_test.c
@@ -264,6 +264,28 @@
 }
 END_TEST
 
+/* Guards against a fleet whose older balancers adopt no state while one of a
+   later build has a server in a state that was added there.  */
+START_TEST (states_of_later_builds_decode)
+{
+  enum
+  {
+    STATE_FROM_END = 5 /* before a time of 3 bytes and a flag */
+  };
+  struct bb_sync_message m = make_message (BB_SYNC_RECORDS), decoded;
+  m.record_chunk.servers[0].state = BB_SERVER_WITHHELD;
+  m.record_chunk.servers[0].hold_ms = 4200;
+  m.record_chunk.has_evacuations = false;
+  GByteArray *bytes = bb_sync_encode (&m);
+  ck_assert_uint_eq (bytes->data[bytes->len - STATE_FROM_END],
+                     BB_SERVER_WITHHELD);
+  bytes->data[bytes->len - STATE_FROM_END] = BB_SERVER_STATES;
+  ck_assert (bb_sync_decode (bytes->data, bytes->len, &decoded, NULL));
+  ck_assert_int_eq (decoded.record_chunk.servers[0].state, BB_SERVER_DRAINING);
+  g_byte_array_unref (bytes);
+}
+END_TEST
+
 /* Guards against rejecting heartbeats of releases that do not report answers,
    and against counts that belong to other servers.  */
 static const struct
@@ -480,6 +502,7 @@
   tcase_add_test (tc, changed_bytes_stay_in_bounds);
   tcase_add_loop_test (tc, operator_records_fit_a_frame, 0, 2);
   tcase_add_loop_test (tc, missing_evacuations_are_told, 0, 2);
+  tcase_add_test (tc, states_of_later_builds_decode);
   suite_add_tcase (suite, tc);
   return run_suite (suite);
 }
--- a/wire/sync_decode.c
+++ b/wire/sync_decode.c
@@ -227,14 +227,17 @@
   r->is_invalid |= inner.is_invalid;
 }
 
+/* The full states replace those in the records, but for states that a later
+   build added.  */
 static void
 read_full_states (struct bb_reader *r, struct bb_sync_records *m)
 {
   struct bb_reader inner = bb_reader_get_array (r);
   for (uint32_t i = 0; i < m->server_count; i++)
     {
-      m->servers[i].state = (enum bb_server_state)bb_reader_get_uint (
-          &inner, BB_SERVER_STATES - 1);
+      uint64_t state = bb_reader_get_uint (&inner, UINT64_MAX);
+      if (state < BB_SERVER_STATES)
+        m->servers[i].state = (enum bb_server_state)state;
       m->servers[i].hold_ms = bb_reader_get_u32 (&inner);
     }
   r->is_invalid |= inner.is_invalid;
