marked: a removal of an earlier incarnation does not end a lapsed server

A peer that knows only the removal of an earlier incarnation of a server sends it in a newer era. A server that is ready or draining lapses then, but one that had lapsed already was gone at once, although it may write its entry again; its flows were ended. It gets the grace time of this return, as one that the state does not list. era_server_test (removal_of_an_earlier_incarnation_ends_no_grace_time) failed before.

--- a/marked/state/directory_era.c
+++ b/marked/state/directory_era.c
@@ -34,7 +34,8 @@
 is_in_use (const struct bb_backend_server *held)
 {
   return held->record.state == BB_SERVER_READY
-         || held->record.state == BB_SERVER_DRAINING;
+         || held->record.state == BB_SERVER_DRAINING
+         || held->record.state == BB_SERVER_EXPIRED;
 }
 
 struct bb_server_record
--- a/tests/era_server_test.c
+++ b/tests/era_server_test.c
@@ -249,6 +249,24 @@
 }
 END_TEST
 
+/* Guards against the same for one that lapsed when the store came back, and
+   that the removal reaches after a second return.  */
+START_TEST (removal_of_an_earlier_incarnation_ends_no_grace_time)
+{
+  struct bb_server_record r = server (BB_SERVER_READY, 99, 1, 6);
+  start_node (0);
+  start_node (2);
+  learn (0, 0);
+  read_store (2, 1, 10, 3, &r);
+  change_server (2, server (BB_SERVER_GONE, 99, 1, 11));
+  read_store (0, 2, COPY, 3, NULL);
+  ck_assert_int_eq (state_at (0), BB_SERVER_EXPIRED);
+  read_store (2, 3, COPY, 3, NULL);
+  pass_state (2, 0);
+  ck_assert_int_eq (state_at (0), BB_SERVER_EXPIRED);
+}
+END_TEST
+
 /* Guards against records of two eras in one directory, and against records
    that hide later changes of the store.  */
 START_TEST (records_are_of_one_era)
@@ -349,6 +367,7 @@
   tcase_add_test (tc, withheld_servers_are_known_everywhere);
   tcase_add_test (tc, server_of_a_late_peer_is_ready);
   tcase_add_test (tc, removal_of_an_earlier_incarnation_lapses);
+  tcase_add_test (tc, removal_of_an_earlier_incarnation_ends_no_grace_time);
   tcase_add_test (tc, records_are_of_one_era);
   tcase_add_test (tc, whole_reads_record_removals_again);
   tcase_add_test (tc, grace_time_starts_anew_with_each_return);
