--- a/marked/state/directory.h
+++ b/marked/state/directory.h
@@ -28,8 +28,9 @@
    The margin covers clock differences and packets in transit.  */
 #define BB_DIRECTORY_RETENTION (75 * BB_SEC)
 
-/* Entries that expired while the store was unreachable are registered again
-   within about 2 s of its return if their servers are alive.  */
+/* Entries that expired while the store was unreachable, or that it lacks since
+   it came back from an older copy, are registered again within about 2 s of
+   its return if their servers are alive.  So is what the operator wrote.  */
 #define BB_EXPIRY_GRACE_TIME (2300 * BB_MSEC)
 
 /* A server that says that it is cold for longer is taken to be cold for this
@@ -41,7 +42,9 @@
   BB_SERVER_READY,
   BB_SERVER_DRAINING,
   BB_SERVER_GONE,
-  BB_SERVER_EXPIRED, /* expired in a store outage; used for a grace time */
+  /* Expired in a store outage, or not listed by a store that came back from an
+     older copy: used for BB_EXPIRY_GRACE_TIME.  Logs call it lapsed.  */
+  BB_SERVER_EXPIRED,
   /* Its entry does not describe a server: it gets no new flows, and keeps the
      open ones, until a usable entry replaces that one or it is removed.  */
   BB_SERVER_UNUSABLE,
--- a/marked/sync/sync.c
+++ b/marked/sync/sync.c
@@ -119,9 +119,10 @@
   return before;
 }
 
-/* Whether this balancer has to read what a peer of an older build did not
-   send. Those BEFORE it in the order do so earlier, so that they do not call
-   the store at the same time.  */
+/* Whether this balancer has to read from the store what a peer of an older
+   build did not send.  It waits for a time in proportion to BEFORE, the number
+   of balancers that precede it, so that they do not all call the store at
+   once.  */
 static bool
 must_complete (const struct bb_sync *s, uint32_t before, bb_usec now)
 {
