placement: a failing server gets few flows while it is cold

Cause: servers within their cold time and without a cold rate are drawn by their share before the others are compared by cost. The draw was merged beside the detection of failing servers and did not take its factor into account, so that a cold server that failed all its requests kept its share.

The new test, two servers of equal slots, one halfway through its cold time and failing: 236 of 1,000 flows at the failing one before. The draw now divides its share by the factor of its cost, and the test passes (fewer than 50 of 1,000, and more than none, so that it is tried again).

--- a/marked/placement/cold_start.c
+++ b/marked/placement/cold_start.c
@@ -120,7 +120,8 @@
       if (weight >= 1 || !s->is_local || !bb_server_is_eligible (s)
           || bb_suspicion_is_suspect (&s->load.evidence, now))
         continue;
-      drawn -= weight * MAX (s->record.slots, 1);
+      drawn -= weight * MAX (s->record.slots, 1)
+               / bb_answer_quality_factor (&s->load.quality, now);
       if (drawn < 0)
         return s;
     }
--- a/marked/placement/cold_start.h
+++ b/marked/placement/cold_start.h
@@ -53,8 +53,9 @@
 double bb_cold_start_weight (const struct bb_backend_server *s, bb_usec now);
 
 /* Returns the server in SERVERS whose share of a new flow the next draw of
-   RANDOM hits, among the local ones with a weight below 1, or NULL.  SLOTS is
-   the number of slots of all local servers.  */
+   RANDOM hits, among the local ones with a weight below 1, or NULL.  The share
+   of a failing server is divided by its cost factor.  SLOTS is the number of
+   slots of all local servers.  */
 struct bb_backend_server *bb_cold_start_draw (const struct bb_link *servers,
                                               double slots, GRand *random,
                                               bb_usec now);
--- a/tests/cold_server_test.c
+++ b/tests/cold_server_test.c
@@ -238,6 +238,27 @@
 }
 END_TEST
 
+/* Guards against a cold server that fails its requests and gets as many flows
+   as one that answers: a quarter of them halfway through its cold time.  */
+START_TEST (failing_server_gets_few_flows_while_cold)
+{
+  const bb_usec now = 11 * BB_SEC;
+  struct bb_route route
+      = { .record = { .shares = { { 0, 1 } }, .share_count = 1 } };
+  unsigned placed = 0, flows = 1000;
+  route.record.shares[0].service = bb_name_key ("desk");
+  put_one ("warm", "north", 0, BB_SEC);
+  one.cold->load.quality.is_failing = true;
+  for (unsigned i = 0; i < flows; i++)
+    placed += bb_place_flow (one.directory, &route, &bb_placement_by_load,
+                             one.random, now)
+                  .server
+              == one.cold;
+  ck_assert_uint_gt (placed, 0);
+  ck_assert_uint_lt (placed, flows / 20);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -251,6 +272,7 @@
   tcase_add_loop_test (c, cold_servers_are_passed_over, 0,
                        G_N_ELEMENTS (choices));
   tcase_add_test (c, share_grows_without_a_rate);
+  tcase_add_test (c, failing_server_gets_few_flows_while_cold);
   suite_add_tcase (s, c);
   return run_suite (s);
 }
