marked: the bound on failing servers holds in each other data centre too

Cause: at most a third of the servers of a service in a data centre may be failing, but all servers outside the own data centre were counted as one. With three servers in one data centre and six in another, all three could be failing at once, and the flows of that data centre lost all their servers.

The new test with these numbers found 3 failing servers before, 1 now.

--- a/marked/state/server_quality.c
+++ b/marked/state/server_quality.c
@@ -17,7 +17,7 @@
     {
       const struct bb_backend_server *other
           = BB_LINKED (at, struct bb_backend_server, of_service);
-      if (other->is_local != s->is_local || !gets_new_flows (other))
+      if (other->data_centre != s->data_centre || !gets_new_flows (other))
         continue;
       servers++;
       failing += other->load.quality.is_failing;
--- a/tests/answers_test.c
+++ b/tests/answers_test.c
@@ -1,5 +1,6 @@
 /* What the packets of callers show of the lengths of answers.  */
 
+#include "marked/state/server_quality.h"
 #include "tests/marked_fixture.h"
 
 enum
@@ -313,6 +314,40 @@
 }
 END_TEST
 
+/* Guards against a data centre that loses all of its servers because the
+   servers of others are counted with it.  */
+START_TEST (part_of_each_data_centre_is_kept)
+{
+  enum
+  {
+    SOUTH = 3,
+    EAST = 6
+  };
+  const struct bb_answer_counts usual = { .usual = 100 },
+                                errors = { .outliers = 10 };
+  struct bb_backend_server *south[SOUTH], *east[EAST];
+  unsigned failing = 0;
+  char name[8];
+  setup ();
+  for (unsigned i = 0; i < EAST; i++)
+    {
+      g_snprintf (name, sizeof name, "e%u", i);
+      east[i] = put_server (name, "desk", "east", BB_SERVER_READY, 0);
+      bb_server_add_answers (east[i], &usual, BB_SEC);
+    }
+  for (unsigned i = 0; i < SOUTH; i++)
+    {
+      g_snprintf (name, sizeof name, "s%u", i);
+      south[i] = put_server (name, "desk", "south", BB_SERVER_READY, 0);
+    }
+  for (unsigned i = 0; i < SOUTH; i++)
+    failing += bb_server_add_answers (south[i], &errors, BB_SEC)
+               == BB_QUALITY_FAILING;
+  ck_assert_uint_eq (failing, 1);
+  teardown ();
+}
+END_TEST
+
 int
 main (void)
 {
@@ -325,6 +360,7 @@
   tcase_add_loop_test (c, new_flows_are_counted_by_cause, 0,
                        G_N_ELEMENTS (causes));
   tcase_add_test (c, restarted_server_is_trusted);
+  tcase_add_test (c, part_of_each_data_centre_is_kept);
   suite_add_tcase (s, c);
   return run_suite (s);
 }
