placement: spilled flows of an evacuated data centre are counted as such

Cause: after the merge of spill and evacuations a flow that leaves an evacuated data centre by a report of room had the reason of other flows to another data centre, so that flows_placed_evacuated and the event of the flow did not show the evacuation. The test of the count with a report found 0 instead of 1.

--- a/marked/placement/place.c
+++ b/marked/placement/place.c
@@ -88,6 +88,14 @@
   struct bb_candidates found;
 };
 
+/* Why a flow goes to another data centre.  */
+static enum bb_reason
+remote_reason (const struct bb_candidates *p)
+{
+  return p->is_local_evacuated ? BB_REASON_EVACUATED
+                               : BB_REASON_OTHER_DATA_CENTRE;
+}
+
 /* Chooses from POOL, whose server of the least cost is LEAST.  */
 static struct bb_placement
 choose_from (struct placing *p, struct bb_pool *pool,
@@ -147,7 +155,7 @@
   if (pool.count == 0)
     return none;
   struct bb_placement choice
-      = choose_from (p, &pool, least, BB_REASON_OTHER_DATA_CENTRE);
+      = choose_from (p, &pool, least, remote_reason (&p->found));
   choice.is_spilled = true;
   return choice;
 }
@@ -197,10 +205,7 @@
                : choose_from (p, &found->local, local,
                               BB_REASON_OWN_DATA_CENTRE);
   if (remote)
-    return choose_from (p, &found->remote, remote,
-                        found->is_local_evacuated
-                            ? BB_REASON_EVACUATED
-                            : BB_REASON_OTHER_DATA_CENTRE);
+    return choose_from (p, &found->remote, remote, remote_reason (found));
   /* If all servers seem dead, one of them is used anyway.  The evidence may be
      wrong, and a failed flow costs the caller no more than a refusal.  */
   if (found->suspect.server)
--- a/tests/evacuation_test.c
+++ b/tests/evacuation_test.c
@@ -122,9 +122,15 @@
 }
 END_TEST
 
-/* Guards against a count that an operator cannot rely on.  */
+/* Guards against a count that an operator cannot rely on: without and with a
+   report of room in the other data centre.  */
 START_TEST (flows_placed_elsewhere_are_counted)
 {
+  struct bb_server_group *group = bb_directory_find_service (
+      bb_marked_directory (t.m), bb_name_key ("desk"));
+  const struct bb_room room = { bb_name_key ("south"), 0, 2, BB_SEC };
+  if (_i)
+    bb_rooms_put (&group->rooms, &room);
   put_evacuation ("north", true, BB_SEC);
   place (40001, BB_SEC);
   put_evacuation ("north", false, BB_SEC);
@@ -132,6 +138,7 @@
   const struct bb_marked_counters *c = bb_marked_get_counters (t.m);
   ck_assert_uint_eq (c->placed, 2);
   ck_assert_uint_eq (c->placed_evacuated, 1);
+  ck_assert_uint_eq (c->placed_spilled, _i);
 }
 END_TEST
 
@@ -310,7 +317,7 @@
   tcase_add_loop_test (tc, new_flows_avoid_evacuated_data_centres, 0,
                        G_N_ELEMENTS (decisions));
   tcase_add_test (tc, refusal_names_the_evacuation);
-  tcase_add_test (tc, flows_placed_elsewhere_are_counted);
+  tcase_add_loop_test (tc, flows_placed_elsewhere_are_counted, 0, 2);
   tcase_add_test (tc, open_flows_stay);
   tcase_add_loop_test (tc, copies_follow_the_first_packet_for_a_while, 0,
                        G_N_ELEMENTS (copies));
