sync: silences of peers that ended do not count for the others

Cause: the start of the longest silence that peers report only moved back while any peer was silent. With silences at three peers that overlap, the start of one that had ended stayed in force. If the server had answered since, its death was not seen by the reports of peers; if nobody had asked it, silences of 300 ms counted as 1.7 s, so that live flows could be reset after one lost packet at each of two balancers.

--- a/marked/evidence/suspicion.c
+++ b/marked/evidence/suspicion.c
@@ -137,12 +137,26 @@
 }
 
 void
-bb_suspicion_add_peer_silence (struct bb_suspicion_evidence *e,
-                               const struct bb_silence *silence, bb_usec now)
+bb_suspicion_forget_silence_start (struct bb_suspicion_evidence *e)
+{
+  e->peer_silence.since = 0;
+}
+
+void
+bb_suspicion_compare_silence_start (struct bb_suspicion_evidence *e,
+                                    const struct bb_silence *silence)
 {
   struct bb_peer_silence *p = &e->peer_silence;
   if (p->since == 0 || silence->since < p->since)
     p->since = silence->since;
+}
+
+void
+bb_suspicion_add_peer_silence (struct bb_suspicion_evidence *e,
+                               const struct bb_silence *silence, bb_usec now)
+{
+  struct bb_peer_silence *p = &e->peer_silence;
+  bb_suspicion_compare_silence_start (e, silence);
   p->peers++;
   p->flows += silence->flows;
   if (p->peers >= DEAD_BALANCERS && !has_answered_since (e, p->since))
--- a/marked/evidence/suspicion.h
+++ b/marked/evidence/suspicion.h
@@ -125,6 +125,12 @@
 void bb_suspicion_remove_peer_silence (struct bb_suspicion_evidence *e,
                                        const struct bb_silence *silence);
 
+/* Find the start of the longest silence that the peers report again, after
+   some have ended: from none, each one that is left is compared.  */
+void bb_suspicion_forget_silence_start (struct bb_suspicion_evidence *e);
+void bb_suspicion_compare_silence_start (struct bb_suspicion_evidence *e,
+                                         const struct bb_silence *silence);
+
 /* Whether the silences of several balancers together show that the server is
    dead.  Each of them found that its link works.  */
 bool bb_suspicion_is_dead_for_peers (const struct bb_suspicion_evidence *e,
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -247,6 +247,8 @@
 /* Replaces the silences that P reported by those of B.  */
 void bb_sync_keep_silences (struct bb_sync *s, struct bb_sync_peer *p,
                             const struct bb_sync_heartbeat *b, bb_usec now);
+/* Finds the longest silences that peers report, without those that ended.  */
+void bb_sync_renew_silence_starts (struct bb_sync *s);
 void bb_sync_drop_silences (struct bb_sync *s, struct bb_sync_peer *p);
 
 /* sync_records.c: exchange of records, the state of the store.  */
--- a/marked/sync/sync_silences.c
+++ b/marked/sync/sync_silences.c
@@ -37,6 +37,39 @@
   p->silence_count = 0;
 }
 
+static void
+forget_start (struct bb_suspicion_evidence *e,
+              const struct bb_silence *silence)
+{
+  (void)silence;
+  bb_suspicion_forget_silence_start (e);
+}
+
+static void
+foreach_silence (struct bb_sync *s,
+                 void (*each) (struct bb_suspicion_evidence *e,
+                               const struct bb_silence *silence))
+{
+  for (uint32_t i = 0; i < s->peer_count; i++)
+    for (uint32_t n = 0; n < s->peers[i]->silence_count; n++)
+      {
+        const struct bb_sync_peer_silence *kept = &s->peers[i]->silences[n];
+        struct bb_backend_server *server
+            = bb_directory_find_by_cookie (s->directory, kept->cookie);
+        if (server && server->load.evidence.peer_silence.peers > 0)
+          each (&server->load.evidence, &kept->silence);
+      }
+}
+
+void
+bb_sync_renew_silence_starts (struct bb_sync *s)
+{
+  if (s->peer_silences == 0)
+    return;
+  foreach_silence (s, forget_start);
+  foreach_silence (s, bb_suspicion_compare_silence_start);
+}
+
 uint32_t
 bb_sync_peer_silences (const struct bb_sync *s)
 {
