directory: the end of an entry makes no warm server cold

Cause: a record that has only the name and the state of a server, as at the end of its entry or when that is unusable, was applied with the data held, also with the cold time that the server had when its entry was written. So a server that was cold for 20 s after its start and warm for long was cold again for 20 s when its entry expired; if a failure of the store ends many entries, servers in their grace period would get only what cold ones bear. A cold server was cold for longer.

The test has both: 120 s instead of 21 s, and 31 s instead of 21 s, before.

--- a/marked/state/directory.c
+++ b/marked/state/directory.c
@@ -125,7 +125,6 @@
   s->data_centre = bb_name_key (record->data_centre);
   s->is_local = strcmp (record->data_centre, d->data_centre) == 0;
   s->is_evacuated = bb_directory_is_evacuated (d, record->data_centre);
-  set_cold_time (d, s, record, now);
   s->withheld_until = record->state == BB_SERVER_WITHHELD
                           ? now + record->hold_ms * BB_MSEC
                           : 0;
@@ -156,6 +155,19 @@
          && strcmp (a->data_centre, b->data_centre) == 0;
 }
 
+/* Returns HELD with the state of RECORD.  */
+static struct bb_server_record
+change_state (const struct bb_server_record *held,
+              const struct bb_server_record *record)
+{
+  struct bb_server_record changed = *held;
+  bool stays_gone = held->state == BB_SERVER_GONE && is_removal (record);
+  changed.state = stays_gone ? BB_SERVER_GONE : record->state;
+  changed.revision = record->revision;
+  changed.gone_ms = record->gone_ms;
+  return changed;
+}
+
 static enum bb_directory_change
 update_server (struct bb_directory *d, struct bb_backend_server *s,
                const struct bb_server_record *record, bb_usec now)
@@ -167,15 +179,11 @@
                    && record->born_ms != s->record.born_ms;
   struct bb_server_record kept = *record;
   if (changes_state_only (record))
-    {
-      kept = s->record;
-      kept.state
-          = was_gone && is_removal (record) ? BB_SERVER_GONE : record->state;
-      kept.revision = record->revision;
-      kept.gone_ms = record->gone_ms;
-    }
+    kept = change_state (&s->record, record);
   bb_usec gone_since = s->gone_since;
   apply_record (d, s, &kept, now);
+  if (!changes_state_only (record))
+    set_cold_time (d, s, record, now);
   if (was_gone && kept.state == BB_SERVER_GONE)
     s->gone_since = gone_since;
   if (restarted)
@@ -228,6 +236,7 @@
     s = add_name (d, record->name);
   s->first_listed = now;
   apply_record (d, s, record, now);
+  set_cold_time (d, s, record, now);
   if (!is_placeholder (record))
     bb_directory_assign_cookie (d, s);
   *server = s;
--- a/tests/cold_server_test.c
+++ b/tests/cold_server_test.c
@@ -259,6 +259,31 @@
 }
 END_TEST
 
+/* Guards against a warm server that becomes cold again, or a cold one whose
+   time begins anew, by a record that has only its name and state, as at the
+   end of its entry in the store.  */
+static const struct
+{
+  const char *description;
+  bb_usec at;
+} changes[] = {
+  { "a cold server", 11 * BB_SEC },
+  { "a warm server", 100 * BB_SEC },
+};
+
+START_TEST (state_alone_changes_no_cold_time)
+{
+  struct bb_server_record r
+      = { .name = "cold", .state = BB_SERVER_EXPIRED, .revision = 100 };
+  struct bb_backend_server *s;
+  bb_directory_put (one.directory, &r, changes[_i].at, &s);
+  ck_assert (s == one.cold);
+  ck_assert_int_eq (s->record.state, BB_SERVER_EXPIRED);
+  ck_assert_msg (s->cold_until == 21 * BB_SEC, "%s: %f",
+                 changes[_i].description, (double)s->cold_until / BB_SEC);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -273,6 +298,8 @@
                        G_N_ELEMENTS (choices));
   tcase_add_test (c, share_grows_without_a_rate);
   tcase_add_test (c, failing_server_gets_few_flows_while_cold);
+  tcase_add_loop_test (c, state_alone_changes_no_cold_time, 0,
+                       G_N_ELEMENTS (changes));
   suite_add_tcase (s, c);
   return run_suite (s);
 }
