directory: a restart begins a new cold time

Cause: the start of a cold time was kept while a server was cold, also if it started again. The new test failed before and passes now.

--- a/marked/state/directory.c
+++ b/marked/state/directory.c
@@ -187,7 +187,10 @@
   if (was_gone && kept.state == BB_SERVER_GONE)
     s->gone_since = gone_since;
   if (restarted)
-    s->load = (struct bb_server_load){ 0 };
+    {
+      s->load = (struct bb_server_load){ 0 };
+      s->cold.since = now;
+    }
   if (is_placeholder (&kept))
     return BB_DIRECTORY_UNCHANGED;
   if (kept.state == BB_SERVER_GONE)
--- a/tests/cold_server_test.c
+++ b/tests/cold_server_test.c
@@ -284,6 +284,22 @@
 }
 END_TEST
 
+/* Guards against a server that starts again while it is cold and gets the
+   share of one that has been running since the first start.  */
+START_TEST (restart_begins_a_cold_time)
+{
+  const bb_usec now = 20 * BB_SEC;
+  struct bb_server_record r = one.cold->record;
+  struct bb_backend_server *s;
+  ck_assert_double_gt (bb_cold_start_weight (one.cold, now), 0.9);
+  r.born_ms++;
+  r.revision++;
+  bb_directory_put (one.directory, &r, now, &s);
+  ck_assert (s == one.cold);
+  ck_assert_double_eq_tol (bb_cold_start_weight (s, now), 0.1, 0.001);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -300,6 +316,7 @@
   tcase_add_test (c, failing_server_gets_few_flows_while_cold);
   tcase_add_loop_test (c, state_alone_changes_no_cold_time, 0,
                        G_N_ELEMENTS (changes));
+  tcase_add_test (c, restart_begins_a_cold_time);
   suite_add_tcase (s, c);
   return run_suite (s);
 }
