sync: a hello does not remove the reports of a heartbeat

Cause: a hello has no loads, demand or silences, but replaced those of the last heartbeat by none until the next one, up to 0.3 s later. Balancers send a hello to each seed every two seconds, so that a seed missed what a peer reports for 7.5 % of the time, a part of the demand that placement needs and of the silences that show a dead server. Loads were dropped in this way before as well.

A hello now leaves the reports in place. Those of a peer that has started again are dropped.

--- a/marked/sync/sync_heartbeats.c
+++ b/marked/sync/sync_heartbeats.c
@@ -349,11 +349,15 @@
                         b->load_count - p->load_count, BB_REASON_PEER, 0);
 }
 
-/* Keeps what B reports of servers.  */
+/* Keeps what B reports of servers in place of the last report of P.  A hello
+   has no report.  */
 static void
 keep_reports (struct bb_sync *s, struct bb_sync_peer *p,
               const struct bb_sync_heartbeat *b, bb_usec now)
 {
+  if (b->flags & BB_SYNC_HELLO)
+    return;
+  bb_sync_apply_peer_loads (s, p, -1, now);
   keep_loads (s, p, b);
   bb_sync_apply_peer_loads (s, p, 1, now);
   bb_sync_keep_demands (p, b);
@@ -380,11 +384,11 @@
       && (bb_sync_peer_is_local (s, p) || b->flags & BB_SYNC_LEADER))
     bb_sync_send_event (s, BB_EVENT_PEER_JOINED, vm.id,
                         bb_revision_number (b->revision), BB_REASON_NONE, 0);
-  else
-    bb_sync_apply_peer_loads (s, p, -1, now);
   if (bb_sync_peer_is_local (s, p)
       && (p->last_received == 0 || (b->flags & ~p->flags & BB_SYNC_LEAVING)))
     s->members_changed = now;
+  if (p->incarnation != m->incarnation)
+    bb_sync_forget_reports (s, p, now);
   p->vm = vm;
   p->incarnation = m->incarnation;
   p->last_received = now;
--- a/marked/sync/sync_peers.c
+++ b/marked/sync/sync_peers.c
@@ -118,6 +118,14 @@
     }
 }
 
+void
+bb_sync_forget_reports (struct bb_sync *s, struct bb_sync_peer *p, bb_usec now)
+{
+  bb_sync_apply_peer_loads (s, p, -1, now);
+  p->load_count = p->demand_count = 0;
+  bb_sync_drop_silences (s, p);
+}
+
 static void
 mark_peer_lost (struct bb_sync *s, struct bb_sync_peer *p, bb_usec now)
 {
@@ -127,9 +135,7 @@
     bb_sync_send_event (s, BB_EVENT_PEER_LOST, p->vm.id, 0, BB_REASON_TIMEOUT,
                         now - p->last_received);
   p->was_leader = false;
-  bb_sync_apply_peer_loads (s, p, -1, now);
-  p->load_count = p->demand_count = 0;
-  bb_sync_drop_silences (s, p);
+  bb_sync_forget_reports (s, p, now);
   p->flags = 0;
   p->last_received = 0;
   p->last_sent = now;
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -183,6 +183,11 @@
 /* Adds (SIGN 1) or subtracts (SIGN -1) the server loads that P reported.  */
 void bb_sync_apply_peer_loads (struct bb_sync *s, const struct bb_sync_peer *p,
                                int sign, bb_usec now);
+
+/* Drops the loads, demands and silences that P reported.  */
+void bb_sync_forget_reports (struct bb_sync *s, struct bb_sync_peer *p,
+                             bb_usec now);
+
 void bb_sync_expire_peers (struct bb_sync *s, bb_usec now);
 
 /* sync_owners.c: the balancers that may own cold servers.  */
--- a/tests/room_test.c
+++ b/tests/room_test.c
@@ -83,6 +83,12 @@
   bb_directory_free (t.directory);
 }
 
+static struct bb_backend_server *
+first_server (void)
+{
+  return bb_directory_find_server (t.directory, "n-1");
+}
+
 static void
 receive (const char *data_centre, uint32_t flags, uint32_t rate,
          const struct bb_sync_room *room, bb_usec now)
@@ -96,6 +102,8 @@
     .capacity = 500,
     .demands = { { bb_name_key ("desk"), rate } },
     .demand_count = 1,
+    .loads = { { .cookie = first_server ()->cookie, .open = 7 } },
+    .load_count = 1,
   };
   if (room)
     m.heartbeat.rooms[m.heartbeat.room_count++] = *room;
@@ -207,6 +215,28 @@
 }
 END_TEST
 
+/* Guards against a hello, which has no reports, that removes those of the last
+   heartbeat, and against those of a balancer that has started again.
+   Balancers send a hello to the seeds every two seconds.  */
+START_TEST (hello_keeps_reports)
+{
+  bb_usec now = 2 * BB_SEC;
+  struct bb_sync_message hello
+      = { .kind = BB_SYNC_HEARTBEAT,
+          .from = PEER,
+          .incarnation = 1 + (uint64_t)_i,
+          .heartbeat
+          = { .data_centre = bb_name_key ("north"), .flags = BB_SYNC_HELLO } };
+  const struct bb_endpoint from = { PEER, 7000 };
+  receive ("north", 0, 10000, NULL, now);
+  ck_assert_int_eq (first_server ()->load.peer_open, 7);
+  bb_sync_receive (t.sync, &from, &hello, now + 50 * BB_MSEC);
+  bb_sync_tick (t.sync, now + 100 * BB_MSEC);
+  ck_assert_double_eq_tol (t.group->demand.peer_flows, _i ? 0 : 3, 0.01);
+  ck_assert_int_eq (first_server ()->load.peer_open, _i ? 0 : 7);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -217,6 +247,7 @@
                        G_N_ELEMENTS (reports));
   tcase_add_test (tc, leaders_report_rooms);
   tcase_add_loop_test (tc, demand_is_of_live_peers, 0, G_N_ELEMENTS (demands));
+  tcase_add_loop_test (tc, hello_keeps_reports, 0, 2);
   suite_add_tcase (suite, tc);
   return run_suite (suite);
 }
