--- a/tests/herd_test.c
+++ b/tests/herd_test.c
@@ -294,6 +294,48 @@
 }
 END_TEST
 
+/* Guards against flows that go to the wrong one of many data centres, and
+   against a choice that compares each server with each of them.  All have room
+   but the first.  Their keys differ by a multiple of the size of a table.  */
+START_TEST (spill_shares_by_room)
+{
+  enum
+  {
+    FLOWS = 3100,
+    EACH = 300, /* servers of a data centre */
+    ALL = BB_ROOMS_MAX * EACH,
+    KEY_STEP = 1024,
+  };
+  struct bb_backend_server *servers = g_new0 (struct bb_backend_server, ALL);
+  struct bb_backend_server **pointers
+      = g_new0 (struct bb_backend_server *, ALL);
+  struct bb_rooms rooms = { 0 };
+  struct bb_pool other = { .servers = pointers, .count = ALL };
+  struct bb_spill_view view
+      = { .load = 1.3, .slots = 40, .other = &other, .now = 10 * BB_SEC };
+  GRand *random = g_rand_new_with_seed (3);
+  int placed[BB_ROOMS_MAX] = { 0 };
+  for (uint32_t i = 0; i < ALL; i++)
+    {
+      servers[i].data_centre = (i / EACH + 1) * KEY_STEP;
+      servers[i].record.slots = 2;
+      pointers[i] = &servers[i];
+    }
+  servers[0].load.busy = 2 * EACH;
+  for (uint32_t i = 0; i < BB_ROOMS_MAX; i++)
+    bb_rooms_put (&rooms, &(struct bb_room){ (i + 1) * KEY_STEP, 4, 2 * EACH,
+                                             10 * BB_SEC });
+  for (int i = 0; i < FLOWS; i++)
+    placed[bb_spill_choose (&rooms, &view, random) / KEY_STEP - 1]++;
+  ck_assert_int_eq (placed[0], 0);
+  for (uint32_t i = 1; i < BB_ROOMS_MAX; i++)
+    ck_assert_msg (placed[i] >= 50 && placed[i] <= 150, "%d flows", placed[i]);
+  g_rand_free (random);
+  g_free (servers);
+  g_free (pointers);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -310,6 +352,7 @@
   tcase_add_loop_test (tc, spill_does_not_oscillate, 0,
                        G_N_ELEMENTS (pressures));
   tcase_add_loop_test (tc, spill_follows_room, 0, G_N_ELEMENTS (spills));
+  tcase_add_test (tc, spill_shares_by_room);
   suite_add_tcase (suite, tc);
   tc = tcase_create ("few balancers");
   tcase_add_loop_test (tc, few_balancers_choose_the_best_server, 0,
