--- a/marked/sync/sync_heartbeats.c
+++ b/marked/sync/sync_heartbeats.c
@@ -14,9 +14,6 @@
      once: the first one of its data centre and one more.  */
   JOIN_HELLOS = 2,
   LEADER_HELLOS = 4, /* hellos in each round to discover leaders */
-  /* Pending requests that a server may have at one balancer, far above what
-     fits into the queue of a server.  */
-  SERVER_PENDING_MAX = 256,
 };
 
 /* Interval at which a balancer that is not a leader sends a heartbeat to a
@@ -67,31 +64,6 @@
   return flags;
 }
 
-/* Adds the loads of servers, the most recently changed servers first, since
-   flows are placed on these.  */
-static void
-add_loads (struct bb_sync *s, struct bb_sync_heartbeat *b, bb_usec now)
-{
-  struct bb_link *head = bb_directory_servers (s->directory);
-  uint32_t max = bb_sync_fitting_loads (b->listed_peer_count);
-  for (struct bb_link *at = head->previous; at != head && b->load_count < max;
-       at = at->previous)
-    {
-      const struct bb_backend_server *server
-          = BB_LINKED (at, struct bb_backend_server, by_revision);
-      const struct bb_server_load *load = &server->load;
-      if (load->open <= 0 && load->busy <= 0
-          && !bb_answer_quality_has_report (&load->quality))
-        continue;
-      b->loads[b->load_count++] = (struct bb_sync_load){
-        .cookie = server->cookie,
-        .open = (uint16_t)CLAMP (load->open, 0, UINT16_MAX),
-        .busy = (uint16_t)CLAMP (load->busy, 0, UINT16_MAX),
-        .is_answering = bb_suspicion_is_answering (&load->evidence, now),
-      };
-    }
-}
-
 static void
 fill_heartbeat (struct bb_sync *s, struct bb_sync_message *m,
                 uint32_t data_centre, uint32_t listed_max, bb_usec now)
@@ -110,7 +82,7 @@
   b->answer_count = b->silence_count = 0;
   bb_sync_list_peers (s, b, data_centre, listed_max, now);
   if (data_centre == s->options.self.data_centre)
-    add_loads (s, b, now);
+    bb_sync_add_loads (s, b, now);
 }
 
 static void
@@ -326,29 +298,6 @@
   send_hello (s, &vm->endpoint, now);
 }
 
-/* Whether a server can have LOAD: a pending request is on an open flow, and a
-   full server rejects requests.  */
-static bool
-is_load_plausible (const struct bb_sync_load *load)
-{
-  return load->busy <= load->open && load->busy <= SERVER_PENDING_MAX;
-}
-
-/* Keeps the loads of B for P.  An implausible load is ignored, since it could
-   make balancers refuse all new flows.  */
-static void
-keep_loads (struct bb_sync *s, struct bb_sync_peer *p,
-            const struct bb_sync_heartbeat *b)
-{
-  p->load_count = 0;
-  for (uint32_t i = 0; i < b->load_count; i++)
-    if (is_load_plausible (&b->loads[i]))
-      p->loads[p->load_count++] = b->loads[i];
-  if (p->load_count < b->load_count)
-    bb_sync_send_event (s, BB_EVENT_ENTRY_REFUSED, p->vm.id,
-                        b->load_count - p->load_count, BB_REASON_PEER, 0);
-}
-
 /* Keeps what B reports of servers in place of the last report of P.  A hello
    has no report.  */
 static void
@@ -358,7 +307,7 @@
   if (b->flags & BB_SYNC_HELLO)
     return;
   bb_sync_apply_peer_loads (s, p, -1, now);
-  keep_loads (s, p, b);
+  bb_sync_keep_loads (s, p, b);
   bb_sync_apply_peer_loads (s, p, 1, now);
   bb_sync_keep_demands (p, b);
   bb_sync_keep_rooms (s, p, b, now);
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -256,6 +256,16 @@
 void bb_sync_renew_silence_starts (struct bb_sync *s);
 void bb_sync_drop_silences (struct bb_sync *s, struct bb_sync_peer *p);
 
+/* sync_loads.c: loads of servers in heartbeats.  */
+/* Adds the loads of servers, the most recently changed servers first, since
+   flows are placed on these.  */
+void bb_sync_add_loads (struct bb_sync *s, struct bb_sync_heartbeat *b,
+                        bb_usec now);
+/* Keeps the loads of B for P.  An implausible load is ignored, since it could
+   make balancers refuse all new flows.  */
+void bb_sync_keep_loads (struct bb_sync *s, struct bb_sync_peer *p,
+                         const struct bb_sync_heartbeat *b);
+
 /* sync_records.c: exchange of records, the state of the store.  */
 void bb_sync_send_records (struct bb_sync *s, const struct bb_endpoint *to,
                            size_t count, uint64_t from, bb_usec now);
