--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -82,7 +82,7 @@
   SANITIZE="-fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer"
 # The longest cases start first.
 { list_cases build/sanitize sanitize; list_cases build plain; } \
-  | awk -F'\t' '{ print ($1 ~ /random|driver/ ? 0 : 1) "\t" $0 }' | sort -s -k1,1 | cut -f2- \
+  | awk -F'\t' '{ print ($1 ~ /random|driver|herd/ ? 0 : 1) "\t" $0 }' | sort -s -k1,1 | cut -f2- \
   | tr '\n' '\0' | xargs -0 -P "$jobs" -I{} bash -c 'run_case "$1"' _ {}
 for t in tests/*_test.sh; do
   BUILD=build run "plain/$(basename "$t" .sh)" "$t"
--- a/tests/herd_test.c
+++ b/tests/herd_test.c
@@ -10,6 +10,7 @@
 
 enum
 {
+  TIMEOUT_S = 240, /* as in scripts/check.sh */
   SERVERS = 40,
   WINDOW_MS = 500,
   WINDOWS = 6,
@@ -336,17 +337,35 @@
 }
 END_TEST
 
+/* Adds the rows of HERDS from START up to END, without END.  The cases of a
+   program run in parallel.  */
+static void
+add_herds (Suite *suite, TCase *tc, int start, int end)
+{
+  tcase_set_timeout (tc, TIMEOUT_S);
+  tcase_add_loop_test (tc, no_server_gets_the_herd, start, end);
+  suite_add_tcase (suite, tc);
+}
+
 int
 main (void)
 {
   Suite *suite = suite_create ("herds");
-  TCase *tc = tcase_create ("many balancers");
-  tcase_set_timeout (tc, 120);
-  tcase_add_loop_test (tc, no_server_gets_the_herd, 0, G_N_ELEMENTS (herds));
+  const int rows = G_N_ELEMENTS (herds);
+  add_herds (suite, tcase_create ("up to 70 balancers"), 0, rows - 8);
+  add_herds (suite, tcase_create ("115 balancers"), rows - 8, rows - 5);
+  add_herds (suite, tcase_create ("115 balancers, lost reports"), rows - 5,
+             rows - 3);
+  add_herds (suite, tcase_create ("300 balancers"), rows - 3, rows - 2);
+  add_herds (suite, tcase_create ("300 balancers, late reports"), rows - 2,
+             rows - 1);
+  add_herds (suite, tcase_create ("300 unequal balancers"), rows - 1, rows);
+  TCase *tc = tcase_create ("idle servers");
+  tcase_set_timeout (tc, TIMEOUT_S);
   tcase_add_test (tc, idle_servers_take_what_others_would_reject);
   suite_add_tcase (suite, tc);
   tc = tcase_create ("spill");
-  tcase_set_timeout (tc, 120);
+  tcase_set_timeout (tc, TIMEOUT_S);
   tcase_add_loop_test (tc, pressed_data_centre_is_served_like_the_others, 0,
                        G_N_ELEMENTS (pressures));
   tcase_add_loop_test (tc, spill_does_not_oscillate, 0,
