--- a/core/hash.h
+++ b/core/hash.h
@@ -5,13 +5,16 @@
 
 #define XXH_INLINE_ALL
 #include <stdint.h>
+#include <string.h>
 #include <xxhash.h>
 
 /* Rendezvous score of the member ID for HASH.  */
 static inline uint64_t
 bb_hash_score (uint64_t hash, uint32_t id)
 {
-  return XXH3_64bits_withSeed (&hash, sizeof hash, id);
+  uint8_t bytes[sizeof hash];
+  memcpy (bytes, &hash, sizeof bytes);
+  return XXH3_64bits_withSeed (bytes, sizeof bytes, id);
 }
 
 /* Bucket of HASH among COUNT.  */
