Review: number the cases by gravity, drop the one of equal hashes

The route of five services is case 9 now, the large watch case 10. The former case 10 needed names that were searched for; it gives way to a server that is full.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -11,7 +11,7 @@
 folder=$(mktemp -d) || exit 2
 child=
 trap '[ -z "$child" ] || kill "$child" 2>/dev/null' TERM INT HUP
-"$fleet" storm "$here/record.txt" "$root" "$folder" &
+"$fleet" split "$here/record.txt" "$root" "$folder" &
 child=$!
 wait "$child"
 status=$?
--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -23,7 +23,8 @@
   size_t size = strlen (routes) + 200 * (count + 2);
   char *text = malloc (size);
   version += 1 + version % 3;
-  int n = snprintf (text, size, "{\"version\":%llu,\"routes\":[%s],\"services\":[",
+  int n = snprintf (text, size,
+                    "{\"version\":%llu,\"routes\":[%s],\"services\":[",
                     (unsigned long long)version, routes);
   for (unsigned i = 0; i < count; i++)
     n += snprintf (text + n, size - (size_t)n,
@@ -85,7 +86,7 @@
           what, c[ANSWERED], c[RESET], c[RESET_BY_SERVER], c[NO_ANSWER]);
 }
 
-/* 1: a route whose service is changed again and again.  */
+/* A route whose service is changed again and again.  */
 
 static const char *const moved[]
     = { "orders-r1", "orders-r2", "orders-r3", "orders-r4", "orders-r5",
@@ -150,8 +151,9 @@
       if (a->sent < from || a->result == PENDING || a->result == ANSWERED)
         continue;
       if (shown++ < 5)
-        broken ("CONFIG", "q-%u, sent %.1f s after version %llu, which leads "
-                          "its route to %s: %s",
+        broken ("CONFIG",
+                "q-%u, sent %.1f s after version %llu, which leads "
+                "its route to %s: %s",
                 a->id, (double)(a->sent - confirmed) / 1000,
                 (unsigned long long)version, moved[trouble ? 8 : 0],
                 result_name (a->result));
@@ -160,7 +162,7 @@
   record ("%u requests with a route in force were not served", lost);
 }
 
-/* 2: a route that is split among five services.  */
+/* A route that is split among five services.  */
 
 enum
 {
@@ -236,8 +238,9 @@
     if (was_open[i] && !client_flow_is_open (long_flows[i]))
       {
         cut++;
-        broken ("FLOW", "long flow %u, open at its server before version %llu, "
-                        "was reset",
+        broken ("FLOW",
+                "long flow %u, open at its server before version %llu, "
+                "was reset",
                 i, (unsigned long long)version);
       }
   for (unsigned i = 0; i < attempt_count; i++)
@@ -246,8 +249,9 @@
       if (a->sent < from || a->result == PENDING || a->result == ANSWERED)
         continue;
       if (shown++ < 5)
-        broken ("CONFIG", "q-%u, sent %.1f s after version %llu, which has its "
-                          "route: %s",
+        broken ("CONFIG",
+                "q-%u, sent %.1f s after version %llu, which has its "
+                "route: %s",
                 a->id, (double)(a->sent - confirmed) / 1000,
                 (unsigned long long)version, result_name (a->result));
       lost++;
@@ -257,7 +261,7 @@
           lost, cut, LONG_FLOWS);
 }
 
-/* 3: changes of a large configuration while the data centre is cut off from
+/* Changes of a large configuration while the data centre is cut off from
    the platform.  */
 
 enum
@@ -283,8 +287,9 @@
     {
       char name[20];
       snprintf (name, sizeof name, "r-new%u", i);
-      to += sprintf (to, "%s,",
-                     route (name, ROUTE_PORT + i, "\"service\":\"orders-r1\""));
+      to += sprintf (
+          to, "%s,",
+          route (name, ROUTE_PORT + i, "\"service\":\"orders-r1\""));
     }
   strcpy (to, idle_routes);
   put_config (text, moved, 1);
@@ -342,8 +347,9 @@
           || a->result == ANSWERED)
         continue;
       if (shown++ < 5)
-        broken ("CONFIG", "q-%u, sent %.1f s after version %llu, which has its "
-                          "route, and %.1f s after the cut: %s",
+        broken ("CONFIG",
+                "q-%u, sent %.1f s after version %llu, which has its "
+                "route, and %.1f s after the cut: %s",
                 a->id, (double)(a->sent - confirmed) / 1000,
                 (unsigned long long)version, (double)(a->sent - healed) / 1000,
                 result_name (a->result));
@@ -354,7 +360,7 @@
           lost);
 }
 
-/* 4: a burst of requests that take a second each.  */
+/* A burst of requests that take a second each.  */
 
 enum
 {
@@ -383,8 +389,9 @@
     server_add (services[0], 2, 20);
   server_add (services[1], ORDER_SLOTS, ORDER_WORK_MS);
   client_set_limit (1, ORDER_LIMIT_MS);
-  int n = sprintf (routes, "%s,", route ("r-stock", ROUTE_PORT,
-                                         "\"service\":\"stock-desk\""));
+  int n
+      = sprintf (routes, "%s,",
+                 route ("r-stock", ROUTE_PORT, "\"service\":\"stock-desk\""));
   char host[16];
   sprintf (routes + n,
            "{\"name\":\"r-order\",\"host\":\"%s\",\"prefix\":\"/%u/\","
@@ -426,90 +433,126 @@
       if (a->result != RESET || a->runs == 0)
         continue;
       lost++;
-      broken ("FLOW", "the flow of q-%u, open at its server, which lives and "
-                      "runs the request, was reset by the system after %.2f s",
+      broken ("FLOW",
+              "the flow of q-%u, open at its server, which lives and "
+              "runs the request, was reset by the system after %.2f s",
               a->id, (double)(a->ended - a->sent) / 1000);
     }
   record ("%u orders, %u of them run and not answered", orders, lost);
 }
 
-/* 5: a service is added whose name has the same hash as that of another.  */
+/* A server holds as many flows as it can.  */
 
 enum
 {
-  ADDED_AT_MS = 15000,
+  FEED_FLOWS = 20,
+  FEED_BURST = 34, /* x = 1.7 */
+  FEED_LIMIT = 24,
+  FEED_GAP_MS = 7000, /* least time between two requests of a flow */
+  FEED_GAP_MORE_MS = 4000,
+  FEED_TRIES = 3,
+  FEED_BURST_MS = 20000, /* start of the first burst */
+  FEED_BURST_GAP_MS = 10000,
+  FEED_BURST_LENGTH_MS = 3000,
+  FEED_BURSTS = 4,
 };
 
-static const char *
-added_service (void)
+struct feed
 {
-  return trouble ? "notes-m682" : "notes-m683";
-}
+  unsigned flow, tries;
+  int64_t next; /* request, or try to open */
+  bool is_started;
+};
+
+static struct feed feeds[FEED_BURST];
+static unsigned resets; /* of flows of a burst that has ended */
 
 static void
-put_two_services (bool is_added)
-{
-  const char *services[] = { "orders-p677", added_service () };
-  char routes[6000], target[100];
-  int n = sprintf (routes, "%s", route ("r-orders", ROUTE_PORT,
-                                        "\"service\":\"orders-p677\""));
-  sprintf (target, "\"service\":\"%s\"", services[1]);
-  if (is_added)
-    sprintf (routes + n, ",%s", route ("r-notes", ROUTE_PORT + 1, target));
-  put_config (routes, services, is_added ? 2 : 1);
+full_prepare (void)
+{
+  static const char *const services[] = { "stock-desk", "feed-desk" };
+  char routes[6000];
+  for (unsigned i = 0; i < DESK_SERVERS; i++)
+    server_add (services[0], 2, 20);
+  server_add (services[1], 3, 20);
+  server_set_limit (DESK_SERVERS, FEED_LIMIT);
+  int n
+      = sprintf (routes, "%s,",
+                 route ("r-stock", ROUTE_PORT, "\"service\":\"stock-desk\""));
+  sprintf (routes + n, "%s",
+           route ("r-feed", ROUTE_PORT + 1, "\"service\":\"feed-desk\""));
+  put_config (routes, services, 2);
 }
 
 static void
-names_prepare (void)
+note_reset (const struct feed *f)
 {
-  server_add ("orders-p677", 2, 20);
-  server_add ("orders-p677", 2, 20);
-  put_two_services (false);
+  if (f->is_started && client_flow_was_reset (f->flow))
+    resets++;
 }
 
+/* A client whose try failed makes the next one at once.  */
 static void
-names_step (void)
+step_feed (struct feed *f)
 {
-  if (step_number == 0 && now >= ADDED_AT_MS)
+  if (!f->is_started
+      || (!client_flow_is_open (f->flow) && !client_flow_is_opening (f->flow)
+          && f->tries < FEED_TRIES))
     {
-      step_number++;
-      put_two_services (true);
-      server_add (added_service (), 2, 20);
-      server_add (added_service (), 2, 20);
-      record ("two servers of %s start", added_service ());
+      note_reset (f);
+      f->is_started = true;
+      f->tries++;
+      f->flow = client_open (1, true);
+      f->next = now + rand () % (FEED_GAP_MS + FEED_GAP_MORE_MS);
+    }
+  else if (client_flow_is_open (f->flow) && now >= f->next)
+    {
+      client_request (f->flow);
+      f->next = now + FEED_GAP_MS + rand () % FEED_GAP_MORE_MS;
     }
-  if (!is_due (&next_request, REQUEST_MS))
-    return;
-  client_open (0, false);
-  if (now > confirmed + CONFIG_MS && step_number > 0)
-    client_open (1, false);
 }
 
 static void
-names_judge (void)
+full_step (void)
 {
-  unsigned shown = 0, foreign = 0;
-  for (unsigned i = 0; i < attempt_count; i++)
+  int64_t t = now - FEED_BURST_MS;
+  bool burst = trouble && t >= 0 && t < FEED_BURSTS * FEED_BURST_GAP_MS
+               && t % FEED_BURST_GAP_MS < FEED_BURST_LENGTH_MS;
+  if (is_due (&next_request, DESK_GAP_MS))
+    client_open (0, false);
+  for (unsigned i = 0; i < FEED_BURST; i++)
     {
-      const struct attempt *a = &attempts[i];
-      const char *own = a->route ? added_service () : "orders-p677";
-      if (a->server < 0 || strcmp (server_service (a->server), own) == 0)
-        continue;
-      if (shown++ < 5)
-        broken ("ROUTE", "q-%u of the route to %s was run by %s; the client "
-                         "was answered by %s",
-                a->id, own, server_service (a->server), a->said);
-      foreign++;
+      if (i < FEED_FLOWS && now >= TRAFFIC_MS + i * 300)
+        step_feed (&feeds[i]);
+      else if (i >= FEED_FLOWS && burst)
+        step_feed (&feeds[i]);
+      else if (i >= FEED_FLOWS && feeds[i].is_started)
+        {
+          note_reset (&feeds[i]);
+          client_close (feeds[i].flow);
+          feeds[i] = (struct feed){ 0 };
+        }
     }
-  record ("%u requests were run by a service that no configuration allows",
-          foreign);
+}
+
+static void
+full_judge (void)
+{
+  for (unsigned i = 0; i < FEED_BURST; i++)
+    note_reset (&feeds[i]);
+  if (resets > 0)
+    broken ("FLOW",
+            "%u flows, open at their server, which lives, were reset "
+            "by the system",
+            resets);
+  record ("%u open flows were reset", resets);
 }
 
 static const struct scenario scenarios[] = {
+  { "full", 3, 60000, full_prepare, full_step, full_judge },
   { "moves", 3, 100000, moves_prepare, moves_step, moves_judge },
   { "split", 3, 30000, split_prepare, split_step, split_judge },
   { "burst", 3, 46000, burst_prepare, burst_step, burst_judge },
-  { "names", 3, 30000, names_prepare, names_step, names_judge },
   { "storm", 3, 45000, storm_prepare, storm_step, storm_judge },
 };
 
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -6,10 +6,10 @@
 #ifndef FLEET_H
 #define FLEET_H
 
+#include <poll.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
-#include <poll.h>
 #include <stdio.h>
 
 enum
@@ -45,7 +45,7 @@
 {
   PENDING,
   ANSWERED,
-  RESET,     /* by an RST that no server sent */
+  RESET, /* by an RST that no server sent */
   RESET_BY_SERVER,
   NO_ANSWER, /* until the time limit of the client */
 };
@@ -57,7 +57,7 @@
   int64_t sent;
   enum result result;
   int64_t ended;
-  int server;   /* that ran it last, -1: none */
+  int server; /* that ran it last, -1: none */
   unsigned runs;
   char said[64]; /* service named in the answer */
 };
@@ -84,6 +84,8 @@
 /* Adds a server that runs SLOTS requests at once, each for WORK_MS; further
    ones wait in its queue.  */
 void server_add (const char *service, unsigned slots, unsigned work_ms);
+/* Sets how many flows a server holds; it sends nothing to further ones.  */
+void server_set_limit (unsigned server, unsigned flows_max);
 const char *server_service (int server);
 unsigned server_count (void);
 void net_start (void);
@@ -94,6 +96,10 @@
    returned as an index for client_request.  */
 unsigned client_open (unsigned route, bool long_flow);
 void client_request (unsigned flow);
+void client_close (unsigned flow);
+bool client_flow_is_opening (unsigned flow);
+/* Whether the system reset FLOW after it had opened.  */
+bool client_flow_was_reset (unsigned flow);
 /* Sets the time limit of the clients for requests to ROUTE.  */
 void client_set_limit (unsigned route, int64_t limit);
 bool client_flow_is_open (unsigned flow);
--- a/review/standin-2/main.c
+++ b/review/standin-2/main.c
@@ -108,9 +108,12 @@
 {
   for (uint16_t at = 8160; at < 9160; at += 40)
     {
-      ports = (struct ports){ .packets = at + 12, .ready = at + 7,
-                              .peer = at + 20, .metrics = at + 35,
-                              .store = at + 9, .server = at + 30 };
+      ports = (struct ports){ .packets = at + 12,
+                              .ready = at + 7,
+                              .peer = at + 20,
+                              .metrics = at + 35,
+                              .store = at + 9,
+                              .server = at + 30 };
       if (is_free (ports.packets, SOCK_DGRAM)
           && is_free (ports.peer, SOCK_DGRAM)
           && is_free (ports.server, SOCK_DGRAM)
--- a/review/standin-2/net.c
+++ b/review/standin-2/net.c
@@ -12,8 +12,9 @@
 
 enum
 {
-  FLOWS_MAX = 4096, /* at one server */
-  LIMIT_MS = 1500,  /* time limit of a request, unless set otherwise */
+  FLOWS_MAX = 4096,      /* at one server */
+  IDLE_CLOSE_MS = 12000, /* a server closes a flow without packets */
+  LIMIT_MS = 1500,       /* time limit of a request, unless set otherwise */
   ROUTES_MAX = 64,
   OPEN_MS = 1400,
   FIRST_SPORT = 20000,
@@ -32,8 +33,9 @@
   uint16_t answer_length;
   char answer[400];
   bool is_queued, is_running;
-  int64_t done_at;        /* of a running request */
-  struct packet last;     /* to answer to, with the last echo */
+  int64_t done_at;    /* of a running request */
+  int64_t seen_at;    /* last packet of the client */
+  struct packet last; /* to answer to, with the last echo */
 };
 
 struct server
@@ -41,7 +43,7 @@
   char id[32], service[64];
   uint64_t tag;
   int fd;
-  unsigned slots, running, queued;
+  unsigned slots, running, queued, held, flows_max; /* 0: no limit */
   int64_t work;
   struct server_flow *flows;
 };
@@ -53,8 +55,13 @@
 {
   uint16_t sport;
   unsigned route;
-  enum { CLOSED, OPENING, OPEN } state;
-  bool is_long, is_acknowledged;
+  enum
+  {
+    CLOSED,
+    OPENING,
+    OPEN
+  } state;
+  bool is_long, is_acknowledged, was_open, was_reset;
   uint32_t seq, ack, echo; /* next byte to send, next byte expected */
   int64_t opened_at, sent_at;
   unsigned copies, repeats;
@@ -200,6 +207,12 @@
   count++;
 }
 
+void
+server_set_limit (unsigned server, unsigned flows_max)
+{
+  servers[server].flows_max = flows_max;
+}
+
 static struct server_flow *
 find_flow (struct server *s, const struct packet *p, bool add)
 {
@@ -228,9 +241,15 @@
         uint32_t ack, const void *data, uint16_t length)
 {
   uint8_t bytes[HEADER + DATA_MAX];
-  struct packet out = { .src = p->dst, .dst = p->src, .sport = p->dport,
-                        .dport = p->sport, .seq = seq, .ack = ack,
-                        .echo = p->echo, .len = length, .flags = flags };
+  struct packet out = { .src = p->dst,
+                        .dst = p->src,
+                        .sport = p->dport,
+                        .dport = p->sport,
+                        .seq = seq,
+                        .ack = ack,
+                        .echo = p->echo,
+                        .len = length,
+                        .flags = flags };
   send_to (s->fd, p->src, ports.packets, bytes, encode (bytes, &out, data));
 }
 
@@ -267,9 +286,25 @@
 
 /* Starts the requests that wait while a slot is free, and answers those that
    are done.  */
+static void
+close_idle_flows (struct server *s)
+{
+  for (unsigned i = 0; i < FLOWS_MAX && s->held > 0; i++)
+    {
+      struct server_flow *f = &s->flows[i];
+      if (f->used && !f->ended && now - f->seen_at >= IDLE_CLOSE_MS)
+        {
+          f->ended = true;
+          s->held--;
+        }
+    }
+}
+
 static void
 server_tick (struct server *s)
 {
+  if (s->flows_max)
+    close_idle_flows (s);
   for (unsigned i = 0; i < FLOWS_MAX && s->running + s->queued > 0; i++)
     {
       struct server_flow *f = &s->flows[i];
@@ -316,9 +351,22 @@
   decode (bytes, &p);
   if (get (bytes + 20, 4) != checksum (bytes, length))
     broken ("UNASKED", "%s got a packet that its sender did not write", s->id);
-  struct server_flow *f = find_flow (s, &p, p.flags & SYN);
+  struct server_flow *f = find_flow (s, &p, false);
+  if (f)
+    f->seen_at = now;
   if (p.flags & SYN)
     {
+      if (!f && s->flows_max && s->held >= s->flows_max)
+        {
+          record ("%s is full and sends nothing to flow %u", s->id, p.sport);
+          return;
+        }
+      if (!f)
+        {
+          f = find_flow (s, &p, true);
+          f->seen_at = now;
+          s->held++;
+        }
       f->expected = p.seq + 1;
       answer (s, &p, SYN | ACK, f->seq, f->expected, NULL, 0);
       return;
@@ -331,11 +379,13 @@
     }
   if (!f->open)
     f->open = true, f->seq++;
-  if (p.flags & RST)
-    f->ended = true;
-  if (p.flags & FIN)
+  if (p.flags & (RST | FIN))
     {
+      s->held -= !f->ended;
       f->ended = true;
+    }
+  if (p.flags & FIN)
+    {
       answer (s, &p, FIN | ACK, f->seq, p.seq + 1, NULL, 0);
       return;
     }
@@ -365,11 +415,15 @@
              const void *data, uint16_t length)
 {
   uint8_t bytes[HEADER + DATA_MAX];
-  struct packet p = { .src = address (200), .sport = f->sport,
+  struct packet p = { .src = address (200),
+                      .sport = f->sport,
                       .dst = address (240),
-                      .dport = (uint16_t)(ROUTE_PORT + f->route), .seq = seq,
-                      .ack = ack, .echo = flags & SYN ? 0 : f->echo,
-                      .len = length, .flags = flags };
+                      .dport = (uint16_t)(ROUTE_PORT + f->route),
+                      .seq = seq,
+                      .ack = ack,
+                      .echo = flags & SYN ? 0 : f->echo,
+                      .len = length,
+                      .flags = flags };
   send_to (client_fd, balancer_address (balancer_choose (f->sport)),
            ports.packets, bytes, encode (bytes, &p, data));
 }
@@ -400,18 +454,17 @@
   if (attempt_count == ATTEMPTS_MAX)
     cannot_run ("too many requests");
   struct attempt *a = &attempts[attempt_count];
-  *a = (struct attempt){ .id = attempt_count,
-                         .route = f->route,
-                         .sent = now,
-                         .server = -1 };
+  *a = (struct attempt){
+    .id = attempt_count, .route = f->route, .sent = now, .server = -1
+  };
   f->attempt = (int)attempt_count++;
   f->repeats = 0;
   f->is_acknowledged = false;
-  f->request_length = (uint16_t)snprintf (
-      f->request, sizeof f->request,
-      "GET /item HTTP/1.1\r\nHost: orders\r\n"
-      "Bluebellstand-Request-Id: q-%u\r\n\r\n",
-      a->id);
+  f->request_length
+      = (uint16_t)snprintf (f->request, sizeof f->request,
+                            "GET /item HTTP/1.1\r\nHost: orders\r\n"
+                            "Bluebellstand-Request-Id: q-%u\r\n\r\n",
+                            a->id);
   record ("q-%u sent on %s flow %u to route %u", a->id,
           f->is_long ? "long" : "its own", f->sport, f->route);
 }
@@ -450,6 +503,27 @@
   send_request (f);
 }
 
+void
+client_close (unsigned flow)
+{
+  struct client_flow *f = &flows[flow];
+  if (f->state == OPEN)
+    client_send (f, FIN | ACK, f->seq, f->ack, NULL, 0);
+  f->state = CLOSED;
+}
+
+bool
+client_flow_is_opening (unsigned flow)
+{
+  return flows[flow].state == OPENING;
+}
+
+bool
+client_flow_was_reset (unsigned flow)
+{
+  return flows[flow].was_reset;
+}
+
 static void
 client_packet (const uint8_t *bytes, size_t length)
 {
@@ -473,6 +547,7 @@
         record ("long flow %u %s while idle", f->sport,
                 result_name (is_system_reset ? RESET : RESET_BY_SERVER));
       finish (f, is_system_reset ? RESET : RESET_BY_SERVER);
+      f->was_reset = is_system_reset && f->was_open;
       f->state = CLOSED;
       return;
     }
@@ -482,6 +557,7 @@
         return;
       f->echo = p.echo;
       f->state = OPEN;
+      f->was_open = true;
       f->ack = p.seq + 1;
       f->request_at = f->seq;
       f->seq += f->request_length;
@@ -538,7 +614,8 @@
       f->state = CLOSED;
       return;
     }
-  if (!f->is_acknowledged && now - f->sent_at >= repeats[f->repeats < 3 ? f->repeats : 3])
+  if (!f->is_acknowledged
+      && now - f->sent_at >= repeats[f->repeats < 3 ? f->repeats : 3])
     {
       f->repeats++;
       send_request (f);
--- a/review/standin-2/store.c
+++ b/review/standin-2/store.c
@@ -335,8 +335,8 @@
       flush_out (c);
       return;
     }
-  ssize_t n = recv (fd, c->in + c->in_length,
-                    sizeof c->in - 1 - c->in_length, 0);
+  ssize_t n
+      = recv (fd, c->in + c->in_length, sizeof c->in - 1 - c->in_length, 0);
   if (n <= 0)
     {
       close_connection (c);
