Review: the stand-ins pass formatter and linter

The stand-ins of the cases are linted with the rest. Signals are handled in the loop, two structures are reordered, and texts are joined with bounds; what they play is as before.

--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -185,7 +185,8 @@
                 "%s{\"service\":\"%s\",\"weight\":%u}", i ? "," : "", moved[i],
                 weights[i]);
     }
-  strcat (target, "]");
+  size_t end = strlen (target);
+  snprintf (target + end, sizeof target - end, "]");
   put_config (route ("r-orders", ROUTE_PORT, target), moved, 5);
   record ("route r-orders is split among %u services", count);
 }
@@ -291,7 +292,7 @@
           to, "%s,",
           route (name, ROUTE_PORT + i, "\"service\":\"orders-r1\""));
     }
-  strcpy (to, idle_routes);
+  sprintf (to, "%s", idle_routes);
   put_config (text, moved, 1);
   free (text);
 }
@@ -397,7 +398,7 @@
            "{\"name\":\"r-order\",\"host\":\"%s\",\"prefix\":\"/%u/\","
            "\"kind\":\"unsafe\",\"timeout-ms\":%d,\"target-latency-ms\":"
            "3000,\"priority\":1,\"service\":\"order-desk\",\"attempts\":2}",
-           text_of (address (240), host), ROUTE_PORT + 1, ORDER_LIMIT_MS);
+           text_of (address (240), host), ROUTE_PORT + 1U, ORDER_LIMIT_MS);
   put_config (routes, services, 2);
 }
 
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -78,7 +78,7 @@
 void record (const char *format, ...) __attribute__ ((format (printf, 1, 2)));
 void broken (const char *rule, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
-void cannot_run (const char *why);
+void cannot_run (const char *why) __attribute__ ((noreturn));
 
 /* net.c: packets, servers, clients.  */
 /* Adds a server that runs SLOTS requests at once, each for WORK_MS; further
@@ -89,7 +89,7 @@
 const char *server_service (int server);
 unsigned server_count (void);
 void net_start (void);
-int net_fds (struct pollfd *fds);
+unsigned net_fds (struct pollfd *fds);
 void net_readable (int fd);
 void net_tick (void);
 /* Sends one request on a new flow; with LONG_FLOW the flow stays open and is
@@ -110,7 +110,7 @@
 /* store.c */
 extern bool store_cut; /* no balancer reaches the store */
 void store_start (void);
-int store_fds (struct pollfd *fds);
+unsigned store_fds (struct pollfd *fds);
 void store_event (int fd, short revents);
 void store_tick (void);
 void store_put (const char *key, const char *value);
--- a/review/standin-2/main.c
+++ b/review/standin-2/main.c
@@ -18,6 +18,7 @@
 
 static FILE *record_file;
 static unsigned broken_count;
+static volatile sig_atomic_t is_stopped;
 static struct timespec started;
 
 static void
@@ -86,8 +87,7 @@
 on_signal (int number)
 {
   (void)number;
-  balancers_stop ();
-  _exit (2);
+  is_stopped = 1;
 }
 
 /* Whether PORT can be bound at all addresses.  */
@@ -129,14 +129,14 @@
 poll_once (void)
 {
   static struct pollfd fds[1024];
-  int n = net_fds (fds);
-  int m = store_fds (fds + n);
-  poll (fds, (nfds_t)(n + m), 5);
+  unsigned n = net_fds (fds);
+  unsigned m = store_fds (fds + n);
+  poll (fds, n + m, 5);
   update_time ();
-  for (int i = 0; i < n; i++)
+  for (unsigned i = 0; i < n; i++)
     if (fds[i].revents)
       net_readable (fds[i].fd);
-  for (int i = n; i < n + m; i++)
+  for (unsigned i = n; i < n + m; i++)
     if (fds[i].revents)
       store_event (fds[i].fd, fds[i].revents);
 }
@@ -173,6 +173,8 @@
   while (now < s->length)
     {
       poll_once ();
+      if (is_stopped)
+        cannot_run ("stopped by a signal");
       store_tick ();
       balancers_tick ();
       s->step ();
--- a/review/standin-2/net.c
+++ b/review/standin-2/net.c
@@ -53,7 +53,7 @@
 
 struct client_flow
 {
-  uint16_t sport;
+  int64_t opened_at, sent_at;
   unsigned route;
   enum
   {
@@ -61,14 +61,14 @@
     OPENING,
     OPEN
   } state;
-  bool is_long, is_acknowledged, was_open, was_reset;
   uint32_t seq, ack, echo; /* next byte to send, next byte expected */
-  int64_t opened_at, sent_at;
   unsigned copies, repeats;
   int attempt; /* pending, -1: none */
-  char request[400];
-  uint16_t request_length;
   uint32_t request_at;
+  uint16_t sport;
+  uint16_t request_length;
+  bool is_long, is_acknowledged, was_open, was_reset;
+  char request[400];
 };
 
 static int64_t limits[ROUTES_MAX]; /* 0: LIMIT_MS */
@@ -647,10 +647,10 @@
   client_fd = open_udp (address (200), ports.packets);
 }
 
-int
+unsigned
 net_fds (struct pollfd *fds)
 {
-  int n = 0;
+  unsigned n = 0;
   fds[n++] = (struct pollfd){ client_fd, POLLIN, 0 };
   for (unsigned i = 0; i < count; i++)
     fds[n++] = (struct pollfd){ servers[i].fd, POLLIN, 0 };
--- a/review/standin-2/store.c
+++ b/review/standin-2/store.c
@@ -36,14 +36,14 @@
 
 struct connection
 {
-  int fd; /* -1: not in use */
-  char in[4096];
   size_t in_length;
   char *out;
   size_t out_length, out_sent;
-  bool is_waiting; /* a watch */
-  uint64_t after;
+  uint64_t after; /* of a watch */
   int64_t until;
+  int fd;          /* -1: not in use */
+  bool is_waiting; /* a watch */
+  char in[4096];
 };
 
 bool store_cut;
@@ -286,10 +286,10 @@
     reply (c, "404 Not Found", strdup ("{}"));
 }
 
-int
+unsigned
 store_fds (struct pollfd *fds)
 {
-  int n = 0;
+  unsigned n = 0;
   fds[n++] = (struct pollfd){ listener, POLLIN, 0 };
   for (unsigned i = 0; i < CONNECTIONS_MAX; i++)
     if (connections[i].fd >= 0)
