--- a/review/11/case.c
+++ b/review/11/case.c
@@ -51,7 +51,7 @@
 put_configuration (uint32_t host)
 {
   static const char route[]
-      = "{\"name\":\"%s\",\"host\":\"%u.%u.%u.%u\",\"prefix\":\"/%u/\","
+      = "{\"name\":\"%s\",\"host\":\"%u.%u.%u.%u\",\"prefix\":\"/%d/\","
         "\"kind\":\"unsafe\",\"timeout-ms\":1500,\"target-latency-ms\":800,"
         "\"priority\":1,\"service\":\"%s\",\"attempts\":2}";
   char routes[2][400], text[2000];
@@ -62,7 +62,7 @@
   snprintf (text, sizeof text,
             "{\"version\":3,\"routes\":[%s,%s],\"services\":["
             "{\"name\":\"order-desk\",\"health-path\":\"/health\","
-            "\"max-conns\":%u,\"protocol\":\"h1\",\"tls\":false},"
+            "\"max-conns\":%d,\"protocol\":\"h1\",\"tls\":false},"
             "{\"name\":\"catalogue\",\"health-path\":\"/health\","
             "\"max-conns\":2000,\"protocol\":\"h1\",\"tls\":false}],"
             "\"limits\":{\"idle-timeout-ms\":15000}}",
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,6 +5,6 @@
 mkdir -p target/review-3
 for case in review/1[1-5]/case.c; do
   name=$(basename "$(dirname "$case")")
-  ${CC:-gcc} -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra -I. \
-    -o "target/review-3/case-$name" "$case" review/standin-3/world.c
+  ${CC:-gcc} -std=gnu11 -O2 -Wall -Wextra -I. \
+    -o "target/review-3/case-$name" "$case" review/standin-3/*.c
 done
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -61,8 +61,6 @@
   int64_t born_ms;
   double next_heartbeat;
   unsigned long executed;
-  /* Datagrams to drop as if the network had lost them; see drop_next.  */
-  unsigned drop_data;
 };
 
 enum flow_state
@@ -116,7 +114,6 @@
 extern uint16_t packets_port;
 extern bool has_trouble; /* TROUBLE is not 0 */
 extern FILE *record;
-extern uint32_t sender; /* address that the datagram being handled is from */
 
 double now_ms (void);
 void note (const char *format, ...) __attribute__ ((format (printf, 1, 2)));
@@ -135,19 +132,11 @@
 struct balancer *add_balancer (const char *zone);
 void write_settings (struct balancer *b);
 void start_balancer (struct balancer *b);
-void signal_balancer (struct balancer *b, int number);
 bool all_ready (void);
 
 /* Store.  */
 void store_put (const char *key, const char *text);
 void store_delete (const char *key);
-uint64_t store_revision (void);
-extern uint64_t store_oldest; /* history before it is discarded */
-extern uint64_t store_era;    /* 0: no header */
-extern bool store_is_silent;
-void store_save_copy (void);
-/* Goes back to the copy, in the next era.  */
-void store_return (void);
 void store_config (const char *json);
 
 /* Servers.  */
@@ -158,7 +147,6 @@
 void drain_server (struct server *s);
 void end_server (struct server *s); /* leaves: stops and removes its entry */
 void put_entry (struct server *s);
-struct server *find_server (uint64_t tag);
 unsigned count_flows (const struct server *s);
 
 /* Clients.  */
@@ -177,9 +165,6 @@
 /* Called when a server takes the first packet of a flow.  */
 extern void (*on_opening) (struct server *s, uint32_t client, uint16_t sport);
 extern void (*on_tick) (void);
-/* Called with each packet of a flow that reaches a server.  */
-extern void (*on_server_packet) (struct server *s, const uint8_t *packet,
-                                 size_t length);
 
 uint32_t load32 (const uint8_t *p);
 uint16_t load16 (const uint8_t *p);
