--- a/driver/overload_nodes.c
+++ b/driver/overload_nodes.c
@@ -32,11 +32,20 @@
   (void)packet;
 }
 
+/* No packet is lost here, so that a further one changes nothing.  */
+static void
+ignore_copy (void *context, unsigned slot)
+{
+  (void)context;
+  (void)slot;
+}
+
 static const struct bb_marked_sink node_sink = {
   .send = bb_overload_send_report,
   .event = ignore_event,
   .server = ignore_server,
   .reset = ignore_reset,
+  .copy = ignore_copy,
 };
 
 static const char *const data_centres[BB_OVERLOAD_DATA_CENTRES_MAX]
--- a/marked/balancer.c
+++ b/marked/balancer.c
@@ -164,6 +164,7 @@
       bb_usec took
           = (bb_usec)(bb_marked_time_ms (now) - f->request_sent_ms) * BB_MSEC;
       f->state = BB_FLOW_OPEN;
+      f->held_life = s->life;
       f->acknowledged = p->acknowledgement;
       bb_histogram_add (&m->open_times, took);
       bb_path_delay_add (&m->path_delay, took, now);
@@ -250,7 +251,7 @@
       reset_flow (m, f, s, BB_REASON_ROUTE_DROPPED, now, v);
       return;
     }
-  bb_marked_observe_packet (m, route, f, s, p, now);
+  bool has_data = bb_marked_observe_packet (m, route, f, s, p, now);
   if (must_reset_flow (m, f, s, p, now))
     {
       reset_flow (m, f, s,
@@ -261,6 +262,8 @@
     }
   observe_end (m, route, f, s, p, now);
   forward_packet (m, s, v);
+  if (has_data)
+    v->probe_slot = bb_marked_start_probe (m, s, f, now);
 }
 
 void
--- a/marked/balancer.h
+++ b/marked/balancer.h
@@ -33,6 +33,13 @@
   void (*server) (void *context, const struct bb_backend_server *server);
   /* Sends a reset to the caller of PACKET.  */
   void (*reset) (void *context, const struct bb_marked_packet *packet);
+  /* Sends the packet kept in SLOT again.  */
+  void (*copy) (void *context, unsigned slot);
+};
+
+enum
+{
+  BB_MARKED_PROBE_SLOTS = 32, /* packets of probes kept at a time */
 };
 
 enum bb_marked_verdict_kind
@@ -49,6 +56,9 @@
   struct bb_endpoint target;
   uint64_t tag; /* bb_server_record.tag of the server */
   uint32_t cookie;
+  /* From 1 to BB_MARKED_PROBE_SLOTS: the packet is to be kept there, as sent,
+     for the copies of a probe; 0: not.  */
+  unsigned probe_slot;
 };
 
 struct bb_marked_counters
@@ -71,6 +81,8 @@
   uint64_t repeats; /* packets that callers retransmitted */
   /* Retransmissions that a server acknowledged no more than the packet.  */
   uint64_t unacknowledged;
+  uint64_t probes; /* packets that were sent several times */
+  uint64_t probes_failed;
 };
 
 struct bb_marked_options
--- a/marked/balancer_private.h
+++ b/marked/balancer_private.h
@@ -12,6 +12,13 @@
   SHORT_ANSWERS_MAX = 128,
 };
 
+/* A probe (evidence/probes.h) of which copies are still to be sent.  */
+struct bb_pending_probe
+{
+  uint64_t flow;        /* hash */
+  unsigned copies_left; /* 0: free */
+};
+
 /* A short answer of which more may follow.  */
 struct bb_short_answer
 {
@@ -47,6 +54,8 @@
   /* A ring; the counts run on.  */
   struct bb_short_answer short_answers[SHORT_ANSWERS_MAX];
   uint32_t short_answers_begin, short_answers_end;
+  struct bb_pending_probe probes[BB_MARKED_PROBE_SLOTS];
+  unsigned pending_probes;
   uint32_t owned_cold_servers;
   struct bb_marked_counters counters;
   struct bb_histogram answer_times;
@@ -97,12 +106,24 @@
    retransmit.  */
 bool bb_marked_server_is_slow (const struct bb_backend_server *s);
 
-/* Evaluates a packet of an open flow of ROUTE as evidence on its server.  */
-void bb_marked_observe_packet (struct bb_marked *m, struct bb_route *route,
+/* Evaluates a packet of an open flow of ROUTE as evidence on its server.
+   Returns whether the server is to acknowledge it: it has data, new or
+   retransmitted.  */
+bool bb_marked_observe_packet (struct bb_marked *m, struct bb_route *route,
                                struct bb_marked_flow *f,
                                struct bb_backend_server *s,
                                const struct bb_packet *p, bb_usec now);
 
+/* probing.c: packets that are sent several times.  */
+/* Makes the packet of F that was just received a probe if that may show
+   whether S is dead.  Returns the slot for the packet, 0 if it is none.  */
+unsigned bb_marked_start_probe (struct bb_marked *m,
+                                struct bb_backend_server *s,
+                                struct bb_marked_flow *f, bb_usec now);
+/* Ends the probe of F, whose caller has sent something else.  */
+void bb_marked_withdraw_probe (struct bb_marked *m, struct bb_marked_flow *f);
+void bb_marked_send_probe_copies (struct bb_marked *m);
+
 /* answers.c: the lengths of answers as evidence on servers.  */
 /* Records that the caller of F sent a request.  */
 void bb_marked_begin_answer (struct bb_marked *m, struct bb_route *route,
--- a/marked/balancer_state.c
+++ b/marked/balancer_state.c
@@ -253,6 +253,7 @@
   bb_directory_release_withheld (m->directory, now, handle_released_server, m);
   bb_directory_end_held_evacuations (m->directory, now,
                                      handle_ended_evacuation, m);
+  bb_marked_send_probe_copies (m);
   bb_marked_count_short_answers (m, now);
   bb_marked_check_cold_servers (m, now);
   bb_marked_check_link (m, now);
--- a/marked/evidence/suspicion.c
+++ b/marked/evidence/suspicion.c
@@ -3,8 +3,12 @@
 /* A caller retransmits 200 ms after a packet without an answer.  These times
    are counted from the first retransmission.  */
 #define SUSPECT_AFTER (150 * BB_MSEC)
-#define DEAD_AFTER (400 * BB_MSEC)
-#define DEAD_AFTER_FEW (900 * BB_MSEC)
+#define UNRESPONSIVE_AFTER (400 * BB_MSEC)
+#define UNRESPONSIVE_AFTER_FEW (900 * BB_MSEC)
+
+/* Time after the last report of an answer by a peer until the silences show
+   that there is no further one.  */
+#define PEER_ANSWER_TIME (400 * BB_MSEC)
 
 /* Time from a packet to a server until the packet that the caller sends after
    the answer, including the time of a request in the queue of the server.  */
@@ -13,31 +17,22 @@
 /* Interval of the heartbeats of a peer.  */
 #define PEER_HEARTBEAT_INTERVAL (300 * BB_MSEC)
 
-/* Time until all peers have reported what they see now.  */
-#define PEER_REPORT_TIME (PEER_HEARTBEAT_INTERVAL + 50 * BB_MSEC)
-
-/* Time for which an acknowledged retransmission refutes others that are not,
-   while its request is not answered.  Those of packets that were lost again
-   come 800 and 1,600 ms after each other.  */
-#define ACKNOWLEDGED_TIME (4 * BB_SEC)
-
 enum
 {
   SUSPECT_REPEATS = 2,
-  DEAD_FLOWS = 3,
-  DEAD_FLOWS_FEW = 2, /* for servers with few flows here */
-  PROVEN_REPEATS = 2, /* a single one may be due to a lost packet */
-  DEAD_BALANCERS = 2, /* whose silences together are enough */
+  UNRESPONSIVE_FLOWS = 3,
+  UNRESPONSIVE_FLOWS_FEW = 2, /* for servers with few flows here */
+  DEAD_PROBES = 2,            /* of different flows */
+  PROVEN_REPEATS = 2,         /* a single one may be due to a lost packet */
+  DEAD_BALANCERS = 2,         /* whose silences together are enough */
 };
 
-/* Whether S shows that the server is dead, not slow or full.  One flow alone
-   may have lost its packet, the retransmission or the acknowledgement; of many
-   flows of a slow server, some have.  */
+/* Whether the probes show that the server is dead.  Both of a live one fail
+   only if several packets of each of two flows were lost.  */
 static bool
-proves_death (const struct bb_silence *s)
+proves_death (uint32_t failed, uint32_t answered)
 {
-  return s->unacknowledged > s->acknowledged
-         && (s->unacknowledged >= 2 || s->opening >= 1);
+  return failed >= DEAD_PROBES && failed > answered;
 }
 
 bool
@@ -51,24 +46,14 @@
   return was_suspect;
 }
 
-static bool
-has_recent_repeats (const struct bb_suspicion_evidence *e, bb_usec now)
-{
-  return e->last_repeat != 0 && now - e->last_repeat < ACKNOWLEDGED_TIME;
-}
-
 static void
 begin_silence (struct bb_suspicion_evidence *e, bb_usec now)
 {
-  static const struct bb_repeats none;
-  const struct bb_repeats repeats
-      = has_recent_repeats (e, now) ? e->flow_repeats : none;
   *e = (struct bb_suspicion_evidence){ .last_answer = e->last_answer,
                                        .last_peer_answer = e->last_peer_answer,
                                        .peer_silence = e->peer_silence,
-                                       .pooled_since = e->pooled_since,
                                        .is_slow = e->is_slow,
-                                       .flow_repeats = repeats,
+                                       .probes = e->probes,
                                        .suspect_until = e->suspect_until,
                                        .silent_since = now,
                                        .silence_id = e->silence_id + 1 };
@@ -76,7 +61,7 @@
 
 static bool
 add_repeat (struct bb_suspicion_evidence *e, struct bb_flow_silence *flow,
-            bool is_open, bb_usec now)
+            bb_usec now)
 {
   bool was_suspect = bb_suspicion_is_suspect (e, now);
   if (!bb_suspicion_is_silent (e, now))
@@ -86,7 +71,6 @@
   if (flow->id != e->silence_id)
     {
       e->silent_flows++;
-      e->opening += !is_open;
       *flow = (struct bb_flow_silence){ .id = e->silence_id };
     }
   if (e->link_proven_since != 0)
@@ -105,45 +89,42 @@
 bb_suspicion_add_first_packet_copy (struct bb_suspicion_evidence *e,
                                     struct bb_flow_silence *flow, bb_usec now)
 {
-  return add_repeat (e, flow, false, now);
+  return add_repeat (e, flow, now);
 }
 
 bool
 bb_suspicion_add_repeat (struct bb_suspicion_evidence *e,
                          struct bb_flow_silence *flow, bb_usec now)
 {
-  bool became_suspect = add_repeat (e, flow, true, now);
+  bool became_suspect = add_repeat (e, flow, now);
   if (flow->repeats < UINT8_MAX)
     flow->repeats++;
-  if (flow->repeats == 1)
-    bb_repeats_add_first (&e->flow_repeats, now);
-  else if (flow->repeats == 2)
-    bb_repeats_add_second (&e->flow_repeats);
   return became_suspect;
 }
 
+/* A flow counts once in a silence: the caller, not the server, may be the one
+   that receives nothing.  */
 bool
-bb_suspicion_add_unacknowledged (struct bb_suspicion_evidence *e,
-                                 struct bb_flow_silence *flow,
-                                 bb_usec previous, bool has_link_worked,
-                                 bb_usec now)
+bb_suspicion_add_failed_probe (struct bb_suspicion_evidence *e,
+                               struct bb_flow_silence *flow, bb_usec sent,
+                               bool has_link_worked, bb_usec now)
 {
-  if (flow->repeats < 2)
-    return false;
-  bool is_proven
-      = e->link_proven_since != 0 && e->link_proven_since <= previous;
-  if (!flow->is_unacknowledged && (has_link_worked || is_proven))
+  bool is_proven = e->link_proven_since != 0 && e->link_proven_since <= sent;
+  if (flow->has_failed || !(has_link_worked || is_proven))
     {
-      flow->is_unacknowledged = true;
-      e->unacknowledged++;
+      bb_probes_withdraw (&e->probes, sent);
+      return false;
     }
-  if (flow->is_reported || !has_link_worked)
+  if (!bb_probes_fail (&e->probes, sent, has_link_worked))
+    return false;
+  flow->has_failed = true;
+  if (!has_link_worked)
     return false;
-  flow->is_reported = true;
-  e->silence.unacknowledged++;
-  if (e->silence.flows - e->silence.opening < e->silence.unacknowledged)
-    bb_suspicion_add_silent_flow (e, true, now);
-  return e->silence.unacknowledged == 1;
+  uint32_t failed
+      = bb_probes_count (&e->probes, e->silent_since, true, now).failed;
+  if (e->silence.flows < failed)
+    bb_suspicion_add_silent_flow (e, now);
+  return failed == 1;
 }
 
 void
@@ -179,23 +160,21 @@
   if (e->last_peer_answer >= e->silent_since)
     return false;
   bb_usec silent_for = now - e->silent_since;
-  return (e->silent_flows >= DEAD_FLOWS && silent_for >= DEAD_AFTER)
-         || (e->silent_flows >= DEAD_FLOWS_FEW
-             && silent_for >= DEAD_AFTER_FEW);
+  return (e->silent_flows >= UNRESPONSIVE_FLOWS
+          && silent_for >= UNRESPONSIVE_AFTER)
+         || (e->silent_flows >= UNRESPONSIVE_FLOWS_FEW
+             && silent_for >= UNRESPONSIVE_AFTER_FEW);
 }
 
 bool
 bb_suspicion_is_dead (const struct bb_suspicion_evidence *e, bb_usec now)
 {
-  const struct bb_silence own = {
-    .opening = e->opening,
-    .unacknowledged = e->unacknowledged,
-    .acknowledged = bb_repeats_acknowledged (&e->flow_repeats, now)
-                    + e->peer_silence.acknowledged,
-  };
-  bb_usec wait = e->is_slow ? DEAD_AFTER + PEER_REPORT_TIME : DEAD_AFTER;
-  return proves_death (&own) && now - e->silent_since >= wait
-         && bb_suspicion_is_unresponsive (e, now);
+  if (!bb_suspicion_is_silent (e, now) || !bb_suspicion_is_suspect (e, now)
+      || e->last_peer_answer >= e->silent_since)
+    return false;
+  struct bb_probe_counts own
+      = bb_probes_count (&e->probes, e->silent_since, false, now);
+  return proves_death (own.failed, own.answered + e->peer_silence.answered);
 }
 
 bool
@@ -207,24 +186,22 @@
 }
 
 void
-bb_suspicion_add_silent_flow (struct bb_suspicion_evidence *e, bool is_open,
-                              bb_usec now)
+bb_suspicion_add_silent_flow (struct bb_suspicion_evidence *e, bb_usec now)
 {
   if (e->silence.flows == 0)
     e->silence.since = now;
   e->silence.flows++;
-  e->silence.opening += !is_open;
 }
 
 struct bb_silence
 bb_suspicion_silence (const struct bb_suspicion_evidence *e, bb_usec now)
 {
   struct bb_silence s = { 0 };
-  if (bb_suspicion_is_silent (e, now))
+  bool is_silent = bb_suspicion_is_silent (e, now);
+  if (is_silent)
     s = e->silence;
-  else if (!has_recent_repeats (e, now))
-    return s;
-  s.acknowledged = bb_repeats_acknowledged (&e->flow_repeats, now);
+  s.probes = bb_probes_count (&e->probes, is_silent ? e->silent_since : now,
+                              true, now);
   s.is_slow = e->is_slow;
   return s;
 }
@@ -238,19 +215,57 @@
          || e->last_peer_answer - PEER_HEARTBEAT_INTERVAL >= since;
 }
 
+static bb_usec
+earlier (bb_usec a, bb_usec b)
+{
+  return b == 0 || (a != 0 && a < b) ? a : b;
+}
+
 void
-bb_suspicion_forget_silence_start (struct bb_suspicion_evidence *e)
+bb_suspicion_begin_comparison (struct bb_suspicion_evidence *e)
 {
-  e->peer_silence.since = 0;
+  struct bb_peer_silence *p = &e->peer_silence;
+  p->since = p->first_failed = 0;
+  p->answered = 0;
 }
 
 void
-bb_suspicion_compare_silence_start (struct bb_suspicion_evidence *e,
-                                    const struct bb_silence *silence)
+bb_suspicion_compare_silence (struct bb_suspicion_evidence *e,
+                              const struct bb_silence *silence)
 {
   struct bb_peer_silence *p = &e->peer_silence;
-  if (silence->flows > 0 && (p->since == 0 || silence->since < p->since))
-    p->since = silence->since;
+  if (silence->flows > 0)
+    p->since = earlier (p->since, silence->since);
+  if (silence->probes.failed > 0)
+    p->first_failed = earlier (p->first_failed, silence->probes.since);
+}
+
+/* Returns when the first probe that failed here or at a peer was sent; 0: none
+   did.  */
+static bb_usec
+first_failed (const struct bb_suspicion_evidence *e, bb_usec now)
+{
+  struct bb_probe_counts own = bb_suspicion_silence (e, now).probes;
+  return earlier (e->peer_silence.first_failed, own.failed ? own.since : 0);
+}
+
+/* Returns the probes of COUNTS that were answered and not sent before FIRST,
+   the first one of all balancers that failed.  */
+static uint32_t
+answered_since (const struct bb_probe_counts *counts, bb_usec first)
+{
+  bool is_since
+      = counts->failed > 0 || counts->since >= first - BB_PROBES_SPREAD;
+  return is_since ? counts->answered : 0;
+}
+
+void
+bb_suspicion_add_answered_probes (struct bb_suspicion_evidence *e,
+                                  const struct bb_silence *silence,
+                                  bb_usec now)
+{
+  e->peer_silence.answered
+      += answered_since (&silence->probes, first_failed (e, now));
 }
 
 void
@@ -258,13 +273,10 @@
                                const struct bb_silence *silence, bb_usec now)
 {
   struct bb_peer_silence *p = &e->peer_silence;
-  bb_suspicion_compare_silence_start (e, silence);
+  bb_suspicion_compare_silence (e, silence);
   p->peers += silence->flows > 0;
-  p->flows += silence->flows;
-  p->opening += silence->opening;
-  p->unacknowledged += silence->unacknowledged;
-  p->acknowledged += silence->acknowledged;
-  p->slow += silence->is_slow;
+  p->failed += silence->probes.failed;
+  bb_suspicion_add_answered_probes (e, silence, now);
   if (p->peers >= DEAD_BALANCERS && !has_answered_since (e, p->since))
     e->suspect_until = MAX (e->suspect_until, now + BB_SUSPICION_TIME);
 }
@@ -274,53 +286,29 @@
                                   const struct bb_silence *silence)
 {
   struct bb_peer_silence *p = &e->peer_silence;
-  p->flows -= MIN (silence->flows, p->flows);
-  p->opening -= MIN (silence->opening, p->opening);
-  p->unacknowledged -= MIN (silence->unacknowledged, p->unacknowledged);
-  p->acknowledged -= MIN (silence->acknowledged, p->acknowledged);
-  p->slow -= MIN (silence->is_slow, p->slow);
+  p->failed -= MIN (silence->probes.failed, p->failed);
+  p->answered -= MIN (silence->probes.answered, p->answered);
   p->peers -= MIN (silence->flows > 0, p->peers);
   if (p->peers == 0)
-    p->since = e->pooled_since = 0;
+    p->since = p->first_failed = 0;
 }
 
-static bool
-is_proof (const struct bb_suspicion_evidence *e, bb_usec now)
+bool
+bb_suspicion_is_dead_for_peers (const struct bb_suspicion_evidence *e,
+                                bb_usec now)
 {
   const struct bb_peer_silence *p = &e->peer_silence;
+  if (p->peers == 0)
+    return false;
   struct bb_silence own = bb_suspicion_silence (e, now);
-  const struct bb_silence all = {
-    .opening = p->opening + own.opening,
-    .unacknowledged = p->unacknowledged + own.unacknowledged,
-    .acknowledged = p->acknowledged + own.acknowledged,
-  };
+  uint32_t answered
+      = p->answered + answered_since (&own.probes, first_failed (e, now));
   if (p->peers + (own.flows > 0) < DEAD_BALANCERS
-      || p->flows + own.flows < DEAD_FLOWS || !proves_death (&all))
+      || !proves_death (p->failed + own.probes.failed, answered))
     return false;
-  bb_usec since = p->since == 0 || (own.flows > 0 && own.since < p->since)
-                      ? own.since
-                      : p->since;
+  bb_usec since = own.flows > 0 ? earlier (p->since, own.since) : p->since;
   return !has_answered_since (e, since)
-         && now - MAX (since, e->last_peer_answer) >= DEAD_AFTER;
-}
-
-void
-bb_suspicion_pool_silences (struct bb_suspicion_evidence *e, bb_usec now)
-{
-  if (!is_proof (e, now))
-    e->pooled_since = 0;
-  else if (e->pooled_since == 0)
-    e->pooled_since = now;
-}
-
-bool
-bb_suspicion_is_dead_for_peers (const struct bb_suspicion_evidence *e,
-                                bb_usec now)
-{
-  return is_proof (e, now)
-         && ((!e->is_slow && e->peer_silence.slow == 0)
-             || (e->pooled_since != 0
-                 && now - e->pooled_since >= PEER_REPORT_TIME));
+         && now - MAX (since, e->last_peer_answer) >= PEER_ANSWER_TIME;
 }
 
 void
--- a/marked/evidence/suspicion.h
+++ b/marked/evidence/suspicion.h
@@ -4,29 +4,31 @@
 
    A suspect server gets no new flows, which does little damage if the server
    is in fact alive.  If a server is declared dead, its flows are reset, so
-   that callers can connect to other servers.  A server is declared dead only
-   if
-   - several callers retransmitted,
-   - the server acknowledged the retransmissions of two flows no more than the
-     packets themselves, or those of one, and did not answer the first packets
-     of another one,
-   - it acknowledged the retransmissions of fewer flows,
-   - no balancer of the data centre had an answer from the server in that time,
-   - and the link of this balancer is not the cause.
-
-   The second condition tells a dead server from one whose requests take long.
-   A receiver acknowledges every second packet, so that a request of a single
-   packet is acknowledged with its answer, or when it is retransmitted, and the
-   caller then stops retransmitting.  The acknowledgement goes directly from
-   the server to the caller; here only a further retransmission shows that it
-   is missing.  It may also be lost, so that one flow is not enough.  Nor are
-   first packets: a server that holds as many flows as it can sends nothing to
-   further ones.  */
+   that callers can connect to other servers.  What a silence shows:
+
+   - A retransmission: the packet was lost, or the request takes longer than
+     the 200 ms for which callers wait.  A server acknowledges every second
+     packet, so that it does not acknowledge a request of one packet at once.
+   - A further retransmission: the same, and one packet or one acknowledgement
+     was lost.
+   - A copy of a first packet: a packet was lost, or the server holds as many
+     flows as it can, and sends nothing to further ones.
+   - A packet of a flow that the server was not seen to hold: a server that
+     holds as many flows as it can sends nothing to others, which may be those
+     that it held before it started again.  It answers the first packet of a
+     flow only if it can accept it.
+   - A probe without an acknowledgement (evidence/probes.h), of a flow that the
+     server accepted or answered since it started: what no live server shows
+     unless several packets of that flow are lost.
+
+   So only probes show a death: those of two flows, more than were answered
+   since, and no answer of the server at any balancer of the data centre, while
+   the link of this balancer works.  */
 
 #ifndef BB_MARKED_SUSPICION_H
 #define BB_MARKED_SUSPICION_H
 
-#include "marked/evidence/repeats.h"
+#include "marked/evidence/probes.h"
 
 /* A silence of a server begins with a retransmission of a caller.  It ends
    with an answer, or after this time without retransmissions, and so does a
@@ -45,13 +47,12 @@
    time since the packet itself.  */
 struct bb_silence
 {
-  uint32_t flows;   /* 0: none */
-  uint32_t opening; /* of these, flows of which only first packets were sent */
-  /* Open flows of which a retransmission was not acknowledged either.  */
-  uint32_t unacknowledged;
-  uint32_t acknowledged; /* open flows of which one was */
-  bool is_slow;          /* the server answered late, but not long ago */
-  bb_usec since;         /* first of these retransmissions */
+  uint32_t flows; /* 0: none */
+  bb_usec since;  /* first of these retransmissions */
+  struct bb_probe_counts probes;
+  /* The server answered late, but not long ago.  Older builds then wait before
+     they take it to be dead.  */
+  bool is_slow;
 };
 
 /* Retransmissions of one flow.  */
@@ -59,20 +60,17 @@
 {
   uint32_t id;     /* last silence of the server that counts it; 0: none */
   uint8_t repeats; /* in that silence, of the same data; at most UINT8_MAX */
-  /* Counted in the unacknowledged flows of the balancer and of its silence. */
-  bool is_unacknowledged, is_reported;
+  bool has_failed; /* a probe of it, in that silence */
 };
 
 /* Silences of a server at the peers, as in their last heartbeats.  */
 struct bb_peer_silence
 {
   uint32_t peers;
-  uint32_t flows;
-  uint32_t opening;
-  uint32_t unacknowledged;
-  uint32_t acknowledged;
-  uint32_t slow; /* peers to which the server is slow */
-  bb_usec since; /* of the longest one; 0: none */
+  uint32_t failed;      /* probes */
+  bb_usec since;        /* of the longest one; 0: none */
+  bb_usec first_failed; /* when the first of these was sent; 0: none */
+  uint32_t answered;    /* probes, since the first one that failed */
 };
 
 /* A server that is declared dead gets no new flows for this time, unless it
@@ -89,19 +87,12 @@
   uint32_t silence_id;  /* number of the current or last silence */
   uint32_t repeats;     /* retransmissions since silent_since */
   uint32_t silent_flows; /* flows with retransmissions since silent_since */
-  uint32_t opening;      /* of these, as in struct bb_silence */
-  uint32_t unacknowledged;
-  struct bb_repeats flow_repeats;
+  struct bb_probes probes;
   bb_usec suspect_until;
   bb_usec last_peer_answer;  /* last report of an answer by a peer; 0: never */
   struct bb_silence silence; /* here; part of the silence above */
   struct bb_peer_silence peer_silence;
-  /* Since when all silences together prove a death; 0: they do not.  */
-  bb_usec pooled_since;
-  /* Requests took longer recently than callers wait before they retransmit:
-     then there are lost acknowledgements among those of a live server, and
-     reports of received ones are waited for.  */
-  bool is_slow;
+  bool is_slow; /* as in struct bb_silence */
   /* A silence is evidence against the server only while the link of this
      balancer works.  */
   bb_usec link_proven_since; /* time the link was seen to work; 0: not yet */
@@ -159,19 +150,17 @@
 bool bb_suspicion_is_proven (const struct bb_suspicion_evidence *e,
                              bb_usec now);
 
-/* Records a retransmission that counts in a struct bb_silence, of a flow that
-   is open (IS_OPEN) or opening.  */
+/* Records a retransmission that counts in a struct bb_silence.  */
 void bb_suspicion_add_silent_flow (struct bb_suspicion_evidence *e,
-                                   bool is_open, bb_usec now);
+                                   bb_usec now);
 
-/* Counts FLOW, after bb_suspicion_add_repeat, if the retransmission before, at
-   PREVIOUS, was not acknowledged.  HAS_LINK_WORKED is whether the link of this
-   balancer has worked whenever the caller sent the packet.  Returns whether
-   this is the first such flow to report to the peers.  */
-bool bb_suspicion_add_unacknowledged (struct bb_suspicion_evidence *e,
-                                      struct bb_flow_silence *flow,
-                                      bb_usec previous, bool has_link_worked,
-                                      bb_usec now);
+/* Records that the probe of FLOW that was sent at SENT has failed.
+   HAS_LINK_WORKED is whether the link of this balancer has worked whenever the
+   caller sent the packet.  Returns whether this is the first such probe to
+   report to the peers.  */
+bool bb_suspicion_add_failed_probe (struct bb_suspicion_evidence *e,
+                                    struct bb_flow_silence *flow, bb_usec sent,
+                                    bool has_link_worked, bb_usec now);
 
 /* Returns the silence to report to the peers.  */
 struct bb_silence bb_suspicion_silence (const struct bb_suspicion_evidence *e,
@@ -184,14 +173,15 @@
 void bb_suspicion_remove_peer_silence (struct bb_suspicion_evidence *e,
                                        const struct bb_silence *silence);
 
-/* Find the start of the longest silence that the peers report again, after
-   some have ended: from none, each one that is left is compared.  */
-void bb_suspicion_forget_silence_start (struct bb_suspicion_evidence *e);
-void bb_suspicion_compare_silence_start (struct bb_suspicion_evidence *e,
-                                         const struct bb_silence *silence);
-
-/* Evaluates the silences of all balancers as of a tick.  */
-void bb_suspicion_pool_silences (struct bb_suspicion_evidence *e, bb_usec now);
+/* Evaluate the silences of the peers again, after some have ended: from none,
+   first each one that is left is compared with the longest, and then its
+   answered probes are added.  */
+void bb_suspicion_begin_comparison (struct bb_suspicion_evidence *e);
+void bb_suspicion_compare_silence (struct bb_suspicion_evidence *e,
+                                   const struct bb_silence *silence);
+void bb_suspicion_add_answered_probes (struct bb_suspicion_evidence *e,
+                                       const struct bb_silence *silence,
+                                       bb_usec now);
 
 /* Whether the silences of several balancers together show that the server is
    dead.  Each of them found that its link works.  */
--- a/marked/flows.h
+++ b/marked/flows.h
@@ -44,13 +44,17 @@
   uint32_t older;           /* neighbours in the order of seen_ms */
   uint32_t newer;
   struct bb_flow_silence silence;
+  bb_usec probed;       /* when the last packet was sent as a probe; 0: not */
+  uint32_t data_ms;     /* arrival of the newest data, first transmission */
+  uint32_t held_life;   /* of the server, that accepted it; 0: not seen */
   uint32_t repeated;    /* sequence number of the last retransmission */
   bool was_queued;      /* the server had no free slot for the request */
   bool is_counted_cold; /* the first request had a token of a cold server */
   bool has_link_worked; /* whenever the newest data arrived */
   uint8_t state;
   uint8_t answer_state;
-  uint8_t repeats; /* retransmissions of the same data, without an answer */
+  uint8_t repeats;    /* retransmissions of the same data, without an answer */
+  uint8_t probe_slot; /* while copies are to be sent; 0: none */
 };
 
 struct bb_marked_flows;
--- a/marked/link_check.c
+++ b/marked/link_check.c
@@ -61,10 +61,11 @@
 end_server (struct bb_marked *m, struct bb_backend_server *s, bb_usec now)
 {
   struct bb_suspicion_evidence *e = &s->load.evidence;
-  bb_marked_send_event (m, BB_EVENT_SERVER_DEAD, s, 0,
-                        MAX (e->unacknowledged, e->silence.unacknowledged)
-                            + e->peer_silence.unacknowledged,
-                        BB_REASON_SERVER_SILENT, now);
+  bb_marked_send_event (
+      m, BB_EVENT_SERVER_DEAD, s, 0,
+      bb_probes_count (&e->probes, e->silent_since, false, now).failed
+          + e->peer_silence.failed,
+      BB_REASON_SERVER_SILENT, now);
   bb_suspicion_declare_dead (e, now);
   bb_marked_add_ended_server (m, s);
 }
@@ -103,7 +104,6 @@
           || s->record.state == BB_SERVER_GONE)
         continue;
       e->is_slow = bb_marked_server_is_slow (s);
-      bb_suspicion_pool_silences (e, now);
       if (!bb_suspicion_is_dead_for_peers (e, now))
         continue;
       end_server (m, s, now);
--- a/marked/observe.c
+++ b/marked/observe.c
@@ -29,6 +29,7 @@
 bb_marked_close_flow (struct bb_marked *m, struct bb_marked_flow *flow)
 {
   bb_marked_uncount_flow (m, flow);
+  bb_marked_withdraw_probe (m, flow);
   flow->state = BB_FLOW_CLOSED;
   flow->answer_state = BB_ANSWER_NONE;
   flow->request_sent_ms = 0;
@@ -104,11 +105,11 @@
                             bb_marked_time_of (flow->request_sent_ms, now));
 }
 
-/* Counts FLOW, an open one, if a retransmission was not acknowledged either.
-   The link has worked each time that the caller sent the packet if there were
-   answers until then, and to a packet that was sent after it.  The peers learn
-   of the first such flow soon: together with theirs it may show that the
-   server is dead.  */
+/* Records that the last packet of FLOW, an open one, was not acknowledged
+   either.  The link has worked each time that the caller sent the packet if
+   there were answers until then, and to a packet that was sent after it.  The
+   peers learn of the first probe that failed soon: together with theirs it may
+   show that the server is dead.  */
 static void
 record_unacknowledged (struct bb_marked *m, struct bb_backend_server *s,
                        struct bb_marked_flow *flow, bb_usec now)
@@ -121,8 +122,15 @@
         && bb_path_delay_longest (&m->path_delay, now) < now - previous;
   flow->has_link_worked = has_worked && is_link_working (m, now);
   m->counters.unacknowledged += flow->silence.repeats == 2;
-  if (bb_suspicion_add_unacknowledged (e, &flow->silence, previous, has_worked,
-                                       now))
+  if (flow->probe_slot != 0)
+    bb_marked_withdraw_probe (m, flow);
+  if (flow->probed == 0)
+    return;
+  m->counters.probes_failed++;
+  bool is_first = bb_suspicion_add_failed_probe (
+      e, &flow->silence, flow->probed, has_worked, now);
+  flow->probed = 0;
+  if (is_first)
     bb_sync_hurry_heartbeat (m->sync, now);
 }
 
@@ -147,7 +155,7 @@
       = is_open ? bb_suspicion_add_repeat (e, &flow->silence, now)
                 : bb_suspicion_add_first_packet_copy (e, &flow->silence, now);
   if (flow->repeats == 1 && has_link_worked (m, flow, now))
-    bb_suspicion_add_silent_flow (e, is_open, now);
+    bb_suspicion_add_silent_flow (e, now);
   if (flow->repeats == 1)
     bb_sync_note_silence (m->sync, s->cookie);
   if (is_open)
@@ -192,8 +200,9 @@
              struct bb_marked_flow *f, struct bb_backend_server *s,
              uint32_t end, bb_usec now)
 {
+  bb_marked_withdraw_probe (m, f);
   f->sent = end;
-  f->sent_ms = bb_marked_time_ms (now);
+  f->sent_ms = f->data_ms = bb_marked_time_ms (now);
   f->repeats = f->silence.repeats = 0;
   f->has_link_worked = is_link_working (m, now);
   if (f->request_sent_ms == 0)
@@ -210,10 +219,11 @@
   if (!is_after (end - IN_FLIGHT_BYTES_MAX, f->confirmed))
     return;
   f->confirmed = end - IN_FLIGHT_BYTES_MAX;
+  f->held_life = s->life;
   bb_marked_record_answer (m, s, f, now);
 }
 
-void
+bool
 bb_marked_observe_packet (struct bb_marked *m, struct bb_route *route,
                           struct bb_marked_flow *f,
                           struct bb_backend_server *s,
@@ -222,6 +232,8 @@
   uint32_t end = p->sequence + p->payload;
   if (is_after (p->acknowledgement, f->acknowledged))
     {
+      bb_marked_withdraw_probe (m, f);
+      f->held_life = s->life;
       f->acknowledged = p->acknowledgement;
       f->confirmed = f->sent;
       bb_marked_record_delivery (m, f, now);
@@ -232,16 +244,22 @@
       bb_marked_continue_answer (m, route, f, s, now);
     }
   if (p->payload == 0)
-    return;
+    return false;
   if (is_after (end, f->sent))
-    record_data (m, route, f, s, end, now);
-  else if (is_after (end, f->confirmed)
-           && bb_marked_time_ms (now) - f->sent_ms >= RETRANSMISSION_MS)
+    {
+      record_data (m, route, f, s, end, now);
+      return true;
+    }
+  if (!is_after (end, f->confirmed)
+      || bb_marked_time_ms (now) - f->sent_ms < RETRANSMISSION_MS)
+    return false;
+  if (is_after (p->sequence, f->repeated))
     {
       /* What precedes the missing data was acknowledged.  */
-      if (f->silence.repeats > 0 && is_after (p->sequence, f->repeated))
-        f->silence.repeats = 0;
-      f->repeated = p->sequence;
-      bb_marked_record_repeat (m, s, f, now);
+      f->silence.repeats = 0;
+      bb_marked_withdraw_probe (m, f);
     }
+  f->repeated = p->sequence;
+  bb_marked_record_repeat (m, s, f, now);
+  return true;
 }
--- a/marked/state/directory.c
+++ b/marked/state/directory.c
@@ -189,6 +189,7 @@
   if (restarted)
     {
       s->load = (struct bb_server_load){ 0 };
+      s->life++;
       s->cold.since = now;
     }
   if (is_placeholder (&kept))
@@ -209,6 +210,7 @@
   bb_list_init (&s->by_revision);
   bb_list_init (&s->of_service);
   bb_list_init (&s->by_cold);
+  s->life = 1;
   g_strlcpy (s->record.name, name, sizeof s->record.name);
   g_hash_table_insert (d->names, s->record.name, s);
   return s;
--- a/marked/state/directory.h
+++ b/marked/state/directory.h
@@ -126,6 +126,7 @@
   uint32_t cookie;
   bool has_announced_end; /* was draining before it was removed */
   bool is_in_ended_list;  /* of the balancer, until its next tick */
+  uint32_t life;          /* number of its starts, as seen here, from 1 */
   uint32_t data_centre;   /* bb_name_key */
   bool is_local;          /* in the data centre of this balancer */
   bool is_evacuated;      /* its data centre gets no new flows */
--- a/marked/sync/sync.c
+++ b/marked/sync/sync.c
@@ -189,7 +189,7 @@
   bb_sync_expire_peers (s, now);
   bb_sync_expire_batches (s, now);
   bb_sync_sum_demands (s, now);
-  bb_sync_renew_silence_starts (s);
+  bb_sync_compare_silences (s, now);
   bb_sync_update_owners (s, now);
   update_role (s, now);
   bb_sync_contact_seeds (s, now);
--- a/marked/sync/sync_loads.c
+++ b/marked/sync/sync_loads.c
@@ -52,7 +52,7 @@
     return;
   const struct bb_suspicion_evidence *e = &server->load.evidence;
   struct bb_silence own = bb_suspicion_silence (e, now);
-  if (own.flows > 0 || own.acknowledged > 0
+  if (own.flows > 0 || own.probes.answered > 0
       || (e->peer_silence.peers > 0 && bb_suspicion_is_answering (e, now)))
     add_load (b, server, now);
 }
--- a/marked/sync/sync_messages.h
+++ b/marked/sync/sync_messages.h
@@ -80,11 +80,12 @@
 {
   uint32_t load; /* index of the server in the loads */
   uint32_t flows;
-  uint32_t opening;
-  uint32_t unacknowledged;
-  uint32_t acknowledged;
-  bool is_slow;
   uint32_t age_ms;
+  bool is_slow;
+  /* As in struct bb_probe_counts.  Older builds send no probes.  */
+  uint32_t failed;
+  uint32_t answered;
+  uint32_t probed_ms; /* age of the probe of that time; 0: no probes */
 };
 
 struct bb_sync_heartbeat
@@ -114,11 +115,12 @@
 };
 
 /* Number of loads that fit into a datagram with LISTED_PEER_COUNT balancers.
-   Earlier releases send five more with BB_SYNC_LISTED_PEERS balancers.  */
+   Earlier releases send up to twelve more with BB_SYNC_LISTED_PEERS
+   balancers.  */
 static inline uint32_t
 bb_sync_fitting_loads (uint32_t listed_peer_count)
 {
-  return MIN (BB_SYNC_LOADS_MAX, BB_SYNC_LOADS_MAX + BB_SYNC_LISTED_PEERS - 5
+  return MIN (BB_SYNC_LOADS_MAX, BB_SYNC_LOADS_MAX + BB_SYNC_LISTED_PEERS - 12
                                      - listed_peer_count);
 }
 
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -258,7 +258,7 @@
 void bb_sync_keep_silences (struct bb_sync *s, struct bb_sync_peer *p,
                             const struct bb_sync_heartbeat *b, bb_usec now);
 /* Finds the longest silences that peers report, without those that ended.  */
-void bb_sync_renew_silence_starts (struct bb_sync *s);
+void bb_sync_compare_silences (struct bb_sync *s, bb_usec now);
 void bb_sync_drop_silences (struct bb_sync *s, struct bb_sync_peer *p);
 
 /* sync_loads.c: loads of servers in heartbeats.  */
--- a/marked/sync/sync_silences.c
+++ b/marked/sync/sync_silences.c
@@ -13,15 +13,17 @@
         continue;
       struct bb_silence silence
           = bb_suspicion_silence (&server->load.evidence, now);
-      if (silence.flows > 0 || silence.acknowledged > 0)
+      if (silence.flows > 0 || silence.probes.answered > 0)
         b->silences[b->silence_count++] = (struct bb_sync_silence){
           .load = i,
           .flows = MIN (silence.flows, BB_SILENCE_FLOWS_MAX),
-          .opening = MIN (silence.opening, BB_SILENCE_FLOWS_MAX),
-          .unacknowledged = MIN (silence.unacknowledged, BB_SILENCE_FLOWS_MAX),
-          .acknowledged = MIN (silence.acknowledged, BB_SILENCE_FLOWS_MAX),
-          .is_slow = silence.is_slow,
           .age_ms = silence.flows ? bb_sync_age_ms (silence.since, now) : 0,
+          .is_slow = silence.is_slow,
+          .failed = silence.probes.failed,
+          .answered = silence.probes.answered,
+          .probed_ms = silence.probes.since
+                           ? bb_sync_age_ms (silence.probes.since, now)
+                           : 0,
         };
     }
 }
@@ -42,17 +44,27 @@
 }
 
 static void
-forget_start (struct bb_suspicion_evidence *e,
-              const struct bb_silence *silence)
+begin_comparison (struct bb_suspicion_evidence *e,
+                  const struct bb_silence *silence, bb_usec now)
 {
   (void)silence;
-  bb_suspicion_forget_silence_start (e);
+  (void)now;
+  bb_suspicion_begin_comparison (e);
+}
+
+static void
+compare (struct bb_suspicion_evidence *e, const struct bb_silence *silence,
+         bb_usec now)
+{
+  (void)now;
+  bb_suspicion_compare_silence (e, silence);
 }
 
 static void
 foreach_silence (struct bb_sync *s,
                  void (*each) (struct bb_suspicion_evidence *e,
-                               const struct bb_silence *silence))
+                               const struct bb_silence *silence, bb_usec now),
+                 bb_usec now)
 {
   for (uint32_t i = 0; i < s->peer_count; i++)
     for (uint32_t n = 0; n < s->peers[i]->silence_count; n++)
@@ -60,18 +72,19 @@
         const struct bb_sync_peer_silence *kept = &s->peers[i]->silences[n];
         struct bb_backend_server *server
             = bb_directory_find_by_cookie (s->directory, kept->cookie);
-        if (server && server->load.evidence.peer_silence.peers > 0)
-          each (&server->load.evidence, &kept->silence);
+        if (server)
+          each (&server->load.evidence, &kept->silence, now);
       }
 }
 
 void
-bb_sync_renew_silence_starts (struct bb_sync *s)
+bb_sync_compare_silences (struct bb_sync *s, bb_usec now)
 {
   if (s->peer_silences == 0)
     return;
-  foreach_silence (s, forget_start);
-  foreach_silence (s, bb_suspicion_compare_silence_start);
+  foreach_silence (s, begin_comparison, now);
+  foreach_silence (s, compare, now);
+  foreach_silence (s, bb_suspicion_add_answered_probes, now);
 }
 
 uint32_t
@@ -80,6 +93,16 @@
   return s->peer_silences;
 }
 
+/* Whether a balancer can report S: older builds report retransmissions that
+   were acknowledged, without probes.  */
+static bool
+is_plausible (const struct bb_sync_silence *s)
+{
+  return (s->flows > 0 || s->answered > 0) && s->flows <= BB_SILENCE_FLOWS_MAX
+         && s->failed <= BB_PROBES_KEPT && s->answered <= BB_PROBES_KEPT
+         && s->failed <= s->flows && s->age_ms <= BB_SUSPICION_TIME / BB_MSEC;
+}
+
 /* A silence of a server in another data centre may be due to the path to that
    data centre, which the balancers of this one share.  */
 void
@@ -94,22 +117,17 @@
       uint32_t cookie = b->loads[from->load].cookie;
       struct bb_backend_server *server
           = bb_directory_find_by_cookie (s->directory, cookie);
-      if (!server || !server->is_local
-          || (from->flows == 0 && from->acknowledged == 0)
-          || from->flows > BB_SILENCE_FLOWS_MAX || from->opening > from->flows
-          || from->unacknowledged > from->flows
-          || from->acknowledged > BB_SILENCE_FLOWS_MAX
-          || from->age_ms > BB_SUSPICION_TIME / BB_MSEC)
+      if (!server || !server->is_local || !is_plausible (from))
         continue;
       struct bb_sync_peer_silence *kept = &p->silences[p->silence_count++];
       kept->cookie = cookie;
       kept->silence = (struct bb_silence){
         .flows = from->flows,
-        .opening = from->opening,
-        .unacknowledged = from->unacknowledged,
-        .acknowledged = from->acknowledged,
+        .since = from->flows ? now - from->age_ms * BB_MSEC : 0,
+        .probes = { .failed = from->failed,
+                    .answered = from->answered,
+                    .since = now - from->probed_ms * BB_MSEC },
         .is_slow = from->is_slow,
-        .since = now - from->age_ms * BB_MSEC,
       };
       s->peer_silences++;
       bb_suspicion_add_peer_silence (&server->load.evidence, &kept->silence,
--- a/runtime/marked_data.c
+++ b/runtime/marked_data.c
@@ -3,6 +3,7 @@
 
 #include "runtime/marked_private.h"
 #include "wire/sync.h"
+#include <string.h>
 
 enum
 {
@@ -40,6 +41,36 @@
   bb_udp_flush (p->packets);
 }
 
+static size_t
+datagram_max (const struct bb_transport *t)
+{
+  return t->headroom + t->packet_max;
+}
+
+static void
+keep_packet (struct bb_marked_process *p, unsigned slot, const uint8_t *bytes,
+             size_t length, const struct bb_endpoint *target)
+{
+  struct bb_kept_packet *kept = &p->kept[slot - 1];
+  kept->bytes = p->kept_bytes + (slot - 1) * datagram_max (p->transport);
+  kept->length = length;
+  kept->target = *target;
+  memcpy (kept->bytes, bytes, length);
+}
+
+void
+bb_marked_queue_copy (struct bb_marked_process *p, unsigned slot)
+{
+  const struct bb_kept_packet *kept = &p->kept[slot - 1];
+  bb_udp_queue (p->packets, kept->bytes, kept->length, &kept->target);
+}
+
+void
+bb_marked_flush_copies (struct bb_marked_process *p)
+{
+  bb_udp_flush (p->packets);
+}
+
 static void
 handle_packet (struct bb_marked_process *p, unsigned i, bb_usec now)
 {
@@ -59,8 +90,11 @@
     {
     case BB_MARKED_FORWARD:
       p->transport->write_server (bytes, &v);
-      bb_udp_queue (p->packets, bytes - p->transport->headroom,
-                    length + p->transport->headroom, &v.target);
+      bytes -= p->transport->headroom;
+      length += p->transport->headroom;
+      bb_udp_queue (p->packets, bytes, length, &v.target);
+      if (v.probe_slot != 0)
+        keep_packet (p, v.probe_slot, bytes, length, &v.target);
       break;
     case BB_MARKED_RESET:
       queue_reset (p, &packet);
@@ -147,6 +181,8 @@
   if (!p->peers)
     return false;
   p->resets = g_malloc ((size_t)BB_UDP_QUEUE_SIZE * RESET_MAX);
+  p->kept_bytes
+      = g_malloc (BB_MARKED_PROBE_SLOTS * datagram_max (p->transport));
   p->packets_readable = event_new (p->loop, bb_udp_fd (p->packets),
                                    EV_READ | EV_PERSIST, on_packets, p);
   p->peers_readable = event_new (p->loop, bb_udp_fd (p->peers),
@@ -166,4 +202,5 @@
   bb_udp_free (p->packets);
   bb_udp_free (p->peers);
   g_free (p->resets);
+  g_free (p->kept_bytes);
 }
--- a/runtime/marked_private.h
+++ b/runtime/marked_private.h
@@ -16,6 +16,14 @@
 struct evhttp;
 struct evbuffer;
 
+/* A packet of which copies are to be sent.  */
+struct bb_kept_packet
+{
+  uint8_t *bytes;
+  size_t length; /* with the headroom */
+  struct bb_endpoint target;
+};
+
 struct bb_marked_process
 {
   const struct bb_settings *settings;
@@ -40,6 +48,8 @@
   struct event *signals[3];
   uint8_t *resets; /* buffer for the resets of one batch */
   unsigned reset_count;
+  struct bb_kept_packet kept[BB_MARKED_PROBE_SLOTS];
+  uint8_t *kept_bytes; /* of all of them */
   bb_usec started;
   bb_usec ready_since;    /* 0 until first ready */
   bb_usec stop_requested; /* 0 unless a stop is in progress */
@@ -87,6 +97,9 @@
 /* Sends a reset to the caller of PACKET immediately.  */
 void bb_marked_send_reset (struct bb_marked_process *p,
                            const struct bb_marked_packet *packet);
+/* Queues a copy of the packet kept in SLOT, from 1.  */
+void bb_marked_queue_copy (struct bb_marked_process *p, unsigned slot);
+void bb_marked_flush_copies (struct bb_marked_process *p);
 void bb_marked_send_to_peers (struct bb_marked_process *p,
                               const struct bb_endpoint *to, size_t count,
                               const struct bb_sync_message *message);
--- a/runtime/marked_process.c
+++ b/runtime/marked_process.c
@@ -77,11 +77,18 @@
   bb_marked_send_reset (context, packet);
 }
 
+static void
+sink_copy (void *context, unsigned slot)
+{
+  bb_marked_queue_copy (context, slot);
+}
+
 static const struct bb_marked_sink marked_sink = {
   .send = sink_send,
   .event = sink_event,
   .server = sink_server,
   .reset = sink_reset,
+  .copy = sink_copy,
 };
 
 void
@@ -272,6 +279,7 @@
   bb_histogram_add (&p->loop_delay, MAX (now - p->tick_due, 0));
   p->tick_due = now + TICK_INTERVAL;
   bb_marked_tick (p->marked, now);
+  bb_marked_flush_copies (p);
   p->store_ops->poll (p->store_client, now);
   record_ready (p);
   bb_marked_check_settings_file (p, now);
--- a/tests/marked_fixture.h
+++ b/tests/marked_fixture.h
@@ -60,11 +60,19 @@
   t.resets[t.reset_count++] = *packet;
 }
 
+static void
+sink_copy (void *context, unsigned slot)
+{
+  (void)context;
+  (void)slot;
+}
+
 static const struct bb_marked_sink sink = {
   .send = sink_send,
   .event = sink_event,
   .server = sink_server,
   .reset = sink_reset,
+  .copy = sink_copy,
 };
 
 static inline void
--- a/tests/pool_fixture.h
+++ b/tests/pool_fixture.h
@@ -44,6 +44,9 @@
   uint16_t next_port;
   unsigned alarms[2]; /* of servers that are well, and that fail */
   void (*reset) (const struct bb_marked_packet *packet);
+  /* Takes a copy of a probe of the flow with PORT.  */
+  void (*copy) (unsigned balancer, uint16_t port);
+  uint16_t probed[BALANCERS][BB_MARKED_PROBE_SLOTS + 1]; /* ports */
 } pool;
 
 static struct bb_endpoint
@@ -110,11 +113,20 @@
     pool.reset (packet);
 }
 
+static void
+sink_copy (void *context, unsigned slot)
+{
+  unsigned balancer = GPOINTER_TO_UINT (context);
+  if (pool.copy && !pool.is_cut[balancer])
+    pool.copy (balancer, pool.probed[balancer][slot]);
+}
+
 static const struct bb_marked_sink sink = {
   .send = sink_send,
   .event = sink_event,
   .server = sink_server,
   .reset = sink_reset,
+  .copy = sink_copy,
 };
 
 static void
@@ -237,6 +249,7 @@
   };
   struct bb_marked_verdict v;
   bb_marked_handle_packet (pool.nodes[balancer], &p, pool.now, &v);
+  pool.probed[balancer][v.probe_slot] = port;
   return v;
 }
 
--- a/tests/unusable_test.c
+++ b/tests/unusable_test.c
@@ -124,6 +124,7 @@
   .event = sink_event,
   .server = sink_server,
   .reset = sink_reset,
+  .copy = sink_copy,
 };
 
 static struct bb_marked *
--- a/wire/sync_decode.c
+++ b/wire/sync_decode.c
@@ -70,8 +70,8 @@
   r->is_invalid |= inner.is_invalid;
 }
 
-/* Reads further counts of the silences, which earlier releases do not send:
-   their silences alone do not show that a server is dead.  */
+/* Reads what older builds count of the silences.  The retransmissions that
+   they count are no probes.  */
 static void
 read_silence_details (struct bb_reader *r, struct bb_sync_heartbeat *h)
 {
@@ -82,14 +82,31 @@
       = read_groups (r, SILENCE_DETAIL_FIELDS, BB_SYNC_SILENCES_MAX, &count);
   for (uint32_t i = 0; i < h->silence_count; i++)
     {
-      h->silences[i].opening = bb_reader_get_u32 (&inner);
-      h->silences[i].unacknowledged = bb_reader_get_u32 (&inner);
-      h->silences[i].acknowledged = bb_reader_get_u32 (&inner);
+      for (int skipped = 0; skipped < SILENCE_DETAIL_FIELDS - 1; skipped++)
+        bb_reader_get_u32 (&inner);
       h->silences[i].is_slow = bb_reader_get_uint (&inner, 1) != 0;
     }
   r->is_invalid |= inner.is_invalid || count != h->silence_count;
 }
 
+/* Reads the probes of the silent servers, which older builds do not send.  */
+static void
+read_probes (struct bb_reader *r, struct bb_sync_heartbeat *h)
+{
+  if (r->remaining == 0)
+    return;
+  uint32_t count;
+  struct bb_reader inner
+      = read_groups (r, SILENCE_PROBE_FIELDS, BB_SYNC_SILENCES_MAX, &count);
+  for (uint32_t i = 0; i < h->silence_count; i++)
+    {
+      h->silences[i].failed = bb_reader_get_u32 (&inner);
+      h->silences[i].answered = bb_reader_get_u32 (&inner);
+      h->silences[i].probed_ms = bb_reader_get_u32 (&inner);
+    }
+  r->is_invalid |= inner.is_invalid || count != h->silence_count;
+}
+
 static void
 read_demands (struct bb_reader *r, struct bb_sync_heartbeat *h)
 {
@@ -158,6 +175,7 @@
   read_answers (r, h);
   read_silences (r, h);
   read_silence_details (r, h);
+  read_probes (r, h);
 }
 
 static void
--- a/wire/sync_encode.c
+++ b/wire/sync_encode.c
@@ -9,6 +9,9 @@
   HEADER_FIELDS = 4,
   /* Older builds put the suspicion of a server into a load.  */
   LOAD_NOT_SUSPECT = 0,
+  /* They take first packets without an answer for a sign of death, and flows
+     whose retransmissions were not acknowledged, or were.  */
+  SILENCE_NOT_OPENING = 0,
   /* Evacuations, limits of services, and what later releases appended.  */
   EVACUATION_ELEMENTS = 3,
 };
@@ -17,7 +20,7 @@
 #define NO_NAME "-"
 
 static const size_t body_fields[BB_SYNC_KINDS] = {
-  [BB_SYNC_HEARTBEAT] = 16,
+  [BB_SYNC_HEARTBEAT] = 17,
   [BB_SYNC_REQUEST] = 2,
   [BB_SYNC_RECORDS] = 19,
 };
@@ -73,13 +76,25 @@
   msgpack_pack_array (pk, h->silence_count * SILENCE_DETAIL_FIELDS);
   for (uint32_t i = 0; i < h->silence_count; i++)
     {
-      bb_writer_put_uint (pk, h->silences[i].opening);
-      bb_writer_put_uint (pk, h->silences[i].unacknowledged);
-      bb_writer_put_uint (pk, h->silences[i].acknowledged);
+      bb_writer_put_uint (pk, SILENCE_NOT_OPENING);
+      bb_writer_put_uint (pk, h->silences[i].failed);
+      bb_writer_put_uint (pk, h->silences[i].answered);
       bb_writer_put_uint (pk, h->silences[i].is_slow);
     }
 }
 
+static void
+put_probes (msgpack_packer *pk, const struct bb_sync_heartbeat *h)
+{
+  msgpack_pack_array (pk, h->silence_count * SILENCE_PROBE_FIELDS);
+  for (uint32_t i = 0; i < h->silence_count; i++)
+    {
+      bb_writer_put_uint (pk, h->silences[i].failed);
+      bb_writer_put_uint (pk, h->silences[i].answered);
+      bb_writer_put_uint (pk, h->silences[i].probed_ms);
+    }
+}
+
 static void
 put_heartbeat (msgpack_packer *pk, const struct bb_sync_heartbeat *h)
 {
@@ -111,6 +126,7 @@
   put_demands_and_rooms (pk, h);
   put_answers (pk, h);
   put_silences (pk, h);
+  put_probes (pk, h);
 }
 
 static void
