--- a/tests/adapter_test.c
+++ b/tests/adapter_test.c
@@ -275,6 +275,74 @@
 }
 END_TEST
 
+/* Guards against bytes that json-c reads but that are no JSON: an entry in
+   which another writer's bytes stand ended the drain of a server (review case
+   14).  */
+#define MINIMAL                                                               \
+  "{\"service\":\"a\",\"address\":\"10.0.0.9:80\","                           \
+  "\"zone\":\"z\",\"version\":\"v\",\"slots\":2,"                             \
+  "\"state\":\"ready\",\"cold-left-ms\":0,\"seq-no\":1"
+
+static const struct
+{
+  const char *description;
+  const char *bytes;
+  bool usable;
+} texts[] = {
+  { "an object", MINIMAL "}", true },
+  { "space around it", " \t\r\n" MINIMAL " } \n", true },
+  { "all kinds of values",
+    MINIMAL ",\"x\":[-0.5e+3,0,1E2,true,false,null,{},[],"
+            "\"\\\"\\\\\\/\\b\\f\\n\\r\\t\\u00e9\xc3\xa9\"]}",
+    true },
+  { "single quotes", MINIMAL ",'x':1}", false },
+  { "a string in single quotes", MINIMAL ",\"x\":'1'}", false },
+  { "no quotes", MINIMAL ",x:1}", false },
+  { "a comment", MINIMAL "/* x */}", false },
+  { "a comment after it", MINIMAL "} // x", false },
+  { "another object after it", MINIMAL "}{}", false },
+  { "a word after it", MINIMAL "}x", false },
+  { "a brace after it", MINIMAL "}}", false },
+  { "no end", MINIMAL, false },
+  { "a comma at the end", MINIMAL ",}", false },
+  { "two commas", MINIMAL ",,\"x\":1}", false },
+  { "NaN", MINIMAL ",\"x\":NaN}", false },
+  { "infinity", MINIMAL ",\"x\":-Infinity}", false },
+  { "a leading zero", MINIMAL ",\"x\":01}", false },
+  { "no digits after the point", MINIMAL ",\"x\":1.}", false },
+  { "no digits before the point", MINIMAL ",\"x\":.5}", false },
+  { "no exponent", MINIMAL ",\"x\":1e}", false },
+  { "a sign alone", MINIMAL ",\"x\":-}", false },
+  { "a plus sign", MINIMAL ",\"x\":+1}", false },
+  { "a hexadecimal number", MINIMAL ",\"x\":0x1}", false },
+  { "capital letters", MINIMAL ",\"x\":True}", false },
+  { "an unknown escape", MINIMAL ",\"x\":\"\\x\"}", false },
+  { "half an escape", MINIMAL ",\"x\":\"\\u00\"}", false },
+  { "a control character", MINIMAL ",\"x\":\"\x01\"}", false },
+  { "a line break in a string", MINIMAL ",\"x\":\"\n\"}", false },
+  { "no UTF-8", MINIMAL ",\"x\":\"\xff\"}", false },
+  { "an overlong character", MINIMAL ",\"x\":\"\xc0\x80\"}", false },
+  { "an encoded surrogate", MINIMAL ",\"x\":\"\xed\xa0\x80\"}", false },
+  { "a byte order mark", "\xef\xbb\xbf" MINIMAL "}", false },
+  { "an array", "[]", false },
+  { "a string", "\"x\"", false },
+  { "nothing", "", false },
+  { "space", "  ", false },
+};
+
+START_TEST (only_json_is_an_entry)
+{
+  struct bb_server_record r;
+  GError *error = NULL;
+  const char *bytes = texts[_i].bytes;
+  bool usable = bb_platform_decode_server (
+      "servers/i-01", (const uint8_t *)bytes, strlen (bytes), &r, &error);
+  ck_assert_msg (usable == texts[_i].usable, "%s", texts[_i].description);
+  ck_assert_int_eq (r.state, usable ? BB_SERVER_READY : BB_SERVER_UNUSABLE);
+  g_clear_error (&error);
+}
+END_TEST
+
 /* Configurations, with ' in place of ".  */
 static const char two_routes[]
     = "{'version':7,'routes':["
@@ -368,6 +436,7 @@
   tcase_add_loop_test (tc, entry_is_decoded, 0, G_N_ELEMENTS (entries));
   tcase_add_loop_test (tc, long_names_fit, 0, G_N_ELEMENTS (name_lengths));
   tcase_add_loop_test (tc, entry_without_a_field_is_refused, 0, 8);
+  tcase_add_loop_test (tc, only_json_is_an_entry, 0, G_N_ELEMENTS (texts));
   tcase_add_loop_test (tc, odd_entry_is_refused, 0,
                        G_N_ELEMENTS (odd_entries));
   tcase_add_loop_test (tc, configuration_is_decoded, 0,
