--- a/core/core.h
+++ b/core/core.h
@@ -98,6 +98,15 @@
   uint16_t port;
 };
 
+/* Orders endpoints by address, then by port: negative, 0 or positive.  */
+static inline int
+bb_endpoint_compare (const struct bb_endpoint *a, const struct bb_endpoint *b)
+{
+  if (a->address != b->address)
+    return a->address < b->address ? -1 : 1;
+  return (int)a->port - (int)b->port;
+}
+
 struct bb_server
 {
   char name[BB_NAME_MAX];
--- a/marked/placement/place.c
+++ b/marked/placement/place.c
@@ -114,7 +114,7 @@
    start, and their server of the least cost.  */
 static struct bb_pool
 select_data_centre (const struct placing *p, const struct bb_pool *pool,
-                    uint32_t data_centre, struct bb_backend_server **least)
+                    uint64_t data_centre, struct bb_backend_server **least)
 {
   struct bb_pool selected = { .servers = pool->servers };
   struct bb_candidate best = { 0 };
@@ -146,7 +146,7 @@
           .slots = p->found.local.slots,
           .other = &p->found.remote,
           .now = p->now };
-  uint32_t data_centre = bb_spill_choose (&p->group->rooms, &view, p->random);
+  uint64_t data_centre = bb_spill_choose (&p->group->rooms, &view, p->random);
   struct bb_backend_server *least;
   if (data_centre == 0)
     return none;
@@ -219,7 +219,7 @@
 
 /* Returns the first service of R that has servers; for a route whose weights
    are all 0.  */
-static uint32_t
+static uint64_t
 first_service (const struct bb_directory *directory, const struct bb_route *r)
 {
   for (uint32_t i = 0; i < r->share_count; i++)
@@ -228,7 +228,7 @@
   return r->shares[0].service;
 }
 
-static uint32_t
+static uint64_t
 draw_service (const struct bb_directory *directory, const struct bb_route *r,
               GRand *random)
 {
--- a/marked/placement/spill.c
+++ b/marked/placement/spill.c
@@ -26,9 +26,9 @@
 /* Returns the place of DATA_CENTRE in TABLE, by linear probing, or the free
    one where it belongs.  */
 static struct place *
-find_place (struct place *table, uint32_t data_centre)
+find_place (struct place *table, uint64_t data_centre)
 {
-  uint32_t i = data_centre % TABLE_SIZE;
+  uint32_t i = (uint32_t)(data_centre % TABLE_SIZE);
   while (table[i].room && table[i].room->data_centre != data_centre)
     i = (i + 1) % TABLE_SIZE;
   return &table[i];
@@ -70,7 +70,7 @@
   return p->pending < most ? slots - p->pending : 0;
 }
 
-uint32_t
+uint64_t
 bb_spill_choose (const struct bb_rooms *rooms,
                  const struct bb_spill_view *view, GRand *random)
 {
--- a/marked/placement/spill.h
+++ b/marked/placement/spill.h
@@ -22,6 +22,6 @@
    load at which requests begin to wait, the part of the flows that leave grows
    with the load, up to the part that the other data centres have of the free
    slots.  Each of them gets flows by its free slots.  */
-uint32_t bb_spill_choose (const struct bb_rooms *rooms,
+uint64_t bb_spill_choose (const struct bb_rooms *rooms,
                           const struct bb_spill_view *view, GRand *random);
 #endif
--- a/marked/state/directory.c
+++ b/marked/state/directory.c
@@ -21,6 +21,7 @@
   g_strlcpy (d->data_centre, data_centre, sizeof d->data_centre);
   d->names = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   d->cookies = g_hash_table_new (NULL, NULL);
+  d->aliases = g_hash_table_new (NULL, NULL);
   d->services = g_hash_table_new_full (NULL, NULL, NULL, bb_server_group_free);
   d->routes = g_hash_table_new_full (NULL, NULL, NULL, bb_route_free);
   bb_list_init (&d->servers_by_revision);
@@ -37,6 +38,7 @@
   if (!d)
     return;
   g_hash_table_unref (d->cookies);
+  g_hash_table_unref (d->aliases);
   g_hash_table_unref (d->services);
   g_hash_table_unref (d->routes);
   g_hash_table_unref (d->evacuations);
@@ -121,8 +123,8 @@
   if (created != 0 && (record->created == 0 || created < record->created))
     s->record.created = created;
   s->key = bb_server_key (record->service, record->name);
-  s->service = bb_name_key (record->service);
-  s->data_centre = bb_name_key (record->data_centre);
+  s->service = bb_key (record->service);
+  s->data_centre = bb_key (record->data_centre);
   s->is_local = strcmp (record->data_centre, d->data_centre) == 0;
   s->is_evacuated = bb_directory_is_evacuated (d, record->data_centre);
   s->withheld_until = record->state == BB_SERVER_WITHHELD
--- a/marked/state/directory.h
+++ b/marked/state/directory.h
@@ -20,7 +20,8 @@
 
 enum
 {
-  BB_COOKIE_ATTEMPTS = 4, /* cookies tried if the hashes of servers collide */
+  BB_COOKIE_ATTEMPTS = 64, /* cookies tried if the hashes of servers collide */
+  BB_COOKIE_ALIASES = 4,   /* of these, that other balancers may have chosen */
 };
 
 /* Entries that expired while the store was unreachable, or that it lacks since
@@ -99,7 +100,7 @@
 /* The servers of one service and their answer times as observed here.  */
 struct bb_server_group
 {
-  uint32_t service;
+  uint64_t service;       /* bb_key */
   struct bb_link servers; /* servers that are not gone, linked by of_service */
   struct bb_concurrency concurrency; /* of the own data centre */
   struct bb_answer_time local_dc;    /* servers of the own data centre */
@@ -120,14 +121,14 @@
 struct bb_backend_server
 {
   struct bb_server_record record;
-  uint32_t key; /* bb_server_key of service and name, for logs */
-  uint32_t service;
+  uint32_t key;     /* bb_server_key of service and name, for logs */
+  uint64_t service; /* bb_key */
   struct bb_server_group *group; /* NULL: only its removal was ever received */
   uint32_t cookie;
   bool has_announced_end; /* was draining before it was removed */
   bool is_in_ended_list;  /* of the balancer, until its next tick */
   uint32_t life;          /* number of its starts, as seen here, from 1 */
-  uint32_t data_centre;   /* bb_name_key */
+  uint64_t data_centre;   /* bb_key */
   bool is_local;          /* in the data centre of this balancer */
   bool is_evacuated;      /* its data centre gets no new flows */
   bb_usec first_listed;   /* first time it was listed here */
@@ -162,7 +163,7 @@
 /* What the configuration says of a service.  */
 struct bb_service_record
 {
-  uint32_t service;
+  uint64_t service; /* as in struct bb_route_share */
   /* New requests in 1,000 s that a server bears while it is cold; 0: no limit
      is known.  */
   uint32_t cold_rate;
@@ -254,7 +255,7 @@
                           const struct bb_service_record *record, bb_usec now);
 
 /* Drops the limits in force of services that are not in LISTED, a set of
-   GUINT_TO_POINTER (service), unless they are newer than REVISION.  */
+   bb_directory_service_key, unless they are newer than REVISION.  */
 void bb_directory_drop_unlisted_services (struct bb_directory *d,
                                           GHashTable *listed,
                                           uint64_t revision, bb_usec now);
@@ -315,7 +316,8 @@
 /* Returns the cookie that the server NAME gets at ATTEMPT, counted from 0.  */
 uint32_t bb_server_cookie (const char *name, unsigned attempt);
 
-/* Find a server by cookie and by name.  NULL if there is none.  */
+/* Find a server by cookie and by name.  NULL if there is none.  A cookie that
+   no server has here is that of the only server of which it is an alias.  */
 struct bb_backend_server *
 bb_directory_find_by_cookie (const struct bb_directory *d, uint32_t cookie);
 struct bb_backend_server *
@@ -325,9 +327,12 @@
    evacuated.  It may still be silent.  */
 bool bb_server_is_eligible (const struct bb_backend_server *s);
 
-/* Returns the servers of SERVICE, or NULL if it never had any.  */
+/* Returns the servers of SERVICE, or NULL if it never had any.  An unnamed
+   hash stands for the only known service that has it.  */
 struct bb_server_group *
-bb_directory_find_service (const struct bb_directory *d, uint32_t service);
+bb_directory_find_service (const struct bb_directory *d, uint64_t service);
+
+gpointer bb_directory_service_key (uint64_t service);
 
 void bb_directory_foreach_service (
     const struct bb_directory *d,
--- a/marked/state/directory_private.h
+++ b/marked/state/directory_private.h
@@ -16,6 +16,7 @@
   bb_usec history_start;
   GHashTable *names;       /* name to struct bb_backend_server, owned */
   GHashTable *cookies;     /* cookie to struct bb_backend_server */
+  GHashTable *aliases;     /* the same; NULL: of several servers */
   GHashTable *services;    /* service to struct bb_server_group, owned */
   GHashTable *routes;      /* address and port to struct bb_route, owned */
   GHashTable *evacuations; /* name to struct bb_evacuation, owned */
@@ -42,8 +43,11 @@
 /* server_group.c  */
 /* Returns the group of SERVICE, which is called NAME.  Adds it if needed.  */
 struct bb_server_group *bb_server_group_get (struct bb_directory *d,
-                                             uint32_t service,
+                                             uint64_t service,
                                              const char *name);
+/* Returns the limits of SERVICE, or NULL.  */
+const struct bb_service_limit *
+bb_directory_find_limit (const struct bb_directory *d, uint64_t service);
 void bb_server_group_free (gpointer data);
 void bb_server_group_add (struct bb_server_group *group,
                           struct bb_backend_server *s);
--- a/marked/state/directory_services.c
+++ b/marked/state/directory_services.c
@@ -30,16 +30,27 @@
   return &d->limits_by_revision;
 }
 
+const struct bb_service_limit *
+bb_directory_find_limit (const struct bb_directory *d, uint64_t service)
+{
+  const struct bb_service_limit *limit
+      = g_hash_table_lookup (d->limits, bb_directory_service_key (service));
+  if (limit || bb_key_is_shared (service))
+    return limit;
+  uint64_t unnamed = bb_key_of_hash (bb_key_hash (service));
+  return g_hash_table_lookup (d->limits, bb_directory_service_key (unnamed));
+}
+
 static struct bb_service_limit *
-get_limit (struct bb_directory *d, uint32_t service)
+get_limit (struct bb_directory *d, uint64_t service)
 {
   struct bb_service_limit *limit
-      = g_hash_table_lookup (d->limits, GUINT_TO_POINTER (service));
+      = g_hash_table_lookup (d->limits, bb_directory_service_key (service));
   if (limit)
     return limit;
   limit = g_new0 (struct bb_service_limit, 1);
   bb_list_init (&limit->by_revision);
-  g_hash_table_insert (d->limits, GUINT_TO_POINTER (service), limit);
+  g_hash_table_insert (d->limits, bb_directory_service_key (service), limit);
   return limit;
 }
 
@@ -87,7 +98,8 @@
       struct bb_service_record gone
           = { .service = limit->record.service, .revision = revision };
       if (limit->record.cold_rate != 0
-          && !g_hash_table_contains (listed, GUINT_TO_POINTER (gone.service)))
+          && !g_hash_table_contains (listed,
+                                     bb_directory_service_key (gone.service)))
         bb_directory_put_service (d, &gone, now);
     }
 }
@@ -98,7 +110,8 @@
 {
   GHashTable *listed = g_hash_table_new (NULL, NULL);
   for (size_t i = 0; i < c->service_count; i++)
-    g_hash_table_add (listed, GUINT_TO_POINTER (c->services[i].service));
+    g_hash_table_add (listed,
+                      bb_directory_service_key (c->services[i].service));
   bb_directory_drop_unlisted_services (d, listed, c->revision, now);
   g_hash_table_unref (listed);
   /* Also those that look the same: a peer may hold another one from a
@@ -122,6 +135,6 @@
       d->removals_since = MAX (d->removals_since, limit->record.revision);
       bb_list_remove (&limit->by_revision);
       g_hash_table_remove (d->limits,
-                           GUINT_TO_POINTER (limit->record.service));
+                           bb_directory_service_key (limit->record.service));
     }
 }
--- a/marked/state/room.h
+++ b/marked/state/room.h
@@ -16,7 +16,7 @@
 
 struct bb_room
 {
-  uint32_t data_centre; /* bb_name_key */
+  uint64_t data_centre; /* bb_key */
   uint32_t pending;     /* requests of the callers of that data centre */
   uint32_t slots;       /* of the servers that take new flows */
   bb_usec updated;      /* when it was measured; 0: not in use */
--- a/marked/state/route.c
+++ b/marked/state/route.c
@@ -5,20 +5,20 @@
 static int
 compare_services (const void *a, const void *b)
 {
-  uint32_t x = *(const uint32_t *)a, y = *(const uint32_t *)b;
+  uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
   return (x > y) - (x < y);
 }
 
 static bool
 has_service (const void *list, uint32_t count, size_t item_size,
-             uint32_t service)
+             uint64_t service)
 {
   return count > 0
          && bsearch (&service, list, count, item_size, compare_services);
 }
 
-bool
-bb_route_allows_service (const struct bb_route *route, uint32_t service)
+static bool
+leads_to (const struct bb_route *route, uint64_t service)
 {
   return has_service (route->shares, route->share_count, sizeof *route->shares,
                       service)
@@ -26,6 +26,14 @@
                          sizeof *route->former, service);
 }
 
+bool
+bb_route_allows_service (const struct bb_route *route, uint64_t service)
+{
+  uint64_t unnamed = bb_key_of_hash (bb_key_hash (service));
+  return leads_to (route, service)
+         || (leads_to (route, unnamed) && !bb_key_is_shared (service));
+}
+
 /* Records.  */
 
 size_t
--- a/marked/state/route.h
+++ b/marked/state/route.h
@@ -4,6 +4,7 @@
 #ifndef BB_MARKED_ROUTE_H
 #define BB_MARKED_ROUTE_H
 
+#include "core/keys.h"
 #include "marked/evidence/answer_quality.h"
 #include "marked/state/list.h"
 
@@ -17,16 +18,17 @@
   BB_ROUTE_FORMER = 8,   /* former services in one record of a route */
 };
 
+/* A service is a bb_key; from an older build, the key of an unnamed hash.  */
 struct bb_route_share
 {
-  uint32_t service;
+  uint64_t service;
   uint32_t weight;
 };
 
 /* A service to whose servers a route led until AGE_MS ago.  */
 struct bb_former_service
 {
-  uint32_t service;
+  uint64_t service;
   uint32_t age_ms;
 };
 
@@ -50,7 +52,7 @@
    BB_DIRECTORY_RETENTION after it left the route.  */
 struct bb_route_former
 {
-  uint32_t service;
+  uint64_t service;
   bb_usec left;
 };
 
@@ -97,5 +99,5 @@
 void bb_route_free (gpointer route);
 
 /* Whether ROUTE leads to SERVICE, or did so within the retention.  */
-bool bb_route_allows_service (const struct bb_route *route, uint32_t service);
+bool bb_route_allows_service (const struct bb_route *route, uint64_t service);
 #endif
--- a/marked/state/server_group.c
+++ b/marked/state/server_group.c
@@ -16,7 +16,7 @@
 bool
 bb_server_is_eligible (const struct bb_backend_server *s)
 {
-  return bb_server_accepts_flows (s) && !s->is_evacuated;
+  return bb_server_accepts_flows (s) && !s->is_evacuated && s->cookie != 0;
 }
 
 static uint32_t
@@ -46,14 +46,22 @@
                          group->pool_capacity);
 }
 
+gpointer
+bb_directory_service_key (uint64_t service)
+{
+  G_STATIC_ASSERT (sizeof (gpointer) >= sizeof (uint64_t));
+  return GSIZE_TO_POINTER (service);
+}
+
 struct bb_server_group *
-bb_directory_find_service (const struct bb_directory *d, uint32_t service)
+bb_directory_find_service (const struct bb_directory *d, uint64_t service)
 {
-  return g_hash_table_lookup (d->services, GUINT_TO_POINTER (service));
+  return g_hash_table_lookup (
+      d->services, bb_directory_service_key (bb_key_resolve (service)));
 }
 
 struct bb_server_group *
-bb_server_group_get (struct bb_directory *d, uint32_t service,
+bb_server_group_get (struct bb_directory *d, uint64_t service,
                      const char *name)
 {
   struct bb_server_group *group = bb_directory_find_service (d, service);
@@ -62,11 +70,10 @@
   group = g_new0 (struct bb_server_group, 1);
   group->service = service;
   g_strlcpy (group->name, name, sizeof group->name);
-  const struct bb_service_limit *limit
-      = g_hash_table_lookup (d->limits, GUINT_TO_POINTER (service));
+  const struct bb_service_limit *limit = bb_directory_find_limit (d, service);
   group->cold_rate = limit ? limit->record.cold_rate : 0;
   bb_list_init (&group->servers);
-  g_hash_table_insert (d->services, GUINT_TO_POINTER (service), group);
+  g_hash_table_insert (d->services, bb_directory_service_key (service), group);
   return group;
 }
 
--- a/marked/sync/sync.c
+++ b/marked/sync/sync.c
@@ -69,7 +69,8 @@
 
 /* Whether P comes before OTHER in the order of readers: first balancers
    without a recent failed call to the store, then those with more processor
-   time, then those with the lower id.  NULL stands for this balancer.  */
+   time, then those with the lower id or endpoint.  NULL stands for this
+   balancer.  */
 static bool
 precedes (const struct bb_sync *s, const struct bb_sync_peer *p,
           const struct bb_sync_peer *other, bb_usec now)
@@ -86,17 +87,22 @@
     return ok[0];
   if (capacity[0] != capacity[1])
     return capacity[0] > capacity[1];
-  return id[0] < id[1];
+  if (id[0] != id[1])
+    return id[0] < id[1];
+  const struct bb_sync_vm *vm[2] = { p ? &p->vm : &s->options.self,
+                                     other ? &other->vm : &s->options.self };
+  return bb_endpoint_compare (&vm[0]->endpoint, &vm[1]->endpoint) < 0;
 }
 
 const struct bb_sync_peer *
-bb_sync_first_peer (const struct bb_sync *s, uint32_t data_centre, bb_usec now)
+bb_sync_first_peer (const struct bb_sync *s, uint64_t data_centre, bb_usec now)
 {
   const struct bb_sync_peer *best = NULL;
   for (uint32_t i = 0; i < s->peer_count; i++)
     {
       const struct bb_sync_peer *p = s->peers[i];
-      if (p->vm.data_centre == data_centre && bb_sync_peer_is_live (p, now)
+      if (bb_key_is_same (p->vm.data_centre, data_centre)
+          && bb_sync_peer_is_live (p, now)
           && (!best || precedes (s, p, best, now)))
         best = p;
     }
@@ -164,7 +170,8 @@
 bb_sync_receive (struct bb_sync *s, const struct bb_endpoint *from,
                  const struct bb_sync_message *m, bb_usec now)
 {
-  if (m->from == s->options.self.id)
+  const struct bb_sync_vm sender = { .id = m->from, .endpoint = *from };
+  if (bb_sync_is_same_vm (&sender, &s->options.self))
     return;
   switch (m->kind)
     {
--- a/marked/sync/sync_evacuations.c
+++ b/marked/sync/sync_evacuations.c
@@ -123,7 +123,7 @@
   for (uint32_t i = 0; b->services && i < m->service_count; i++)
     if (m->services[i].cold_rate > 0)
       g_hash_table_add (b->services,
-                        GUINT_TO_POINTER (m->services[i].service));
+                        bb_directory_service_key (m->services[i].service));
 }
 
 void
--- a/marked/sync/sync_heartbeats.c
+++ b/marked/sync/sync_heartbeats.c
@@ -66,7 +66,7 @@
 
 static void
 fill_heartbeat (struct bb_sync *s, struct bb_sync_message *m,
-                uint32_t data_centre, uint32_t listed_max, bb_usec now)
+                uint64_t data_centre, uint32_t listed_max, bb_usec now)
 {
   struct bb_sync_heartbeat *b = &m->heartbeat;
   m->kind = BB_SYNC_HEARTBEAT;
@@ -81,7 +81,7 @@
   b->listed_peer_count = b->load_count = b->demand_count = b->room_count = 0;
   b->answer_count = b->silence_count = 0;
   bb_sync_list_peers (s, b, data_centre, listed_max, now);
-  if (data_centre == s->options.self.data_centre)
+  if (bb_key_is_same (data_centre, s->options.self.data_centre))
     bb_sync_add_loads (s, b, now);
 }
 
@@ -108,10 +108,10 @@
 
 /* Whether no live leader of DATA_CENTRE is in the peer list.  */
 static bool
-has_no_leader (const struct bb_sync *s, uint32_t data_centre, bb_usec now)
+has_no_leader (const struct bb_sync *s, uint64_t data_centre, bb_usec now)
 {
   for (uint32_t i = 0; i < s->peer_count; i++)
-    if (s->peers[i]->vm.data_centre == data_centre
+    if (bb_key_is_same (s->peers[i]->vm.data_centre, data_centre)
         && bb_sync_peer_is_leader (s->peers[i], now))
       return false;
   return true;
@@ -277,7 +277,8 @@
 add_listed_peer (struct bb_sync *s, const struct bb_sync_vm *vm,
                  uint32_t index, bb_usec now)
 {
-  bool is_local = vm->data_centre == s->options.self.data_centre;
+  bool is_local
+      = bb_key_is_same (vm->data_centre, s->options.self.data_centre);
   bool is_leader_candidate = s->is_leader && !is_local
                              && index < BB_SYNC_LISTED_LEADERS
                              && has_no_leader (s, vm->data_centre, now);
--- a/marked/sync/sync_messages.h
+++ b/marked/sync/sync_messages.h
@@ -21,6 +21,7 @@
   BB_SYNC_ROUTES_MAX = 24,       /* records of routes in one datagram */
   BB_SYNC_EVACUATIONS_MAX = 12,  /* evacuations in one datagram of records */
   BB_SYNC_SERVICES_MAX = 48,     /* services in one datagram of records */
+  BB_SYNC_SERVICES_SENT = 28,    /* of these, that fit with their digests */
   BB_SYNC_CHUNKS_MAX = 8192,     /* datagrams of one batch */
 };
 
@@ -46,7 +47,7 @@
 struct bb_sync_vm
 {
   uint32_t id;
-  uint32_t data_centre; /* bb_name_key */
+  uint64_t data_centre; /* bb_key; an unnamed hash if a peer lists it */
   struct bb_endpoint endpoint;
 };
 
@@ -61,14 +62,14 @@
 /* New flows of a service at the sender.  */
 struct bb_sync_demand
 {
-  uint32_t service;
-  uint32_t rate; /* in 1,000 s */
+  uint32_t service; /* bb_key_hash */
+  uint32_t rate;    /* in 1,000 s */
 };
 
 /* Room of a service in a data centre, as reported by its leader.  */
 struct bb_sync_room
 {
-  uint32_t data_centre;
+  uint32_t data_centre; /* bb_key_hash */
   uint32_t service;
   uint32_t pending; /* as in struct bb_room */
   uint32_t slots;
@@ -90,7 +91,7 @@
 
 struct bb_sync_heartbeat
 {
-  uint32_t data_centre;
+  uint64_t data_centre; /* bb_key */
   uint32_t flags;
   uint32_t capacity;    /* of the VM, permille of a core */
   uint64_t revision;    /* of the directory of the sender */
--- a/marked/sync/sync_owners.c
+++ b/marked/sync/sync_owners.c
@@ -77,13 +77,37 @@
   set_changed (o, now);
 }
 
+static bool
+is_entry_of (const struct bb_sync_owner *entry, const struct bb_sync_peer *p)
+{
+  const struct bb_sync_vm vm
+      = { .id = entry->id, .endpoint = entry->endpoint };
+  return bb_sync_is_same_vm (&vm, &p->vm);
+}
+
+/* Whether another balancer of the data centre with the id of this one, which
+   stands for both in the lists, is to own its servers.  */
+static bool
+must_yield (const struct bb_sync *s)
+{
+  const struct bb_sync_vm *self = &s->options.self;
+  for (uint32_t i = 0; i < s->peer_count; i++)
+    {
+      const struct bb_sync_peer *p = s->peers[i];
+      if (p->vm.id == self->id && bb_sync_peer_is_local (s, p)
+          && bb_endpoint_compare (&p->vm.endpoint, &self->endpoint) < 0)
+        return true;
+    }
+  return false;
+}
+
 void
 bb_sync_record_owner (struct bb_sync *s, const struct bb_sync_peer *p,
                       const struct bb_sync_heartbeat *b, bb_usec now)
 {
   struct bb_sync_owners *o = &s->owners;
   uint32_t i = 0;
-  while (i < o->count && o->list[i].id != p->vm.id)
+  while (i < o->count && !is_entry_of (&o->list[i], p))
     i++;
   bool is_owner = b->flags & BB_SYNC_OWNER && !(b->flags & BB_SYNC_LEAVING);
   if (!is_owner)
@@ -96,7 +120,8 @@
     return;
   if (i == o->count)
     {
-      o->list[o->count++].id = p->vm.id;
+      o->list[o->count] = (struct bb_sync_owner){ .id = p->vm.id };
+      o->list[o->count++].endpoint = p->vm.endpoint;
       o->digest ^= digest_of (p->vm.id);
       set_changed (o, now);
     }
@@ -225,7 +250,7 @@
     case BB_SYNC_OWNER_JOINING:
       if (!is_in_touch (s, now))
         o->phase_since = now;
-      else if (has_joined && o->is_enabled && !s->is_leaving
+      else if (has_joined && o->is_enabled && !s->is_leaving && !must_yield (s)
                && has_heard_all (s, now))
         set_phase (s, BB_SYNC_OWNER_ANNOUNCED, now);
       break;
@@ -246,7 +271,8 @@
   struct bb_sync_owners *o = &s->owners;
   bb_usec since_tick = now - o->last_tick;
   o->last_tick = now;
-  if (o->phase >= BB_SYNC_OWNER_ANNOUNCED && (s->is_leaving || !o->is_enabled))
+  if (o->phase >= BB_SYNC_OWNER_ANNOUNCED
+      && (s->is_leaving || !o->is_enabled || must_yield (s)))
     set_phase (s, BB_SYNC_OWNER_JOINING, now);
   if (since_tick >= BB_SYNC_PEER_TIMEOUT)
     skip_freeze (s, since_tick, now);
--- a/marked/sync/sync_pack.c
+++ b/marked/sync/sync_pack.c
@@ -113,8 +113,8 @@
   enum
   {
     FIXED = 32, /* address, revision, objective, priority, array heads */
-    SHARE = 10, /* service and weight */
-    FORMER = 10 /* service and age */
+    SHARE = 28, /* service, its digest, and weight */
+    FORMER = 28 /* service, its digest, and age */
   };
   return FIXED + SHARE * r->share_count + FORMER * r->former_count;
 }
@@ -154,7 +154,7 @@
       if (limit->record.revision <= from)
         break;
       m->services[m->service_count++] = limit->record;
-      if (m->service_count == BB_SYNC_SERVICES_MAX)
+      if (m->service_count == BB_SYNC_SERVICES_SENT)
         flush_chunk (packer);
     }
   if (m->service_count > 0)
--- a/marked/sync/sync_peer_list.c
+++ b/marked/sync/sync_peer_list.c
@@ -3,7 +3,7 @@
 /* Recipient of a peer list.  */
 struct recipient
 {
-  uint32_t data_centre;
+  uint64_t data_centre;
   const struct bb_sync_peer *first; /* first live peer there, or NULL */
 };
 
@@ -30,7 +30,7 @@
 is_leader_elsewhere (const struct bb_sync *s, const struct bb_sync_peer *p,
                      const struct recipient *recipient, bb_usec now)
 {
-  return p->vm.data_centre != recipient->data_centre
+  return !bb_key_is_same (p->vm.data_centre, recipient->data_centre)
          && bb_sync_peer_is_leader (p, now)
          && (s->is_leader || bb_sync_peer_is_local (s, p));
 }
@@ -41,15 +41,16 @@
 {
   (void)s;
   (void)now;
-  return p->vm.data_centre == recipient->data_centre && p->last_received != 0
-         && p != recipient->first;
+  return bb_key_is_same (p->vm.data_centre, recipient->data_centre)
+         && p->last_received != 0 && p != recipient->first;
 }
 
 static bool
 is_remaining (const struct bb_sync *s, const struct bb_sync_peer *p,
               const struct recipient *recipient, bb_usec now)
 {
-  return p->vm.data_centre != recipient->data_centre && p->last_received != 0
+  return !bb_key_is_same (p->vm.data_centre, recipient->data_centre)
+         && p->last_received != 0
          && !is_leader_elsewhere (s, p, recipient, now);
 }
 
@@ -66,7 +67,7 @@
 
 void
 bb_sync_list_peers (struct bb_sync *s, struct bb_sync_heartbeat *b,
-                    uint32_t data_centre, uint32_t count, bb_usec now)
+                    uint64_t data_centre, uint32_t count, bb_usec now)
 {
   if (s->peer_count == 0 || count == 0)
     return;
--- a/marked/sync/sync_peers.c
+++ b/marked/sync/sync_peers.c
@@ -18,7 +18,7 @@
 bool
 bb_sync_peer_is_local (const struct bb_sync *s, const struct bb_sync_peer *p)
 {
-  return p->vm.data_centre == s->options.self.data_centre;
+  return bb_key_is_same (p->vm.data_centre, s->options.self.data_centre);
 }
 
 bool
@@ -27,11 +27,18 @@
   return p->flags & BB_SYNC_LEADER && bb_sync_peer_is_live (p, now);
 }
 
+bool
+bb_sync_is_same_vm (const struct bb_sync_vm *a, const struct bb_sync_vm *b)
+{
+  return a->id == b->id && a->endpoint.address == b->endpoint.address
+         && a->endpoint.port == b->endpoint.port;
+}
+
 static struct bb_sync_peer *
-find_peer (struct bb_sync *s, uint32_t id)
+find_peer (struct bb_sync *s, const struct bb_sync_vm *vm)
 {
   for (uint32_t i = 0; i < s->peer_count; i++)
-    if (s->peers[i]->vm.id == id)
+    if (bb_sync_is_same_vm (&s->peers[i]->vm, vm))
       return s->peers[i];
   return NULL;
 }
@@ -40,7 +47,7 @@
    the peer that was silent for longest.  A leader is selected only if all of
    these peers are leaders.  */
 static uint32_t
-count_peers_of (const struct bb_sync *s, uint32_t data_centre,
+count_peers_of (const struct bb_sync *s, uint64_t data_centre,
                 uint32_t *silent)
 {
   uint32_t count = 0;
@@ -48,7 +55,7 @@
   for (uint32_t i = 0; i < s->peer_count; i++)
     {
       const struct bb_sync_peer *p = s->peers[i];
-      if (p->vm.data_centre != data_centre)
+      if (!bb_key_is_same (p->vm.data_centre, data_centre))
         continue;
       count++;
       bool is_leader = p->flags & BB_SYNC_LEADER;
@@ -68,10 +75,10 @@
    another data centre is reached, a sender (IS_SENDER) replaces the peer that
    was silent for longest.  */
 static bool
-make_room (struct bb_sync *s, uint32_t data_centre, bool is_sender)
+make_room (struct bb_sync *s, uint64_t data_centre, bool is_sender)
 {
   uint32_t silent = UINT32_MAX;
-  if (data_centre != s->options.self.data_centre
+  if (!bb_key_is_same (data_centre, s->options.self.data_centre)
       && count_peers_of (s, data_centre, &silent) >= BB_SYNC_REMOTE_PEERS_MAX)
     {
       if (!is_sender)
@@ -88,8 +95,8 @@
 bb_sync_get_peer (struct bb_sync *s, const struct bb_sync_vm *vm,
                   bool is_sender)
 {
-  struct bb_sync_peer *p = find_peer (s, vm->id);
-  if (p || vm->id == s->options.self.id
+  struct bb_sync_peer *p = find_peer (s, vm);
+  if (p || bb_sync_is_same_vm (vm, &s->options.self)
       || !make_room (s, vm->data_centre, is_sender))
     return p;
   p = g_new0 (struct bb_sync_peer, 1);
--- a/marked/sync/sync_private.h
+++ b/marked/sync/sync_private.h
@@ -91,6 +91,7 @@
 struct bb_sync_owner
 {
   uint32_t id;
+  struct bb_endpoint endpoint;
   uint32_t digest; /* of its list, with itself, as of its last heartbeat */
   bb_usec last_received;
 };
@@ -161,7 +162,7 @@
 /* Returns the first live peer of DATA_CENTRE in the order of readers, or NULL.
  */
 const struct bb_sync_peer *bb_sync_first_peer (const struct bb_sync *s,
-                                               uint32_t data_centre,
+                                               uint64_t data_centre,
                                                bb_usec now);
 
 /* Aborts if the state held is not one of its revision.  Does nothing in a
@@ -169,6 +170,10 @@
 void bb_sync_check_state (struct bb_sync *s);
 
 /* sync_peers.c: the list of peers.  */
+/* Whether A and B are one balancer.  The id is a hash of its name, which two
+   may share; their endpoints differ.  */
+bool bb_sync_is_same_vm (const struct bb_sync_vm *a,
+                         const struct bb_sync_vm *b);
 bool bb_sync_peer_is_live (const struct bb_sync_peer *p, bb_usec now);
 bool bb_sync_peer_is_local (const struct bb_sync *s,
                             const struct bb_sync_peer *p);
@@ -207,7 +212,7 @@
    has COUNT entries, first those that a recipient in DATA_CENTRE needs most.
  */
 void bb_sync_list_peers (struct bb_sync *s, struct bb_sync_heartbeat *b,
-                         uint32_t data_centre, uint32_t count, bb_usec now);
+                         uint64_t data_centre, uint32_t count, bb_usec now);
 
 /* sync_rooms.c: demand and room, for placement.  */
 void bb_sync_add_demands (struct bb_sync *s, struct bb_sync_heartbeat *b,
--- a/marked/sync/sync_rooms.c
+++ b/marked/sync/sync_rooms.c
@@ -11,6 +11,10 @@
   bb_usec now;
 };
 
+/* Services and data centres of messages about load are hashes.  Those that
+   share one with another are not reported, so that their load is not that of
+   another.  Placement goes without, as for services beyond the maximum.  */
+
 /* Adds the demand of GROUP.  If there are too many services, the highest rates
    are kept.  */
 static void
@@ -19,9 +23,9 @@
   const struct filling *f = context;
   struct bb_sync_heartbeat *b = f->heartbeat;
   double rate = bb_demand_rate (&group->demand, f->now) * RATE_SCALE;
-  struct bb_sync_demand demand
-      = { group->service, (uint32_t)CLAMP (rate, 0, UINT32_MAX) };
-  if (demand.rate == 0)
+  struct bb_sync_demand demand = { bb_key_hash (group->service),
+                                   (uint32_t)CLAMP (rate, 0, UINT32_MAX) };
+  if (demand.rate == 0 || bb_key_is_shared (group->service))
     return;
   if (b->demand_count < BB_SYNC_DEMANDS_MAX)
     {
@@ -65,9 +69,11 @@
 add_own_room (void *context, struct bb_server_group *group)
 {
   struct filling *f = context;
-  struct bb_sync_room room
-      = { .data_centre = f->sync->options.self.data_centre,
-          .service = group->service };
+  uint64_t own = f->sync->options.self.data_centre;
+  struct bb_sync_room room = { .data_centre = bb_key_hash (own),
+                               .service = bb_key_hash (group->service) };
+  if (bb_key_is_shared (own) || bb_key_is_shared (group->service))
+    return;
   const struct bb_link *head = &group->servers;
   for (const struct bb_link *at = head->next; at != head; at = at->next)
     {
@@ -89,10 +95,12 @@
   for (size_t i = 0; i < BB_ROOMS_MAX; i++)
     {
       const struct bb_room *held = &group->rooms.items[i];
-      if (bb_room_is_known (held, f->now))
+      if (bb_room_is_known (held, f->now)
+          && !bb_key_is_shared (held->data_centre)
+          && !bb_key_is_shared (group->service))
         add_room (f, &(struct bb_sync_room){
-                         .data_centre = held->data_centre,
-                         .service = group->service,
+                         .data_centre = bb_key_hash (held->data_centre),
+                         .service = bb_key_hash (group->service),
                          .pending = held->pending,
                          .slots = held->slots,
                          .age_ms = bb_sync_age_ms (held->updated, f->now) });
@@ -132,13 +140,14 @@
   for (uint32_t i = 0; i < b->room_count; i++)
     {
       const struct bb_sync_room *r = &b->rooms[i];
-      struct bb_server_group *group
-          = bb_directory_find_service (s->directory, r->service);
-      bool is_own_report = r->data_centre == p->vm.data_centre;
-      if (!group || is_own_report == is_local
-          || r->data_centre == s->options.self.data_centre)
+      struct bb_server_group *group = bb_directory_find_service (
+          s->directory, bb_key_of_hash (r->service));
+      uint64_t data_centre = bb_key_resolve (bb_key_of_hash (r->data_centre));
+      bool is_own_report = bb_key_is_same (data_centre, p->vm.data_centre);
+      if (!group || is_own_report == is_local || bb_key_is_shared (data_centre)
+          || data_centre == s->options.self.data_centre)
         continue;
-      struct bb_room room = { .data_centre = r->data_centre,
+      struct bb_room room = { .data_centre = data_centre,
                               .pending = r->pending,
                               .slots = r->slots,
                               .updated = now - r->age_ms * BB_MSEC };
@@ -169,7 +178,7 @@
       for (uint32_t n = 0; n < p->demand_count; n++)
         {
           struct bb_server_group *group = bb_directory_find_service (
-              s->directory, p->demands[n].service);
+              s->directory, bb_key_of_hash (p->demands[n].service));
           if (group)
             bb_demand_add_peer (&group->demand,
                                 p->demands[n].rate / RATE_SCALE, unseen);
--- a/runtime/marked_process.c
+++ b/runtime/marked_process.c
@@ -318,7 +318,7 @@
   struct bb_marked_options options = {
     .sync_options = {
       .self = { .id = s->self.id,
-                .data_centre = bb_name_key (s->self.data_centre),
+                .data_centre = bb_key (s->self.data_centre),
                 .endpoint = { s->self.data.address, s->marked.peer_port } },
       .incarnation = (uint64_t)bb_clock_wall (),
       .capacity = s->marked.capacity,
--- a/runtime/names.c
+++ b/runtime/names.c
@@ -5,6 +5,10 @@
    names used recently.  */
 #define NAMES_PER_GENERATION 16384
 
+/* Between the names of one key, at most so many.  */
+#define ALTERNATIVE " or "
+#define ALTERNATIVES_MAX 4
+
 struct generation
 {
   GHashTable *table;     /* key to struct name */
@@ -59,12 +63,31 @@
   g_free (names);
 }
 
+/* Another name has the key of HELD.  A log line with the key may mean either.
+ */
+static void
+add_alternative (struct generation *g, struct name *held, const char *text)
+{
+  g_auto (GStrv) known = g_strsplit (held->text, ALTERNATIVE, -1);
+  if (g_strv_contains ((const char *const *)known, text)
+      || g_strv_length (known) >= ALTERNATIVES_MAX)
+    return;
+  g_autofree char *both
+      = g_strconcat (held->text, ALTERNATIVE, text, (char *)NULL);
+  held->text = g_string_chunk_insert_const (g->strings, both);
+}
+
 static void
 add_name (struct bb_names *names, uint32_t key, const char *text,
           const char *service)
 {
-  if (g_hash_table_contains (names->current.table, GUINT_TO_POINTER (key)))
-    return;
+  struct name *held
+      = g_hash_table_lookup (names->current.table, GUINT_TO_POINTER (key));
+  if (held)
+    {
+      add_alternative (&names->current, held, text);
+      return;
+    }
   if (g_hash_table_size (names->current.table) >= NAMES_PER_GENERATION)
     {
       generation_clear (&names->previous);
--- a/runtime/names.h
+++ b/runtime/names.h
@@ -23,7 +23,7 @@
                                const char *data_centre);
 
 /* Returns the name of the VM, service, server or data centre with KEY, or
-   NULL.  Sets
+   NULL; if several have it, their names with " or " between them.  Sets
    *SERVICE to the name of the server's service, or NULL.  The strings are
    valid until the next name is added.  */
 const char *bb_names_lookup (const struct bb_names *names, uint32_t key,
--- a/tests/adapter_operator_test.c
+++ b/tests/adapter_operator_test.c
@@ -86,7 +86,7 @@
 
 /* The beginning of NAME_63 "3" and its hash.  */
 #define SHORT_NAME                                                            \
-  "0123456789012345678901234567890123456789012345~9674d9e078535b7c"
+  "012345678901234567890123456789~9674d9e078535b7cec43284387a6ee39"
 
 static const struct
 {
--- a/tests/sync_message_test.c
+++ b/tests/sync_message_test.c
@@ -151,14 +151,15 @@
 END_TEST
 
 /* Guards against rejecting messages of earlier releases, which have fewer
-   elements: no ages of former services, no service limits,
+   elements: no digests, no ages of former services, no service limits,
    evacuations and era, then no priorities, then no objectives.  The last
    elements of the message, from the end.  */
 static const struct
 {
-  uint8_t bytes[3];
+  uint8_t bytes[5];
   size_t length;
 } appended[] = {
+  { { 0x94 }, 5 },       /* no digests of the two services */
   { { 0x90 }, 1 },       /* no ages of former services */
   { { 0x90 }, 1 },       /* no service limits */
   { { 0x90 }, 1 },       /* no evacuations */
@@ -196,11 +197,13 @@
 }
 END_TEST
 
-/* The same of heartbeats: no details of silences, silences, answers, rooms,
-   demands, count and digest of owners, era.  */
+/* The same of heartbeats: no digest of the data centre, probes, details of
+   silences, silences, answers, rooms, demands, count and digest of owners,
+   era.  */
 enum
 {
-  APPENDED_TO_HEARTBEATS = 8,
+  APPENDED_TO_HEARTBEATS = 10,
+  EMPTY_DIGEST = 3, /* bytes; the other elements have one each */
 };
 
 START_TEST (heartbeats_of_older_versions_decode)
@@ -211,7 +214,7 @@
   m.heartbeat.owners = m.heartbeat.owner_count = 0;
   m.heartbeat.revision = 17;
   GByteArray *bytes = bb_sync_encode (&m);
-  size_t length = bytes->len - (size_t)_i - 1;
+  size_t length = bytes->len - (size_t)_i - EMPTY_DIGEST;
   ck_assert_uint_eq (bytes->data[0], 0xdc);
   bytes->data[2] -= (guint8)(_i + 1);
   ck_assert (bb_sync_decode (bytes->data, length, &decoded, NULL));
@@ -306,7 +309,7 @@
 } reports[] = {
   { "one of each server", 2, 1, 0, true },
   { "none", 0, 1, 0, true },
-  { "none, of an earlier release", 0, 1, 3, true },
+  { "none, of an earlier release", 0, 1, 5, true },
   { "of fewer servers", 1, 1, 0, false },
   { "of more servers", 3, 1, 0, false },
   { "a silent server that is not listed", 2, 2, 0, false },
@@ -320,7 +323,8 @@
   m.heartbeat.silence_count = reports[_i].cut ? 0 : 1;
   GByteArray *bytes = bb_sync_encode (&m);
   /* An empty array is one byte.  */
-  g_byte_array_set_size (bytes, bytes->len - reports[_i].cut);
+  guint cut = reports[_i].cut ? reports[_i].cut - 1 + EMPTY_DIGEST : 0;
+  g_byte_array_set_size (bytes, bytes->len - cut);
   ck_assert_uint_eq (bytes->data[0], 0xdc);
   bytes->data[2] -= (guint8)reports[_i].cut;
   GError *error = NULL;
@@ -342,6 +346,7 @@
   static const uint32_t listed_peers[]
       = { 0, BB_SYNC_LISTED_PEERS, 20, BB_SYNC_LISTED_PEERS_MAX };
   struct bb_sync_message m = make_message (BB_SYNC_HEARTBEAT);
+  m.heartbeat.data_centre = bb_key ("north");
   m.heartbeat.listed_peer_count = listed_peers[_i];
   m.heartbeat.load_count = bb_sync_fitting_loads (listed_peers[_i]);
   ck_assert_uint_ge (m.heartbeat.load_count, 1);
@@ -466,16 +471,19 @@
                                  .verified_ms = UINT32_MAX,
                                  .has_evacuations = true };
   r->evacuation_count = _i ? 0 : BB_SYNC_EVACUATIONS_MAX;
-  r->service_count = _i ? BB_SYNC_SERVICES_MAX : 0;
+  r->service_count = _i ? BB_SYNC_SERVICES_SENT : 0;
   for (size_t i = 0; i < BB_SYNC_EVACUATIONS_MAX; i++)
     {
       memset (r->evacuations[i].data_centre, 'x', BB_NAME_MAX - 1);
       r->evacuations[i].is_active = true;
       r->evacuations[i].revision = UINT64_MAX;
     }
-  for (size_t i = 0; i < BB_SYNC_SERVICES_MAX; i++)
-    r->services[i]
-        = (struct bb_service_record){ UINT32_MAX, UINT32_MAX, UINT64_MAX };
+  for (size_t i = 0; i < BB_SYNC_SERVICES_SENT; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("service-%zu", i);
+      r->services[i] = (struct bb_service_record){ bb_key (name), UINT32_MAX,
+                                                   UINT64_MAX };
+    }
   GByteArray *bytes = bb_sync_encode (&m);
   ck_assert_uint_le (bytes->len, BB_SYNC_DATAGRAM_BYTES);
   g_byte_array_unref (bytes);
--- a/wire/sync_decode.c
+++ b/wire/sync_decode.c
@@ -107,6 +107,18 @@
   r->is_invalid |= inner.is_invalid || count != h->silence_count;
 }
 
+/* Reads the digest of the name whose hash has *KEY, and sets *KEY to the key
+   of that name.  */
+static void
+read_digest (struct bb_reader *r, uint64_t *key)
+{
+  struct bb_digest d;
+  for (size_t i = 0; i < DIGEST_FIELDS; i++)
+    d.words[i] = bb_reader_get_uint (r, UINT64_MAX);
+  if (!r->is_invalid)
+    *key = bb_key_receive (bb_key_hash (*key), &d);
+}
+
 static void
 read_demands (struct bb_reader *r, struct bb_sync_heartbeat *h)
 {
@@ -140,7 +152,7 @@
 static void
 read_heartbeat (struct bb_reader *r, struct bb_sync_heartbeat *h)
 {
-  h->data_centre = bb_reader_get_u32 (r);
+  h->data_centre = bb_key_of_hash (bb_reader_get_u32 (r));
   h->flags = bb_reader_get_u32 (r);
   h->capacity = bb_reader_get_u32 (r);
   h->revision = read_revision (r);
@@ -151,7 +163,8 @@
   for (uint32_t i = 0; i < h->listed_peer_count; i++)
     {
       h->listed_peers[i].id = bb_reader_get_u32 (&inner);
-      h->listed_peers[i].data_centre = bb_reader_get_u32 (&inner);
+      h->listed_peers[i].data_centre
+          = bb_key_of_hash (bb_reader_get_u32 (&inner));
       bb_reader_get_endpoint (&inner, &h->listed_peers[i].endpoint);
     }
   r->is_invalid |= inner.is_invalid;
@@ -176,6 +189,11 @@
   read_silences (r, h);
   read_silence_details (r, h);
   read_probes (r, h);
+  if (r->remaining == 0)
+    return;
+  inner = bb_reader_get_array (r);
+  read_digest (&inner, &h->data_centre);
+  r->is_invalid |= inner.is_invalid;
 }
 
 static void
@@ -210,13 +228,13 @@
       = read_groups (r, 2, BB_ROUTE_SERVICES, &route->share_count);
   for (uint32_t i = 0; i < route->share_count; i++)
     {
-      route->shares[i].service = bb_reader_get_u32 (&inner);
+      route->shares[i].service = bb_key_of_hash (bb_reader_get_u32 (&inner));
       route->shares[i].weight = bb_reader_get_u32 (&inner);
     }
   r->is_invalid |= inner.is_invalid;
   inner = read_groups (r, 1, BB_ROUTE_FORMER, &route->former_count);
   for (uint32_t i = 0; i < route->former_count; i++)
-    route->former[i].service = bb_reader_get_u32 (&inner);
+    route->former[i].service = bb_key_of_hash (bb_reader_get_u32 (&inner));
   r->is_invalid |= inner.is_invalid;
 }
 
@@ -241,7 +259,7 @@
       r, SERVICE_LIMIT_FIELDS, BB_SYNC_SERVICES_MAX, &m->service_count);
   for (uint32_t i = 0; i < m->service_count; i++)
     {
-      m->services[i].service = bb_reader_get_u32 (&inner);
+      m->services[i].service = bb_key_of_hash (bb_reader_get_u32 (&inner));
       m->services[i].cold_rate = bb_reader_get_u32 (&inner);
       m->services[i].revision = read_revision (&inner);
     }
@@ -260,6 +278,23 @@
   r->is_invalid |= inner.is_invalid;
 }
 
+/* Older builds send no digests: their services are unnamed hashes.  */
+static void
+read_digests (struct bb_reader *r, struct bb_sync_records *m)
+{
+  struct bb_reader inner = bb_reader_get_array (r);
+  for (uint32_t i = 0; i < m->route_count; i++)
+    {
+      for (uint32_t k = 0; k < m->routes[i].share_count; k++)
+        read_digest (&inner, &m->routes[i].shares[k].service);
+      for (uint32_t k = 0; k < m->routes[i].former_count; k++)
+        read_digest (&inner, &m->routes[i].former[k].service);
+    }
+  for (uint32_t i = 0; i < m->service_count; i++)
+    read_digest (&inner, &m->services[i].service);
+  r->is_invalid |= inner.is_invalid;
+}
+
 static void
 read_objectives (struct bb_reader *r, struct bb_sync_records *m)
 {
@@ -357,6 +392,8 @@
     read_service_limits (r, m);
   if (r->remaining > 0)
     read_former_ages (r, m);
+  if (r->remaining > 0 && !r->is_invalid)
+    read_digests (r, m);
   set_era (m, era);
 }
 
--- a/wire/sync_encode.c
+++ b/wire/sync_encode.c
@@ -13,16 +13,16 @@
      whose retransmissions were not acknowledged, or were.  */
   SILENCE_NOT_OPENING = 0,
   /* Evacuations, limits of services, and what later releases appended.  */
-  EVACUATION_ELEMENTS = 3,
+  EVACUATION_ELEMENTS = 4,
 };
 
 /* Stands for a name that is not known; a name cannot be empty.  */
 #define NO_NAME "-"
 
 static const size_t body_fields[BB_SYNC_KINDS] = {
-  [BB_SYNC_HEARTBEAT] = 17,
+  [BB_SYNC_HEARTBEAT] = 18,
   [BB_SYNC_REQUEST] = 2,
-  [BB_SYNC_RECORDS] = 19,
+  [BB_SYNC_RECORDS] = 20,
 };
 
 static void
@@ -31,6 +31,14 @@
   bb_writer_put_uint (pk, bb_revision_number (revision));
 }
 
+static void
+put_digest (msgpack_packer *pk, uint64_t key)
+{
+  struct bb_digest d = bb_key_digest (key);
+  for (size_t i = 0; i < DIGEST_FIELDS; i++)
+    bb_writer_put_uint (pk, d.words[i]);
+}
+
 static void
 put_demands_and_rooms (msgpack_packer *pk, const struct bb_sync_heartbeat *h)
 {
@@ -98,7 +106,7 @@
 static void
 put_heartbeat (msgpack_packer *pk, const struct bb_sync_heartbeat *h)
 {
-  bb_writer_put_uint (pk, h->data_centre);
+  bb_writer_put_uint (pk, bb_key_hash (h->data_centre));
   bb_writer_put_uint (pk, h->flags);
   bb_writer_put_uint (pk, h->capacity);
   put_revision (pk, h->revision);
@@ -108,7 +116,7 @@
   for (uint32_t i = 0; i < h->listed_peer_count; i++)
     {
       bb_writer_put_uint (pk, h->listed_peers[i].id);
-      bb_writer_put_uint (pk, h->listed_peers[i].data_centre);
+      bb_writer_put_uint (pk, bb_key_hash (h->listed_peers[i].data_centre));
       bb_writer_put_endpoint (pk, &h->listed_peers[i].endpoint);
     }
   msgpack_pack_array (pk, h->load_count * LOAD_FIELDS);
@@ -127,6 +135,8 @@
   put_answers (pk, h);
   put_silences (pk, h);
   put_probes (pk, h);
+  msgpack_pack_array (pk, DIGEST_FIELDS);
+  put_digest (pk, h->data_centre);
 }
 
 static void
@@ -181,12 +191,12 @@
   msgpack_pack_array (pk, 2 * r->share_count);
   for (uint32_t i = 0; i < r->share_count; i++)
     {
-      bb_writer_put_uint (pk, r->shares[i].service);
+      bb_writer_put_uint (pk, bb_key_hash (r->shares[i].service));
       bb_writer_put_uint (pk, r->shares[i].weight);
     }
   msgpack_pack_array (pk, r->former_count);
   for (uint32_t i = 0; i < r->former_count; i++)
-    bb_writer_put_uint (pk, r->former[i].service);
+    bb_writer_put_uint (pk, bb_key_hash (r->former[i].service));
 }
 
 static void
@@ -207,7 +217,7 @@
   msgpack_pack_array (pk, m->service_count * SERVICE_LIMIT_FIELDS);
   for (uint32_t i = 0; i < m->service_count; i++)
     {
-      bb_writer_put_uint (pk, m->services[i].service);
+      bb_writer_put_uint (pk, bb_key_hash (m->services[i].service));
       bb_writer_put_uint (pk, m->services[i].cold_rate);
       put_revision (pk, m->services[i].revision);
     }
@@ -225,6 +235,25 @@
       bb_writer_put_uint (pk, m->routes[i].former[k].age_ms);
 }
 
+/* Writes the digests of all services in the routes and the limits.  */
+static void
+put_digests (msgpack_packer *pk, const struct bb_sync_records *m)
+{
+  size_t count = m->service_count;
+  for (uint32_t i = 0; i < m->route_count; i++)
+    count += m->routes[i].share_count + m->routes[i].former_count;
+  msgpack_pack_array (pk, count * DIGEST_FIELDS);
+  for (uint32_t i = 0; i < m->route_count; i++)
+    {
+      for (uint32_t k = 0; k < m->routes[i].share_count; k++)
+        put_digest (pk, m->routes[i].shares[k].service);
+      for (uint32_t k = 0; k < m->routes[i].former_count; k++)
+        put_digest (pk, m->routes[i].former[k].service);
+    }
+  for (uint32_t i = 0; i < m->service_count; i++)
+    put_digest (pk, m->services[i].service);
+}
+
 /* Writes the states of the servers again, since those in the records are
    limited to what older builds accept.  */
 static void
@@ -270,6 +299,7 @@
   put_evacuations (pk, m);
   put_service_limits (pk, m);
   put_former_ages (pk, m);
+  put_digests (pk, m);
 }
 
 /* A balancer that lacks evacuations does not send the elements.  */
