--- a/marked/state/directory.c
+++ b/marked/state/directory.c
@@ -205,6 +205,19 @@
   return same ? BB_DIRECTORY_UNCHANGED : BB_DIRECTORY_CHANGED;
 }
 
+/* Whether RECORD gives S another service, which no configuration names as far
+   as the routes show.  A new server of such a service is held as it is: a
+   later configuration may lead to it.  */
+static bool
+names_unknown_service (const struct bb_directory *d,
+                       const struct bb_backend_server *s,
+                       const struct bb_server_record *record)
+{
+  return !changes_state_only (record) && !is_placeholder (&s->record)
+         && strcmp (record->service, s->record.service) != 0
+         && !bb_directory_has_route_to (d, bb_key (record->service));
+}
+
 static struct bb_backend_server *
 add_name (struct bb_directory *d, const char *name)
 {
@@ -237,6 +250,13 @@
       reconciled = bb_directory_reconcile (s, record, now);
       record = &reconciled;
     }
+  struct bb_server_record unusable;
+  if (s && names_unknown_service (d, s, record))
+    {
+      unusable = *record;
+      unusable.state = BB_SERVER_UNUSABLE;
+      record = &unusable;
+    }
   if (!is_new)
     return update_server (d, s, record, now);
   if (!s)
--- a/marked/state/directory.h
+++ b/marked/state/directory.h
@@ -213,7 +213,9 @@
 struct bb_directory *bb_directory_new (const char *data_centre);
 void bb_directory_free (struct bb_directory *d);
 
-/* Applies RECORD and sets *SERVER to the server.  A record of state
+/* Applies RECORD and sets *SERVER to the server.  A record that names another
+   service than the one held, to which no route leads or has led, is an
+   unusable entry: another writer's.  A record of state
    BB_SERVER_GONE is also kept if the server was not held before, since packets
    with its cookie may arrive.  A removal or an unusable entry needs no data
    but the name; of a server that was not held before, the name and the
--- a/marked/state/directory_private.h
+++ b/marked/state/directory_private.h
@@ -40,6 +40,11 @@
 void bb_directory_release_cookie (struct bb_directory *d,
                                   struct bb_backend_server *s);
 
+/* directory_routes.c  */
+/* Whether a route leads to SERVICE, or did so within the retention.  */
+bool bb_directory_has_route_to (const struct bb_directory *d,
+                                uint64_t service);
+
 /* server_group.c  */
 /* Returns the group of SERVICE, which is called NAME.  Adds it if needed.  */
 struct bb_server_group *bb_server_group_get (struct bb_directory *d,
--- a/marked/state/directory_routes.c
+++ b/marked/state/directory_routes.c
@@ -36,6 +36,17 @@
   return g_hash_table_lookup (d->routes, bb_directory_route_key (address));
 }
 
+bool
+bb_directory_has_route_to (const struct bb_directory *d, uint64_t service)
+{
+  const struct bb_link *head = &d->routes_by_revision;
+  for (const struct bb_link *at = head->next; at != head; at = at->next)
+    if (bb_route_allows_service (BB_LINKED (at, struct bb_route, by_revision),
+                                 service))
+      return true;
+  return false;
+}
+
 static struct bb_route *
 get_route (struct bb_directory *d, const struct bb_endpoint *address)
 {
--- a/tests/unusable_test.c
+++ b/tests/unusable_test.c
@@ -68,6 +68,73 @@
 }
 END_TEST
 
+/* Puts an entry of "a" with another address.  */
+static void
+put_elsewhere (const char *service, bb_usec now)
+{
+  struct bb_server_record r
+      = bb_directory_find_server (bb_marked_directory (t.m), "a")->record;
+  r.address.address++;
+  r.tag++;
+  r.state = BB_SERVER_READY;
+  r.revision = ++t.revision;
+  g_strlcpy (r.service, service, sizeof r.service);
+  bb_marked_put_server (t.m, &r, now);
+}
+
+/* Guards against open flows that follow an entry with a service that no
+   configuration names (review case 13).  */
+static const struct
+{
+  const char *description;
+  const char *service;
+  enum bb_server_state before;
+  bool is_used;
+} services[] = {
+  { "its own", "desk", BB_SERVER_READY, true },
+  { "another one of the configuration", "other", BB_SERVER_READY, true },
+  { "one that nobody names", "nobody", BB_SERVER_READY, false },
+  { "one that nobody names, while it drains", "nobody", BB_SERVER_DRAINING,
+    false },
+};
+
+START_TEST (entry_of_an_unknown_service_changes_nothing)
+{
+  put_server ("a", "desk", "north", BB_SERVER_READY, 0);
+  configure (1, ROUTE_PORT, "other", 0);
+  configure (2, ROUTE_PORT, "desk", 0);
+  uint32_t cookie = open_flow (1000, 0);
+  put_server ("a", "desk", "north", services[_i].before, 0);
+  const struct bb_backend_server *a
+      = bb_directory_find_server (bb_marked_directory (t.m), "a");
+  struct bb_endpoint address = a->record.address;
+  put_elsewhere (services[_i].service, UNUSABLE_AT);
+  bb_marked_tick (t.m, 2 * BB_SEC);
+  struct bb_marked_verdict v = send_request (1000, cookie, 101, 1, 2 * BB_SEC);
+  ck_assert_int_eq (v.kind, BB_MARKED_FORWARD);
+  ck_assert_msg ((v.target.address == address.address) != services[_i].is_used,
+                 "%s", services[_i].description);
+  if (services[_i].is_used)
+    return;
+  ck_assert_str_eq (a->record.service, "desk");
+  ck_assert_int_eq (open_new_flow (1001, 2 * BB_SEC).kind, BB_MARKED_RESET);
+  put_server ("a", "desk", "north", services[_i].before, 3 * BB_SEC);
+  ck_assert_int_eq (open_new_flow (1002, 3 * BB_SEC).kind,
+                    services[_i].before == BB_SERVER_READY ? BB_MARKED_FORWARD
+                                                           : BB_MARKED_RESET);
+}
+END_TEST
+
+/* Guards against a new server that is lost since its entry precedes the
+   configuration that names its service.  */
+START_TEST (entry_before_its_configuration_is_kept)
+{
+  put_server ("a", "later", "north", BB_SERVER_READY, 0);
+  configure (1, ROUTE_PORT, "later", BB_SEC);
+  ck_assert_int_eq (open_new_flow (1000, BB_SEC).kind, BB_MARKED_FORWARD);
+}
+END_TEST
+
 /* A read of the store that lists SERVER, whose entry is unusable.  */
 static void
 read_store_with_unusable (const char *server, bb_usec now)
@@ -246,6 +313,9 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_loop_test (tc, unusable_entry_stops_new_flows_only, 0,
                        G_N_ELEMENTS (followers));
+  tcase_add_loop_test (tc, entry_of_an_unknown_service_changes_nothing, 0,
+                       G_N_ELEMENTS (services));
+  tcase_add_test (tc, entry_before_its_configuration_is_kept);
   tcase_add_test (tc, unusable_entry_in_a_whole_read);
   tcase_add_loop_test (tc, peer_of_a_reader_that_never_knew_the_server, 0,
                        G_N_ELEMENTS (later));
