Bound the names that peers can add to the table of keys

Names that only peers have sent are at most 131,072; further ones are unnamed hashes, as from older builds. Digests are hashed with a seed. names_of_peers_are_bounded fails without either.

--- a/core/keys.c
+++ b/core/keys.c
@@ -51,12 +51,16 @@
   GHashTable *by_name;   /* to struct named, owned by by_key */
   GHashTable *by_digest; /* the same */
   GHashTable *by_key;
+  uint32_t received; /* names that a peer sent first */
+  uint32_t seed;
 } table;
 
+/* Seeded, as the digests that peers send may be made to collide.  */
 static guint
 hash_digest (gconstpointer digest)
 {
-  return (guint)((const struct bb_digest *)digest)->words[0];
+  return (guint)XXH3_64bits_withSeed (digest, sizeof (struct bb_digest),
+                                      table.seed);
 }
 
 static gboolean
@@ -72,6 +76,7 @@
     return;
   table.by_name
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  table.seed = g_random_int ();
   table.by_digest = g_hash_table_new (hash_digest, equal_digests);
   table.by_key
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -148,6 +153,13 @@
   static const struct bb_digest none;
   if (hash == 0 || equal_digests (digest, &none))
     return bb_key_of_hash (hash);
+  init_table ();
+  if (!g_hash_table_contains (table.by_digest, digest)
+      && table.received++ >= BB_KEYS_RECEIVED_MAX)
+    {
+      table.received = BB_KEYS_RECEIVED_MAX;
+      return bb_key_of_hash (hash);
+    }
   return get_named (hash, digest)->key;
 }
 
--- a/core/keys.h
+++ b/core/keys.h
@@ -26,8 +26,14 @@
 /* Returns the digest of the name of KEY; zeros if it is not known.  */
 struct bb_digest bb_key_digest (uint64_t key);
 
+enum
+{
+  BB_KEYS_RECEIVED_MAX = 1 << 17, /* names that only peers have sent */
+};
+
 /* Returns the key of a name that a peer sent as HASH and DIGEST, which is zero
-   from older builds; 0 if HASH is.  */
+   from older builds; 0 if HASH is.  If peers have sent too many names, it is
+   that of the unnamed hash.  */
 uint64_t bb_key_receive (uint32_t hash, const struct bb_digest *digest);
 uint64_t bb_key_of_hash (uint32_t hash);
 
--- a/tests/colliding_names_test.c
+++ b/tests/colliding_names_test.c
@@ -80,6 +80,23 @@
 }
 END_TEST
 
+/* Guards against datagrams from anyone that fill the memory with names.  */
+START_TEST (names_of_peers_are_bounded)
+{
+  struct bb_digest digest = { { 1, 0 } };
+  for (uint32_t i = 1; i <= BB_KEYS_RECEIVED_MAX; i++)
+    {
+      digest.words[1] = i;
+      ck_assert_uint_eq (bb_key_receive (i, &digest), i);
+    }
+  digest.words[0]++;
+  ck_assert_uint_eq (bb_key_receive (1, &digest), bb_key_of_hash (1));
+  /* Names of the own store are not among them.  */
+  ck_assert (bb_key_is_same (bb_key ("alone"), bb_key ("alone")));
+  ck_assert (!bb_key_is_same (bb_key ("alone"), bb_key ("other")));
+}
+END_TEST
+
 /* Two services, with a route and a server each.  */
 static void
 put_both (void)
@@ -113,7 +130,7 @@
 START_TEST (services_get_their_own_flows)
 {
   put_both ();
-  for (uint16_t i = 0; i < FLOWS; i++)
+  for (unsigned i = 0; i < FLOWS; i++)
     {
       struct bb_marked_packet p
           = packet ((uint16_t)(1000 + i), BB_TCP_SYN, 100, 0);
@@ -408,6 +425,7 @@
   TCase *tc = tcase_create ("services");
   tcase_add_checked_fixture (tc, setup_names, teardown);
   tcase_add_test (tc, keys_of_colliding_names_differ);
+  tcase_add_test (tc, names_of_peers_are_bounded);
   tcase_add_test (tc, services_get_their_own_flows);
   tcase_add_loop_test (tc, routes_of_peers_lead_to_their_services, 0,
                        G_N_ELEMENTS (senders));
