soak: do not wait for the disk while the cluster runs

Cause: g_file_set_contents waits until the disk has a file that it replaces; the settings of a balancer were written 10 ms after the last packet that it passed on. Meanwhile the soak plays no link, server or caller.

Ruled out: the balancers, whose logs go on all the while.

--- a/soak/balancers.c
+++ b/soak/balancers.c
@@ -67,6 +67,18 @@
   return best;
 }
 
+/* Replaces the file PATH, without waiting for the disk as g_file_set_contents
+   does: while this process waits, no link, server or caller works.  */
+static void
+replace_file (const char *path, const char *text)
+{
+  g_autofree char *next = g_strconcat (path, ".next", (char *)NULL);
+  FILE *file = fopen (next, "w");
+  if (!file || fputs (text, file) < 0 || fclose (file) != 0
+      || rename (next, path) != 0)
+    g_error ("cannot write %s: %s", path, g_strerror (errno));
+}
+
 static char *
 write_settings (const struct soak_balancer *b)
 {
@@ -89,7 +101,7 @@
       g_string_append_printf (text, "%s\"%s:1\"", i ? "," : "", address);
     }
   g_string_append (text, "]}}");
-  g_file_set_contents (path, text->str, -1, NULL);
+  replace_file (path, text->str);
   g_string_free (text, TRUE);
   return path;
 }
