--- a/wire/sync_encode.c
+++ b/wire/sync_encode.c
@@ -9,8 +9,11 @@
   HEADER_FIELDS = 4,
   /* Older builds put the suspicion of a server into a load.  */
   LOAD_NOT_SUSPECT = 0,
-  /* They take first packets without an answer for a sign of death, and flows
-     whose retransmissions were not acknowledged, or were.  */
+  /* Flows with first packets only, which older builds take for a sign of
+     death.  In place of the flows whose retransmissions were not acknowledged,
+     and of those whose were, they get the probes that failed and were
+     answered.
+   */
   SILENCE_NOT_OPENING = 0,
   /* Evacuations, limits of services, and what later releases appended.  */
   EVACUATION_ELEMENTS = 4,
