soak: its own stalls are faults

Cause: the soak stood still for some 4.6 s. It plays the store and the links, so that no balancer reached the store; by the logs all of them lost it and their peers, though no fault was due.

A stall of 250 ms or more is printed, counts as a fault of the store, the links and the servers, like those of the schedule, and the run lasts as much longer. Ruled out: the balancer, which reads the new version 7 ms after the stall.

--- a/soak/main.c
+++ b/soak/main.c
@@ -18,6 +18,9 @@
 
 #define TICK (5 * BB_MSEC)
 
+/* A tick that is later by this time is a fault.  */
+#define STALL_MIN (250 * BB_MSEC)
+
 /* Time without faults at the end of a run, to check that service recovers.  */
 #define FAULT_FREE_TIME (SOAK_SETTLE_TIME + 4 * BB_SEC)
 
@@ -59,13 +62,37 @@
           (double)(cluster.now - cluster.started) / BB_SEC, guarantee, text);
 }
 
+/* Records that this process stood still for STALLED.  It plays the store, the
+   links, the servers and the callers, so that no balancer reached any of them.
+   The run takes as much longer.  */
+static void
+record_stall (bb_usec stalled)
+{
+  printf ("%8.3f stall of %.3f s\n",
+          (double)(cluster.now - cluster.started) / BB_SEC,
+          (double)stalled / BB_SEC);
+  cluster.end += stalled;
+  cluster.faults_end += stalled;
+  cluster.last_store_fault_end
+      = MAX (cluster.last_store_fault_end, cluster.now);
+  for (unsigned i = 0; i < cluster.balancer_count; i++)
+    cluster.balancers[i].last_fault_end
+        = MAX (cluster.balancers[i].last_fault_end, cluster.now);
+  for (unsigned i = 0; i < cluster.server_count; i++)
+    cluster.servers[i].last_fault_end
+        = MAX (cluster.servers[i].last_fault_end, cluster.now);
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *context)
 {
   (void)fd;
   (void)what;
   (void)context;
-  cluster.now = bb_clock_boot ();
+  bb_usec stalled = bb_clock_boot () - cluster.now;
+  cluster.now += stalled;
+  if (stalled >= STALL_MIN)
+    record_stall (stalled);
   soak_faults_tick ();
   soak_link_faults_tick ();
   soak_servers_tick ();
