--- a/tests/slow_servers_test.c
+++ b/tests/slow_servers_test.c
@@ -459,6 +459,9 @@
   tcase_add_checked_fixture (c, setup, teardown);
   tcase_add_loop_test (c, flows_of_slow_and_full_servers_are_kept, 0,
                        ROUNDS * G_N_ELEMENTS (loads));
+  suite_add_tcase (s, c);
+  c = tcase_create ("deaths beside slow and full");
+  tcase_add_checked_fixture (c, setup, teardown);
   tcase_add_loop_test (c, dead_server_beside_slow_ones_is_found, 0,
                        ROUNDS * G_N_ELEMENTS (loads));
   tcase_add_loop_test (c, slow_server_that_dies_is_found, 0,
@@ -469,6 +472,5 @@
   tcase_add_loop_test (c, flows_are_kept_at_any_work_and_loss, 0,
                        rounds * GRID);
   suite_add_tcase (s, c);
-
   return run_suite (s);
 }
