tests: flows of a former life of a server prove nothing

The sign that a server which has just started and is full may show: silence to the flows that it held before. Fails without the comparison of lives in bb_marked_start_probe; without a new start the same packets still show a death.

--- a/tests/ended_test.c
+++ b/tests/ended_test.c
@@ -350,6 +350,41 @@
 }
 END_TEST
 
+/* Guards against flows that are reset because a server that has started again,
+   and is full at once, sends nothing to flows that it held before.  */
+START_TEST (flows_of_a_former_life_prove_nothing)
+{
+  struct bb_backend_server *s
+      = put_server ("a", "desk", "north", BB_SERVER_READY, 0);
+  uint32_t live
+      = put_server ("live", "desk", "north", BB_SERVER_READY, 0)->cookie;
+  configure (1, ROUTE_PORT, "desk", 0);
+  for (uint16_t port = 1000; port < 1004; port++)
+    {
+      send_request (port, s->cookie, 51, 1, BB_SEC);
+      send_request (port, s->cookie, 101, 500, 1500 * BB_MSEC);
+    }
+  struct bb_server_record again = s->record;
+  again.born_ms += _i;
+  again.revision = ++t.revision;
+  bb_marked_put_server (t.m, &again, 1600 * BB_MSEC);
+  unsigned resets = 0;
+  for (int step = 0; step < 12; step++)
+    {
+      bb_usec now = 2 * BB_SEC + step * 100 * BB_MSEC;
+      send_request (3000, live, 101 + (uint32_t)step, 1 + (uint32_t)step, now);
+      bb_marked_tick (t.m, now);
+      for (uint16_t port = 1000; port < 1004; port++)
+        resets += send_request (port, s->cookie, 151, 500, now + 10 * BB_MSEC)
+                      .kind
+                  == BB_MARKED_RESET;
+      bb_marked_tick (t.m, now + 20 * BB_MSEC);
+    }
+  /* Without a new start the same packets show that the server is dead.  */
+  ck_assert_int_eq (resets + t.reset_count > 0, _i == 0);
+}
+END_TEST
+
 /* Guards against new flows at a server that is silent but still listed.  */
 START_TEST (suspect_server_gets_no_new_flow)
 {
@@ -475,6 +510,7 @@
   tcase_add_test (tc, answers_elsewhere_prevent_death);
   tcase_add_test (tc, suspicion_ends_without_repetitions);
   tcase_add_test (tc, dead_server_gets_new_attempts);
+  tcase_add_loop_test (tc, flows_of_a_former_life_prove_nothing, 0, 2);
   tcase_add_test (tc, suspect_server_gets_no_new_flow);
   tcase_add_test (tc, restarted_server_starts_empty);
   tcase_add_test (tc, whole_read_removes_unlisted_servers);
