Older builds keep the limits of services; no probe of a closed flow

Found on reading the change again. A limit from an older build, which has the hash of the service only, was held beside the named one; the next whole state dropped one of them, and with it the rate of cold servers. A hash that one name has is resolved when the limit is put.

A packet with data and FIN closed its flow and was made a probe after that; a server answers data of a flow that has ended with a reset.

limits_from_older_builds_keep_their_service and the second row of packet_that_closes_a_flow_is_no_probe guard against these.

--- a/marked/probing.c
+++ b/marked/probing.c
@@ -55,8 +55,8 @@
                        struct bb_marked_flow *f, bb_usec now)
 {
   struct bb_suspicion_evidence *e = &s->load.evidence;
-  if (f->held_life != s->life || !is_doubtful (s, f, now)
-      || !bb_probes_may_add (&e->probes, now))
+  if (f->state != BB_FLOW_OPEN || f->held_life != s->life
+      || !is_doubtful (s, f, now) || !bb_probes_may_add (&e->probes, now))
     return 0;
   unsigned slot = find_free_slot (m);
   if (slot == 0)
--- a/marked/state/directory_era.c
+++ b/marked/state/directory_era.c
@@ -211,7 +211,8 @@
       r.revision = c->revision;
       bb_directory_put_service (d, &r, now);
       if (r.cold_rate > 0)
-        g_hash_table_add (listed, bb_directory_service_key (r.service));
+        g_hash_table_add (
+            listed, bb_directory_service_key (bb_key_resolve (r.service)));
     }
   bb_directory_drop_unlisted_services (d, listed, c->revision, now);
   g_hash_table_unref (listed);
--- a/marked/state/directory_services.c
+++ b/marked/state/directory_services.c
@@ -60,20 +60,21 @@
 {
   if (record->revision == 0)
     return BB_DIRECTORY_STALE;
-  struct bb_service_limit *limit = get_limit (d, record->service);
+  uint64_t service = bb_key_resolve (record->service);
+  struct bb_service_limit *limit = get_limit (d, service);
   if (record->revision <= limit->record.revision)
     return BB_DIRECTORY_STALE;
   uint32_t before = limit->record.cold_rate;
   bool same = limit->record.revision != 0 && before == record->cold_rate;
   limit->record = *record;
+  limit->record.service = service;
   if (!same)
     limit->dropped = record->cold_rate ? 0 : MAX (now, 1);
   struct bb_link *head = &d->limits_by_revision;
   uint64_t newest = bb_list_empty (head) ? 0 : limit_revision (head->previous);
   bb_directory_append (head, &limit->by_revision, record->revision, newest,
                        &d->limits_unsorted);
-  struct bb_server_group *group
-      = bb_directory_find_service (d, record->service);
+  struct bb_server_group *group = bb_directory_find_service (d, service);
   if (group)
     group->cold_rate = record->cold_rate;
   if (before == record->cold_rate)
@@ -110,8 +111,8 @@
 {
   GHashTable *listed = g_hash_table_new (NULL, NULL);
   for (size_t i = 0; i < c->service_count; i++)
-    g_hash_table_add (listed,
-                      bb_directory_service_key (c->services[i].service));
+    g_hash_table_add (listed, bb_directory_service_key (
+                                  bb_key_resolve (c->services[i].service)));
   bb_directory_drop_unlisted_services (d, listed, c->revision, now);
   g_hash_table_unref (listed);
   /* Also those that look the same: a peer may hold another one from a
--- a/marked/sync/sync_evacuations.c
+++ b/marked/sync/sync_evacuations.c
@@ -122,8 +122,8 @@
                         g_strdup (m->evacuations[i].data_centre));
   for (uint32_t i = 0; b->services && i < m->service_count; i++)
     if (m->services[i].cold_rate > 0)
-      g_hash_table_add (b->services,
-                        bb_directory_service_key (m->services[i].service));
+      g_hash_table_add (b->services, bb_directory_service_key (bb_key_resolve (
+                                         m->services[i].service)));
 }
 
 void
--- a/tests/colliding_names_test.c
+++ b/tests/colliding_names_test.c
@@ -227,6 +227,26 @@
 }
 END_TEST
 
+/* Guards against a cold server that loses its limit in a fleet with older
+   builds, which send the hash of its service only.  */
+START_TEST (limits_from_older_builds_keep_their_service)
+{
+  struct bb_directory *d = bb_marked_directory (t.m);
+  uint64_t named = bb_key ("alone");
+  put_server ("a", "alone", "north", BB_SERVER_READY, 0);
+  bb_directory_put_service (d, &(struct bb_service_record){ named, 1000, 70 },
+                            0);
+  const struct bb_service_record older
+      = { bb_key_of_hash (bb_key_hash (named)), 1000, 75 };
+  bb_directory_put_service (d, &older, 0);
+  GHashTable *listed = g_hash_table_new (NULL, NULL);
+  g_hash_table_add (listed, bb_directory_service_key (named));
+  bb_directory_drop_unlisted_services (d, listed, 80, 0);
+  g_hash_table_unref (listed);
+  ck_assert_uint_eq (bb_directory_find_service (d, named)->cold_rate, 1000);
+}
+END_TEST
+
 /* Synchronization.  */
 
 static void
@@ -430,6 +450,7 @@
   tcase_add_loop_test (tc, routes_of_peers_lead_to_their_services, 0,
                        G_N_ELEMENTS (senders));
   tcase_add_test (tc, limits_are_those_of_the_service);
+  tcase_add_test (tc, limits_from_older_builds_keep_their_service);
   suite_add_tcase (suite, tc);
   tc = tcase_create ("balancers");
   tcase_add_checked_fixture (tc, setup_sync, teardown_sync);
--- a/tests/ended_test.c
+++ b/tests/ended_test.c
@@ -350,6 +350,26 @@
 }
 END_TEST
 
+/* Guards against copies of a packet after its flow was closed, which its
+   server answers with a reset.  */
+START_TEST (packet_that_closes_a_flow_is_no_probe)
+{
+  uint32_t cookie
+      = put_server ("a", "desk", "north", BB_SERVER_READY, 0)->cookie;
+  configure (1, ROUTE_PORT, "desk", 0);
+  open_flow (1000, BB_SEC);
+  open_flow (1001, BB_SEC);
+  send_request (1000, cookie, 101, 1, 2 * BB_SEC);
+  send_request (1000, cookie, 101, 1, 2200 * BB_MSEC);
+  struct bb_marked_packet p
+      = packet (1001, _i ? BB_TCP_ACK | BB_TCP_FIN : BB_TCP_ACK, 101, 50);
+  p.cookie = cookie;
+  struct bb_marked_verdict v = handle_packet (&p, 2300 * BB_MSEC);
+  ck_assert_int_eq (v.kind, BB_MARKED_FORWARD);
+  ck_assert_int_eq (v.probe_slot == 0, _i);
+}
+END_TEST
+
 /* Guards against flows that are reset because a server that has started again,
    and is full at once, sends nothing to flows that it held before.  */
 START_TEST (flows_of_a_former_life_prove_nothing)
@@ -511,6 +531,7 @@
   tcase_add_test (tc, suspicion_ends_without_repetitions);
   tcase_add_test (tc, dead_server_gets_new_attempts);
   tcase_add_loop_test (tc, flows_of_a_former_life_prove_nothing, 0, 2);
+  tcase_add_loop_test (tc, packet_that_closes_a_flow_is_no_probe, 0, 2);
   tcase_add_test (tc, suspect_server_gets_no_new_flow);
   tcase_add_test (tc, restarted_server_starts_empty);
   tcase_add_test (tc, whole_read_removes_unlisted_servers);
