A probe fails only if its acknowledgement had the time to arrive

Found on reading the change again: a new packet that is a probe fails after 200 ms, and its copies take 150, so that on paths of over 50 ms a live server's acknowledgements came too late to count. The time of the copies and the longest recent path delay must have passed.

ended_test, slow_servers_test (deaths) and silent_servers_test pass; no test has such a path yet.

--- a/marked/balancer_private.h
+++ b/marked/balancer_private.h
@@ -115,6 +115,8 @@
                                const struct bb_packet *p, bb_usec now);
 
 /* probing.c: packets that are sent several times.  */
+/* Time in which the copies of a probe are sent, three ticks.  */
+#define BB_MARKED_PROBE_TIME (150 * BB_MSEC)
 /* Makes the packet of F that was just received a probe if that may show
    whether S is dead.  Returns the slot for the packet, 0 if it is none.  */
 unsigned bb_marked_start_probe (struct bb_marked *m,
--- a/marked/observe.c
+++ b/marked/observe.c
@@ -122,7 +122,11 @@
         && bb_path_delay_longest (&m->path_delay, now) < now - previous;
   flow->has_link_worked = has_worked && is_link_working (m, now);
   m->counters.unacknowledged += flow->silence.repeats == 2;
-  if (flow->probe_slot != 0)
+  /* An acknowledgement of the last copy must have had the time to arrive.  */
+  bool had_time
+      = now - flow->probed
+        > BB_MARKED_PROBE_TIME + bb_path_delay_longest (&m->path_delay, now);
+  if (flow->probe_slot != 0 || !had_time)
     bb_marked_withdraw_probe (m, flow);
   if (flow->probed == 0)
     return;
