An owner that comes back at another address takes its place in the list

Found on reading the change again: with owners told apart by endpoint, a balancer that comes back under its name elsewhere was listed twice for 600 s, and the digests, which leave out an id that is listed twice, differed, so that no owner was confirmed. The list has an id once again; a namesake that is no owner does not end it.

cold_server_test and colliding_names_test pass; the latter expects one entry for an id instead of one for each balancer that has it.

--- a/marked/sync/sync_owners.c
+++ b/marked/sync/sync_owners.c
@@ -77,42 +77,44 @@
   set_changed (o, now);
 }
 
+/* Whether P is a live balancer of the data centre with the id of this one, and
+   owns the servers of that id.  */
 static bool
-is_entry_of (const struct bb_sync_owner *entry, const struct bb_sync_peer *p)
+owns_for_both (const struct bb_sync *s, const struct bb_sync_peer *p)
 {
-  const struct bb_sync_vm vm
-      = { .id = entry->id, .endpoint = entry->endpoint };
-  return bb_sync_is_same_vm (&vm, &p->vm);
+  const struct bb_sync_vm *self = &s->options.self;
+  return p->vm.id == self->id && p->last_received != 0
+         && bb_sync_peer_is_local (s, p)
+         && bb_endpoint_compare (&p->vm.endpoint, &self->endpoint) < 0;
 }
 
-/* Whether another balancer of the data centre with the id of this one, which
-   stands for both in the lists, is to own its servers.  */
 static bool
 must_yield (const struct bb_sync *s)
 {
-  const struct bb_sync_vm *self = &s->options.self;
   for (uint32_t i = 0; i < s->peer_count; i++)
-    {
-      const struct bb_sync_peer *p = s->peers[i];
-      if (p->vm.id == self->id && bb_sync_peer_is_local (s, p)
-          && bb_endpoint_compare (&p->vm.endpoint, &self->endpoint) < 0)
-        return true;
-    }
+    if (owns_for_both (s, s->peers[i]))
+      return true;
   return false;
 }
 
+/* The list has an id once: a balancer that comes back under its name at
+   another address takes its place there.  Another one with the same id, which
+   is no owner, does not end it.  */
 void
 bb_sync_record_owner (struct bb_sync *s, const struct bb_sync_peer *p,
                       const struct bb_sync_heartbeat *b, bb_usec now)
 {
   struct bb_sync_owners *o = &s->owners;
   uint32_t i = 0;
-  while (i < o->count && !is_entry_of (&o->list[i], p))
+  while (i < o->count && o->list[i].id != p->vm.id)
     i++;
+  if (p->vm.id == s->options.self.id && !owns_for_both (s, p))
+    return;
   bool is_owner = b->flags & BB_SYNC_OWNER && !(b->flags & BB_SYNC_LEAVING);
   if (!is_owner)
     {
-      if (i < o->count)
+      if (i < o->count
+          && bb_endpoint_compare (&o->list[i].endpoint, &p->vm.endpoint) == 0)
         remove_owner (o, i, now);
       return;
     }
@@ -120,11 +122,11 @@
     return;
   if (i == o->count)
     {
-      o->list[o->count] = (struct bb_sync_owner){ .id = p->vm.id };
-      o->list[o->count++].endpoint = p->vm.endpoint;
+      o->list[o->count++] = (struct bb_sync_owner){ .id = p->vm.id };
       o->digest ^= digest_of (p->vm.id);
       set_changed (o, now);
     }
+  o->list[i].endpoint = p->vm.endpoint;
   o->list[i].last_received = now;
   o->list[i].digest = b->owners;
 }
